Add the design page, build frame, wire formats and core interfaces

The repository was empty. Wire formats for fabric, callers, upstreams and peers are protobuf messages with one codec each; peer messages are signed and protected against replay. Membership, catalogue, roll-out, owner selection and lease guard are pure classes without I/O.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Entry points for users and CI. Each target installs missing packages and builds what changed.
+BUILD ?= build
+
+.PHONY: all packages build test demo bench capacity format lint proto
+
+all: build
+
+packages:
+	@scripts/installpackages.sh
+
+build: packages
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo > /dev/null
+	@cmake --build $(BUILD)
+
+test: build
+	@scripts/runtests.sh $(BUILD)
+
+demo: build
+	@scripts/demo.py --build $(BUILD)
+
+bench: build
+	@scripts/bench.sh $(BUILD)
+
+capacity: build
+	@scripts/capacity.py --build $(BUILD)
+
+format:
+	@find src -name '*.h' -o -name '*.cpp' | grep -v /generated/ | xargs clang-format -i
+
+lint: build
+	@scripts/checklint.sh $(BUILD)
+
+proto: packages
+	@scripts/generateprotobuf.sh
--- /dev/null
+++ b/src/connection/flowrouter.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "common/ids.h"
+#include "common/reason.h"
+#include "common/time.h"
+#include "connection/ownerselector.h"
+#include "version/bucketmap.h"
+#include "version/roster.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace banyanwall::connection {
+
+enum class PacketKind {
+    Open,
+    Data,
+    Close,
+};
+
+/// A caller packet as the router sees it, from the fabric (hops 0) or from a peer.
+struct FlowPacket
+{
+    common::ServiceId service;
+    common::FlowKey flow;
+    PacketKind kind = PacketKind::Data;
+    std::uint32_t hops = 0;
+    /// Set on an open that the first bucket owner has decided; the receiver records it.
+    std::optional<common::UpstreamId> record;
+};
+
+struct ForwardToUpstream
+{
+    common::UpstreamId upstream;
+};
+
+struct RelayToPeer
+{
+    common::InstanceId peer;
+    /// Decision that the peer has to record before it forwards the packet.
+    std::optional<common::UpstreamId> record;
+};
+
+struct RejectPacket
+{
+    common::Reason reason;
+};
+
+using RouteDecision = std::variant<ForwardToUpstream, RelayToPeer, RejectPacket>;
+
+/// Overrides of one bucket on their way to a new owner.
+struct OverrideBatch
+{
+    common::InstanceId receiver;
+    common::ServiceId service;
+    common::BucketIndex bucket;
+
+    struct Record
+    {
+        common::FlowKey flow;
+        common::UpstreamId upstream;
+    };
+
+    std::vector<Record> records;
+    /// The sender has sent all that it holds for this bucket.
+    bool complete = false;
+};
+
+/// Buckets that the planner may settle.
+struct IdleBucketReport
+{
+    common::ServiceId service;
+    common::SettledRevision revision;
+    std::vector<common::BucketIndex> buckets;
+};
+
+/// Decides where each packet of a flow goes. Thread-safe: route() takes shared locks, all other
+/// calls exclusive ones. The rules are those of docs/design.md, section 3.
+class FlowRouter
+{
+public:
+    FlowRouter(common::InstanceId self, common::ZoneId zone);
+    ~FlowRouter();
+    FlowRouter(const FlowRouter &) = delete;
+    FlowRouter &operator=(const FlowRouter &) = delete;
+
+    /// Takes a new view of the live members. Buckets gained by this call need a handover before
+    /// they are answered for.
+    void setMembers(std::shared_ptr<const OwnerSelector> members, common::TimePoint now);
+    /// Takes a roster; older versions than the newest known are ignored.
+    void applyRoster(const version::ServiceRoster &roster, common::TimePoint now);
+    void applySettled(common::ServiceId service, const version::SettledTable &settled,
+                      common::TimePoint now);
+    /// All live members know this roster version or the deadline for them has passed; opens may
+    /// follow it.
+    void setInForce(common::ServiceId service, common::RosterVersion version);
+    /// All live members know this settled revision; overrides that it made needless are dropped.
+    void setSettledAcknowledged(common::ServiceId service, common::SettledRevision revision);
+    /// A stale instance relays instead of deciding.
+    void setStale(bool stale);
+    void setUnreachableZones(std::vector<common::ZoneId> zones);
+    /// The upstream failed without notice; its flows are lost and its buckets open elsewhere.
+    void setUpstreamLost(common::UpstreamId upstream, bool lost);
+
+    [[nodiscard]] RouteDecision route(const FlowPacket &packet, common::TimePoint now);
+    /// The upstream does not know the flow. Returns where to try next, at most once for each recent
+    /// upstream of the bucket, or empty when the flow is lost.
+    [[nodiscard]] std::optional<common::UpstreamId> nextCandidate(common::ServiceId service,
+                                                                  common::FlowKey flow,
+                                                                  common::UpstreamId rejectedBy,
+                                                                  common::TimePoint now);
+
+    [[nodiscard]] std::vector<IdleBucketReport> idleBuckets(common::TimePoint now);
+    /// Next overrides for new owners, at most maxRecords in all.
+    [[nodiscard]] std::vector<OverrideBatch> takeHandovers(std::size_t maxRecords,
+                                                           common::TimePoint now);
+    void acceptHandover(const OverrideBatch &batch, common::TimePoint now);
+
+    [[nodiscard]] std::size_t overrideCount() const;
+    /// Current map of a service; null when the service is unknown.
+    [[nodiscard]] std::shared_ptr<const version::BucketMap> map(common::ServiceId service) const;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace banyanwall::connection
--- /dev/null
+++ b/src/connection/upstreamowner.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "common/ids.h"
+#include "common/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace banyanwall::connection {
+
+enum class SlotOutcome {
+    Answered,
+    Shed,
+    TimedOut,
+    /// The grant was not used.
+    Unused,
+};
+
+struct SlotKey
+{
+    common::RequestKey request;
+    common::AttemptNumber attempt;
+
+    auto operator<=>(const SlotKey &) const = default;
+};
+
+/// Counts the slots of one upstream and runs its slow start, on the one instance that owns the
+/// upstream.
+///
+/// The window is the number of slots in use at the same time. It starts at 1 and grows by 1 after
+/// GrowAfterAnswers answers in a row under twice the usual latency; it falls to 1 on a shed, a
+/// timeout, a new incarnation, or after ColdAfterAnswers answers in a row over four times the usual
+/// latency. Reports of the health endpoint only lower it. Not thread-safe.
+class UpstreamOwner
+{
+public:
+    static constexpr std::uint32_t GrowAfterAnswers = 8;
+    static constexpr std::uint32_t ColdAfterAnswers = 3;
+
+    /// All slots count as taken until ownedSince + longestRequest, except those reported by peers.
+    UpstreamOwner(std::uint32_t slots, common::Duration usualLatency,
+                  common::Duration longestRequest, common::TimePoint ownedSince);
+
+    /// Grants a slot for at most hold. A repeated request for a held slot is granted again.
+    [[nodiscard]] bool acquire(SlotKey key, common::Duration hold, common::TimePoint now);
+    void release(SlotKey key, SlotOutcome outcome, common::Duration latency, common::TimePoint now);
+    /// Peers that have reported their grants to the new owner shorten the initial wait.
+    void adoptGrants(const std::vector<SlotKey> &held, common::Duration hold, bool allReported,
+                     common::TimePoint now);
+    void observeIncarnation(common::Incarnation incarnation, common::TimePoint now);
+    void observeHealth(bool healthy, std::uint32_t busySlots, common::TimePoint now);
+
+    [[nodiscard]] std::uint32_t window() const { return m_window; }
+
+    [[nodiscard]] std::uint32_t busySlots(common::TimePoint now) const;
+    [[nodiscard]] std::uint32_t freeSlots(common::TimePoint now) const;
+
+    /// Newest incarnation seen; zero when unknown.
+    [[nodiscard]] common::Incarnation incarnation() const { return m_incarnation; }
+
+private:
+    void fallBack();
+
+    std::uint32_t m_slots;
+    common::Duration m_usualLatency;
+    common::TimePoint m_unknownUntil;
+    std::uint32_t m_window = 1;
+    std::uint32_t m_goodAnswers = 0;
+    std::uint32_t m_slowAnswers = 0;
+    common::Incarnation m_incarnation;
+    std::vector<std::pair<SlotKey, common::TimePoint>> m_held;
+};
+
+} // namespace banyanwall::connection
--- /dev/null
+++ b/src/request/leaseguard.cpp
@@ -0,0 +1,50 @@
+#include "request/leaseguard.h"
+
+#include <algorithm>
+
+namespace banyanwall::request {
+
+void LeaseGuard::onRenewed(common::TimePoint sentAt)
+{
+    m_renewedAt = std::max(m_renewedAt, sentAt);
+    m_held = true;
+    m_storeReachable = true;
+}
+
+void LeaseGuard::onLost()
+{
+    m_held = false;
+    m_storeReachable = true;
+}
+
+void LeaseGuard::setStoreReachable(bool reachable)
+{
+    m_storeReachable = reachable;
+}
+
+void LeaseGuard::onAcknowledgements(std::uint32_t acknowledged, std::uint32_t members,
+                                    common::TimePoint oldest)
+{
+    // This instance counts for itself.
+    m_majority = 2 * (acknowledged + 1) > members + 1;
+    m_majoritySince = oldest;
+}
+
+DispatchPermit LeaseGuard::permit(Moment moment) const
+{
+    if (!m_held) {
+        return {};
+    }
+    const auto permitUntil = [&](common::TimePoint end) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - moment.now);
+        return DispatchPermit { left.count() > 0, moment.wall + left };
+    };
+    const auto byLease = permitUntil(m_renewedAt + LeaseTerm - ClockBound);
+    if (byLease.fenced || m_storeReachable || !m_majority
+        || moment.now - m_majoritySince > AcknowledgementAge) {
+        return byLease;
+    }
+    return permitUntil(m_majoritySince + PromiseTerm - ClockBound);
+}
+
+} // namespace banyanwall::request
