--- /dev/null
+++ b/src/benchmarks/controlbenchmark.cpp
@@ -0,0 +1,251 @@
+#include "common/hash.h"
+#include "process/membership.h"
+#include "version/catalogue.h"
+#include "wire/peercodec.h"
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <iostream>
+#include <memory>
+#include <ranges>
+#include <string>
+#include <vector>
+
+/// Measures what control costs an instance against the number of instances and documents:
+/// heartbeats, news of a failed or restarted member, signing, catalogue. Prints rows
+/// "capacity.<metric> n=<size> value=<x>". Members are driven in process in simulated time; only
+/// processor time is read from a clock.
+namespace banyanwall::benchmarks {
+
+using common::InstanceId;
+using common::TimePoint;
+using process::Membership;
+
+namespace {
+
+constexpr auto Start = TimePoint(std::chrono::seconds(1'000));
+constexpr std::size_t ZoneCount = 4;
+constexpr int SettleTicks = 10;
+constexpr int MeasuredTicks = 20;
+
+double cpuSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+double heapBytes()
+{
+    return static_cast<double>(mallinfo2().uordblks);
+}
+
+template<typename Value>
+void printRow(const std::string &metric, std::size_t size, Value value)
+{
+    std::cout << "capacity." << metric << " n=" << size << " value=" << value << '\n';
+}
+
+/// Members that exchange their messages at once; silent members neither send nor receive.
+class Group
+{
+public:
+    explicit Group(std::size_t size)
+    {
+        for (std::size_t index = 0; index < size; ++index) {
+            const InstanceId id(static_cast<std::uint32_t>(common::hashPair(index, size)));
+            const common::Endpoint address { 0x7f000001,
+                                             static_cast<std::uint16_t>(10'000 + index) };
+            const common::ZoneId zone(static_cast<std::uint32_t>(index % ZoneCount));
+            m_members.push_back(
+                    { id, zone, address,
+                      std::make_unique<Membership>(id, common::Incarnation(1), zone, address),
+                      std::make_unique<wire::PeerCodec>(
+                              id, common::Incarnation(1),
+                              std::map<std::uint32_t, std::string> { { 1, "key" } }, 1),
+                      false });
+        }
+        std::vector<process::MemberInfo> listed;
+        std::ranges::transform(m_members, std::back_inserter(listed), [](const auto &member) {
+            return process::MemberInfo {
+                member.id, common::Incarnation(1), member.zone, member.address, {}, {}, {}
+            };
+        });
+        for (auto &member : m_members) {
+            member.membership->applyStoreList(listed, m_now);
+        }
+    }
+
+    void runTicks(int ticks)
+    {
+        for (int tick = 0; tick < ticks; ++tick) {
+            m_now += Membership::HeartbeatInterval;
+            std::ranges::for_each(m_members, [this](Entry &member) {
+                if (!member.silent) {
+                    queue(member, member.membership->onTick({}, m_now));
+                }
+            });
+            deliverAll();
+        }
+    }
+
+    void silence(std::size_t index) { m_members[index].silent = true; }
+
+    [[nodiscard]] double bytesSent() const { return m_bytes; }
+
+    [[nodiscard]] std::size_t liveSeenByFirst() const
+    {
+        return m_members.front().membership->liveMembers().size();
+    }
+
+private:
+    struct Entry
+    {
+        InstanceId id;
+        common::ZoneId zone;
+        common::Endpoint address;
+        std::unique_ptr<Membership> membership;
+        std::unique_ptr<wire::PeerCodec> codec;
+        bool silent = false;
+    };
+
+    struct InFlight
+    {
+        InstanceId receiver;
+        std::string bytes;
+    };
+
+    void queue(Entry &sender, const std::vector<process::SendToMember> &sends)
+    {
+        for (const auto &send : sends) {
+            auto bytes = sender.codec->encode(send.message);
+            m_bytes += static_cast<double>(bytes.size());
+            m_inFlight.push_back({ send.member, std::move(bytes) });
+        }
+    }
+
+    void deliverAll()
+    {
+        while (!m_inFlight.empty()) {
+            const auto next = std::move(m_inFlight.front());
+            m_inFlight.pop_front();
+            const auto receiver = std::ranges::find(m_members, next.receiver, &Entry::id);
+            if (receiver != m_members.end() && !receiver->silent) {
+                receive(*receiver, next.bytes);
+            }
+        }
+    }
+
+    void receive(Entry &receiver, const std::string &bytes)
+    {
+        const auto decoded = receiver.codec->decode(bytes);
+        if (!common::isOk(decoded)) {
+            return;
+        }
+        const auto &verified = common::valueOf(decoded);
+        auto &membership = *receiver.membership;
+        if (verified.message.has_heartbeat()) {
+            queue(receiver,
+                  membership.onHeartbeat(verified.sender, verified.message.heartbeat(), 0, m_now));
+        } else if (verified.message.has_heartbeat_ack()) {
+            membership.onHeartbeatAck(verified.sender, verified.message.heartbeat_ack(), 0, m_now);
+        } else if (verified.message.has_member_update()) {
+            queue(receiver, membership.onUpdate(verified.message.member_update(), m_now));
+        }
+    }
+
+    TimePoint m_now = Start;
+    double m_bytes = 0;
+    std::vector<Entry> m_members;
+    std::deque<InFlight> m_inFlight;
+};
+
+double seconds(int ticks)
+{
+    return ticks * std::chrono::duration<double>(Membership::HeartbeatInterval).count();
+}
+
+void measureMembership(std::size_t size)
+{
+    const auto heapBefore = heapBytes();
+    Group group(size);
+    const auto perMember = static_cast<double>(size);
+    group.runTicks(SettleTicks);
+    printRow("membership_memory_bytes", size, (heapBytes() - heapBefore) / perMember);
+
+    const auto bytesBefore = group.bytesSent();
+    const auto cpuBefore = cpuSeconds();
+    group.runTicks(MeasuredTicks);
+    const auto steadyBytes = (group.bytesSent() - bytesBefore) / perMember / seconds(MeasuredTicks);
+    printRow("heartbeat_bytes_per_s", size, steadyBytes);
+    printRow("heartbeat_cpu_us_per_s", size,
+             (cpuSeconds() - cpuBefore) * 1e6 / perMember / seconds(MeasuredTicks));
+
+    const auto bytesBeforeFailure = group.bytesSent();
+    group.silence(size - 1);
+    group.runTicks(MeasuredTicks);
+    const auto failureBytes = (group.bytesSent() - bytesBeforeFailure) / perMember
+            - steadyBytes * seconds(MeasuredTicks);
+    printRow("member_failure_bytes", size, std::max(0.0, failureBytes));
+    printRow("members_live_after_failure", size, group.liveSeenByFirst());
+}
+
+version::Catalogue::Document document(std::size_t index, std::uint64_t revision)
+{
+    version::Catalogue::Document document;
+    document.set_key("contracts/customer-" + std::to_string(index));
+    document.set_version(revision);
+    document.set_value(std::string(4'000, 'c'));
+    return document;
+}
+
+void measureCatalogue(std::size_t documents)
+{
+    const auto heapBefore = heapBytes();
+    version::Catalogue catalogue;
+    for (std::size_t index = 0; index < documents; ++index) {
+        catalogue.put(document(index, 1));
+    }
+    printRow("catalogue_memory_bytes", documents, heapBytes() - heapBefore);
+    constexpr std::size_t Updates = 2'000;
+    const auto cpuBefore = cpuSeconds();
+    for (std::size_t update = 0; update < Updates; ++update) {
+        catalogue.put(document(update % documents, 2 + update / documents));
+    }
+    printRow("catalogue_update_us", documents, (cpuSeconds() - cpuBefore) * 1e6 / Updates);
+    wire::proto::PeerMessage summary;
+    for (const auto &version : catalogue.versions()) {
+        *summary.mutable_catalogue_summary()->add_versions() = version;
+    }
+    printRow("catalogue_summary_bytes", documents, summary.ByteSizeLong());
+}
+
+void measureSigning(std::size_t payloadBytes)
+{
+    wire::PeerCodec sender(InstanceId(1), common::Incarnation(1), { { 1, "key" } }, 1);
+    wire::PeerCodec receiver(InstanceId(2), common::Incarnation(1), { { 1, "key" } }, 1);
+    wire::proto::PeerMessage message;
+    message.mutable_relay()->mutable_frame()->set_payload(std::string(payloadBytes, 'p'));
+    constexpr std::size_t Messages = 50'000;
+    std::size_t accepted = 0;
+    const auto cpuBefore = cpuSeconds();
+    for (std::size_t index = 0; index < Messages; ++index) {
+        accepted += common::isOk(receiver.decode(sender.encode(message))) ? 1 : 0;
+    }
+    printRow("peer_message_us", payloadBytes,
+             (cpuSeconds() - cpuBefore) * 1e6 / static_cast<double>(accepted));
+}
+
+} // namespace
+
+} // namespace banyanwall::benchmarks
+
+int main()
+{
+    using namespace banyanwall::benchmarks;
+    std::ranges::for_each(std::vector<std::size_t> { 16, 64, 130, 260, 520 }, measureMembership);
+    std::ranges::for_each(std::vector<std::size_t> { 50, 200, 650, 1'300 }, measureCatalogue);
+    std::ranges::for_each(std::vector<std::size_t> { 64, 256, 1'024 }, measureSigning);
+    return 0;
+}
