--- /dev/null
+++ b/scripts/capacity.py
@@ -0,0 +1,155 @@
+#!/usr/bin/env python3
+"""Renews the tables and plots of docs/CAPACITY.md from measured slopes.
+
+Runs the benchmark programs, keeps their rows "capacity.<metric> n=<size> value=<x>" in docs/capacity/slopes.csv, fits a
+line to each metric and works out every role at the target size. With --check it runs nothing and fails when the page's
+tables do not follow from the committed CSV.
+"""
+
+import argparse
+import csv
+import pathlib
+import re
+import subprocess
+import sys
+
+from capacitymodel import ROLES, STORMS, TARGET
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+CSV = ROOT / "docs" / "capacity" / "slopes.csv"
+PAGE = ROOT / "docs" / "CAPACITY.md"
+BENCHMARKS = ["controlbenchmark", "flowbenchmark", "requestbenchmark"]
+ROW = re.compile(r"^capacity\.(\w+) n=(\S+) value=(\S+)$")
+MARKERS = {name: (f"<!-- {name}:begin -->", f"<!-- {name}:end -->") for name in ("roles", "storms", "slopes")}
+
+
+def measure(build):
+    """Returns the capacity rows of all benchmark programs as (metric, size, value)."""
+    rows = []
+    for name in BENCHMARKS:
+        program = build / "src" / "benchmarks" / name
+        arguments = [str(program)] + (["--capacity"] if name != "controlbenchmark" else [])
+        output = subprocess.run(arguments, check=True, capture_output=True, text=True).stdout
+        matches = (ROW.match(line) for line in output.splitlines())
+        rows += [(m.group(1), float(m.group(2)), float(m.group(3))) for m in matches if m]
+    return sorted(rows)
+
+
+def read_rows():
+    with CSV.open(newline="") as file:
+        return [(row["metric"], float(row["n"]), float(row["value"])) for row in csv.DictReader(file)]
+
+
+def write_rows(rows):
+    CSV.parent.mkdir(exist_ok=True)
+    with CSV.open("w", newline="") as file:
+        writer = csv.writer(file, lineterminator="\n")
+        writer.writerow(["metric", "n", "value"])
+        writer.writerows((metric, f"{size:g}", f"{value:.6g}") for metric, size, value in rows)
+
+
+class Fit:
+    """Least-squares line of one metric and its largest residual relative to the largest value."""
+
+    def __init__(self, points):
+        self.points = points
+        count = len(points)
+        mean_n = sum(n for n, _ in points) / count
+        mean_v = sum(v for _, v in points) / count
+        spread = sum((n - mean_n) ** 2 for n, _ in points)
+        self.slope = sum((n - mean_n) * (v - mean_v) for n, v in points) / spread if spread else 0.0
+        self.offset = mean_v - self.slope * mean_n
+        largest = max(abs(v) for _, v in points) or 1.0
+        self.residual = max(abs(v - self.line(n)) for n, v in points) / largest
+
+    def line(self, size):
+        return self.offset + self.slope * size
+
+    def at(self, size):
+        """Value at a size: the measured point when there is one, else the line, never below zero."""
+        measured = dict(self.points).get(size)
+        return measured if measured is not None else max(0.0, self.line(size))
+
+
+def fits_of(rows):
+    metrics = {}
+    for metric, size, value in rows:
+        metrics.setdefault(metric, []).append((size, value))
+    return {metric: Fit(points) for metric, points in metrics.items()}
+
+
+def number(value):
+    return f"{value:.3g}" if abs(value) < 1000 else f"{value:,.0f}"
+
+
+def model_table(model, fits, headings):
+    lines = ["| " + " | ".join(headings) + " |", "|" + "---|" * len(headings)]
+    totals = {}
+    for row in model:
+        value = row.value(fits)
+        totals[row.resource] = totals.get(row.resource, 0.0) + value
+        lines.append(f"| {row.role} | {row.mechanism} | {row.resource} | {number(value)} | {row.basis} |")
+    return lines, totals
+
+
+def role_table(fits):
+    lines, totals = model_table(ROLES, fits, ["role", "mechanism", "resource", "at target size", "worked out from"])
+    lines.append("")
+    lines.append("| resource | sum of roles | budget | fits |")
+    lines.append("|---|---|---|---|")
+    for resource, budget in TARGET["budgets"].items():
+        total = totals.get(resource, 0.0)
+        lines.append(f"| {resource} | {number(total)} | {number(budget)} | {'yes' if total <= budget else 'no'} |")
+    return "\n".join(lines)
+
+
+def storm_table(fits):
+    return "\n".join(model_table(STORMS, fits, ["storm", "mechanism", "resource", "value", "worked out from"])[0])
+
+
+def slope_table(fits):
+    lines = ["| metric | sizes | offset | slope | largest residual |", "|---|---|---|---|---|"]
+    for metric, fit in sorted(fits.items()):
+        sizes = ", ".join(f"{n:g}" for n, _ in sorted(fit.points))
+        lines.append(f"| `{metric}` | {sizes} | {number(fit.offset)} | {fit.slope:.3g} | {100 * fit.residual:.1f} % |")
+    return "\n".join(lines)
+
+
+def render(page, fits):
+    tables = {"roles": role_table(fits), "storms": storm_table(fits), "slopes": slope_table(fits)}
+    for name, table in tables.items():
+        begin, end = MARKERS[name]
+        head, rest = page.split(begin)
+        page = head + begin + "\n" + table + "\n" + end + rest.split(end)[1]
+    return page
+
+
+def plot(fits):
+    for metric, fit in fits.items():
+        data = "\n".join(f"{n:g} {v:g}" for n, v in sorted(fit.points))
+        script = (
+            f"set terminal svg size 480,320\nset output '{metric}.svg'\nset title '{metric}' noenhanced\nset key off\n"
+            f"set xlabel 'n'\nset yrange [0:*]\n$data << EOD\n{data}\nEOD\n"
+            f"plot $data with points pt 7, {fit.offset:g} + {fit.slope:g} * x\n"
+        )
+        subprocess.run(["gnuplot"], input=script, text=True, check=True, cwd=CSV.parent)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", type=pathlib.Path, default=ROOT / "build")
+    parser.add_argument("--check", action="store_true")
+    options = parser.parse_args()
+    if options.check:
+        page = PAGE.read_text()
+        if render(page, fits_of(read_rows())) != page:
+            sys.exit("docs/CAPACITY.md does not follow from docs/capacity/slopes.csv; run make capacity")
+        return
+    write_rows(measure(options.build))
+    fits = fits_of(read_rows())
+    PAGE.write_text(render(PAGE.read_text(), fits))
+    plot(fits)
+
+
+if __name__ == "__main__":
+    main()
