--- a/src/version/bucketmap.h
+++ b/src/version/bucketmap.h
@@ -22,6 +22,8 @@
     /// BucketCount entries; id 0 where the service had no upstream.
     std::vector<common::UpstreamId> defaults;
     std::bitset<BucketCount> transitional;
+    /// Newest roster whose opens the transitional buckets account for.
+    common::RosterVersion basedOn;
 };
 
 /// Where packets of one bucket go.
@@ -38,7 +40,9 @@
 public:
     /// Builds the map of a roster. Without a settled table the open upstreams become the defaults.
     /// A bucket is transitional when its default and open upstreams differ, when settled says so,
-    /// or when it was transitional in previous and settled is not newer than previous.
+    /// or when it was transitional in previous and settled is not newer than previous or is based
+    /// on an older roster. Without previous, a settled table that is based on an older roster makes
+    /// all buckets transitional: opens by rosters in between are unknown here.
     BucketMap(const ServiceRoster &roster, const std::optional<SettledTable> &settled,
               const BucketMap *previous);
 
@@ -55,6 +59,10 @@
     [[nodiscard]] SettledTable settledTable() const;
 
 private:
+    [[nodiscard]] std::uint16_t indexOf(common::UpstreamId upstream);
+    void takeDefaults(const std::vector<common::UpstreamId> &defaults);
+    void markTransitional(const std::optional<SettledTable> &settled, const BucketMap *previous);
+
     common::RosterVersion m_rosterVersion;
     common::SettledRevision m_settledRevision;
     std::vector<common::UpstreamId> m_upstreams;
