Add the flow router

Packets of transitional buckets go to the first bucket owner, which alone decides opens; the open carries its record through the second owner. A record in use is carried through the second owner again each half idle limit, so that the replica neither ages out nor keeps gaps.

The second owner decides a packet without record that the first owner has passed on, because the first owner is then stale or waits for a handover. FlowPacket names the relaying peer for this.

--- /dev/null
+++ b/src/connection/bucketruntime.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "common/ids.h"
+#include "common/time.h"
+#include "connection/ownerselector.h"
+
+#include <atomic>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace banyanwall::connection {
+
+/// Overrides of a bucket that this instance owes to a new owner.
+struct OwedHandover
+{
+    common::InstanceId receiver;
+    /// Last flow that was sent.
+    std::optional<common::FlowKey> cursor;
+};
+
+/// Mutable state of a transitional bucket on one instance. The atomics are read on the packet path;
+/// owners and owed are protected by the control lock of the router.
+struct BucketRuntime
+{
+    /// Last packet that went by default, or the time at which this instance began to watch, in
+    /// microseconds.
+    std::atomic<std::int64_t> lastDefault = 0;
+    /// Instance that holds the overrides which are still missing here; 0 when none are missing.
+    std::atomic<std::uint32_t> source = 0;
+    std::atomic<std::int64_t> sourceSince = 0;
+    /// The first owner still waits for overrides from this instance.
+    std::atomic<bool> owesFirst = false;
+
+    BucketOwners owners;
+    std::vector<OwedHandover> owed;
+};
+
+} // namespace banyanwall::connection
--- /dev/null
+++ b/src/connection/flowdecision.cpp
@@ -0,0 +1,257 @@
+#include "connection/flowdecision.h"
+
+#include "connection/ownerchange.h"
+
+#include <algorithm>
+
+namespace banyanwall::connection {
+
+using common::InstanceId;
+using common::Reason;
+using common::TimePoint;
+using common::UpstreamId;
+
+namespace {
+
+TimePoint timeOf(std::int64_t microseconds)
+{
+    return TimePoint(common::Duration(microseconds));
+}
+
+/// Resolution of the default-use time; keeps packets of one bucket from contending for it.
+constexpr common::Duration DefaultUseStep = std::chrono::milliseconds(100);
+
+} // namespace
+
+bool holdsOverrides(const BucketRuntime &runtime, TimePoint lastHandover, TimePoint now)
+{
+    if (runtime.source.load(std::memory_order_relaxed) == 0) {
+        return true;
+    }
+    const auto since = timeOf(runtime.sourceSince.load(std::memory_order_relaxed));
+    return now - std::max(since, lastHandover) > HandoverSilence;
+}
+
+FlowDecision::FlowDecision(const RoutingContext &context, const FlowPacket &packet,
+                           std::optional<BucketOwners> owners, TimePoint now)
+    : m_context(context)
+    , m_packet(packet)
+    , m_owners(owners)
+    , m_now(now)
+    , m_key { packet.service, version::BucketMap::bucketOf(packet.flow) }
+    , m_route(context.view.route(m_key.bucket))
+{ }
+
+RouteDecision FlowDecision::decide()
+{
+    if (m_packet.record) {
+        return followRecord(*m_packet.record);
+    }
+    const auto peer = m_context.stale ? staleRelayTarget() : relayTarget();
+    if (peer && !servedByRecord()) {
+        return relay(*peer);
+    }
+    switch (m_packet.kind) {
+    case PacketKind::Open:
+        return decideOpen();
+    case PacketKind::Close:
+        return decideClose();
+    case PacketKind::Data:
+        break;
+    }
+    return decideData();
+}
+
+std::optional<InstanceId> FlowDecision::relayTarget() const
+{
+    if (!m_owners || m_route == nullptr) {
+        return std::nullopt;
+    }
+    const auto &runtime = *m_route->runtime;
+    const bool complete = holdsOverrides(runtime, m_context.lastHandover, m_now);
+    if (m_owners->first == m_context.self) {
+        return complete ? std::nullopt : std::optional(InstanceId(runtime.source.load()));
+    }
+    // An owner passes a packet without record on only when it cannot decide itself; the second
+    // owner's regular relays go to the first owner alone.
+    const bool second = m_owners->second == m_context.self;
+    if (m_packet.relayedBy == m_owners->first
+        || (!second && m_packet.relayedBy && m_packet.relayedBy == m_owners->second)) {
+        return std::nullopt;
+    }
+    if (complete && runtime.owesFirst.load(std::memory_order_relaxed)) {
+        return std::nullopt;
+    }
+    return m_owners->first;
+}
+
+std::optional<InstanceId> FlowDecision::staleRelayTarget() const
+{
+    if (!m_owners
+        || (m_owners->second == m_context.self && m_packet.relayedBy == m_owners->first)) {
+        return std::nullopt;
+    }
+    return otherOwner(*m_owners, m_context.self);
+}
+
+bool FlowDecision::servedByRecord() const
+{
+    // A recorded flow has one upstream in every view. The second owner serves it only at the hop
+    // limit, so that the first owner sees the flow in use.
+    const bool mayServe = (m_owners && m_owners->first == m_context.self) || !mayRelay();
+    return mayServe && !m_context.stale && m_packet.kind == PacketKind::Data
+            && m_context.overrides.use(m_key, m_packet.flow, std::chrono::seconds::max(), m_now)
+                       .has_value();
+}
+
+RouteDecision FlowDecision::relay(InstanceId peer) const
+{
+    return mayRelay() ? RouteDecision(RelayToPeer { peer, std::nullopt })
+                      : RouteDecision(RejectPacket { Reason::HopLimit });
+}
+
+RouteDecision FlowDecision::followRecord(UpstreamId upstream)
+{
+    if (m_context.view.status(upstream) == UpstreamStatus::Withdrawn) {
+        return RejectPacket { Reason::ZoneWithdrawn };
+    }
+    if (m_packet.kind == PacketKind::Close) {
+        m_context.overrides.erase(m_key, m_packet.flow);
+        return ForwardToUpstream { upstream };
+    }
+    const bool first = m_owners && m_owners->first == m_context.self;
+    if (first && m_packet.kind == PacketKind::Open) {
+        // The second owner decided in place of this one. A decision that was made here since then
+        // prevails; the second owner learns of it with the record of that packet.
+        const auto recorded = m_context.overrides.insert(m_key, { m_packet.flow, upstream }, m_now);
+        if (recorded && takesOpens(*recorded)) {
+            return ForwardToUpstream { *recorded };
+        }
+    }
+    m_context.overrides.assign(m_key, { m_packet.flow, upstream }, m_now);
+    return ForwardToUpstream { upstream };
+}
+
+RouteDecision FlowDecision::decideOpen()
+{
+    if (m_route == nullptr) {
+        return useDefault();
+    }
+    const auto hit =
+            m_context.overrides.use(m_key, m_packet.flow, std::chrono::seconds::max(), m_now);
+    if (hit && takesOpens(hit->upstream)) {
+        return forwardThroughOther(hit->upstream);
+    }
+    const auto upstream = openUpstream();
+    if (!upstream) {
+        return RejectPacket { Reason::NoUpstream };
+    }
+    // While a newer roster is in roll-out, opens at the default are recorded as well: a late
+    // duplicate must not be decided again by the newer roster.
+    const bool rollout = m_route->openInForce && m_route->openNewest != *m_route->openInForce;
+    if (!hit && *upstream == m_route->defaultUpstream && !rollout) {
+        return useDefault();
+    }
+    return openAt(*upstream, hit.has_value());
+}
+
+RouteDecision FlowDecision::openAt(UpstreamId upstream, bool replace)
+{
+    const bool replicated = m_owners && otherOwner(*m_owners, m_context.self).has_value();
+    if (replicated && !mayRelay()) {
+        return RejectPacket { Reason::HopLimit };
+    }
+    auto &overrides = m_context.overrides;
+    if (replace) {
+        overrides.assign(m_key, { m_packet.flow, upstream }, m_now);
+        return forwardThroughOther(upstream);
+    }
+    const auto recorded = overrides.insert(m_key, { m_packet.flow, upstream }, m_now);
+    if (!recorded) {
+        return RejectPacket { Reason::ConnectionLimit };
+    }
+    return forwardThroughOther(*recorded);
+}
+
+RouteDecision FlowDecision::decideData()
+{
+    if (m_route == nullptr) {
+        return useDefault();
+    }
+    const bool mayRefresh = mayRelay() && m_owners && otherOwner(*m_owners, m_context.self);
+    const auto refreshAfter =
+            mayRefresh ? m_context.view.idleLimit() / 2 : std::chrono::seconds::max();
+    const auto hit = m_context.overrides.use(m_key, m_packet.flow, refreshAfter, m_now);
+    if (!hit) {
+        return useDefault();
+    }
+    return hit->refreshDue ? forwardThroughOther(hit->upstream) : forward(hit->upstream);
+}
+
+RouteDecision FlowDecision::decideClose()
+{
+    const auto upstream = m_context.overrides.erase(m_key, m_packet.flow);
+    if (!upstream) {
+        return useDefault();
+    }
+    return mayRelay() ? forwardThroughOther(*upstream) : forward(*upstream);
+}
+
+RouteDecision FlowDecision::useDefault()
+{
+    const auto upstream = m_context.view.map()->entry(m_key.bucket).defaultUpstream;
+    if (m_route != nullptr) {
+        auto &last = m_route->runtime->lastDefault;
+        if (m_now - timeOf(last.load(std::memory_order_relaxed)) >= DefaultUseStep) {
+            last.store(m_now.time_since_epoch().count(), std::memory_order_relaxed);
+        }
+    }
+    return upstream == UpstreamId(0) ? RejectPacket { Reason::NoUpstream } : forward(upstream);
+}
+
+RouteDecision FlowDecision::forward(UpstreamId upstream) const
+{
+    switch (m_context.view.status(upstream)) {
+    case UpstreamStatus::Withdrawn:
+        return RejectPacket { Reason::ZoneWithdrawn };
+    case UpstreamStatus::Lost:
+    case UpstreamStatus::Absent:
+        return RejectPacket { Reason::UpstreamLost };
+    case UpstreamStatus::Active:
+    case UpstreamStatus::Draining:
+    case UpstreamStatus::Unreachable:
+        break;
+    }
+    return ForwardToUpstream { upstream };
+}
+
+RouteDecision FlowDecision::forwardThroughOther(UpstreamId upstream) const
+{
+    const auto direct = forward(upstream);
+    const auto other = m_owners ? otherOwner(*m_owners, m_context.self) : std::nullopt;
+    if (!other || std::holds_alternative<RejectPacket>(direct)) {
+        return direct;
+    }
+    return mayRelay() ? RouteDecision(RelayToPeer { *other, upstream })
+                      : RouteDecision(RejectPacket { Reason::HopLimit });
+}
+
+std::optional<UpstreamId> FlowDecision::openUpstream() const
+{
+    // Before any roster is in force here, the default is the choice that every instance follows.
+    const auto regular = m_route->openInForce.value_or(m_route->defaultUpstream);
+    for (const auto candidate : { regular, m_route->openNewest }) {
+        if (takesOpens(candidate)) {
+            return candidate;
+        }
+    }
+    return m_context.view.alternative(m_packet.flow);
+}
+
+bool FlowDecision::takesOpens(UpstreamId upstream) const
+{
+    const auto status = m_context.view.status(upstream);
+    return status == UpstreamStatus::Active || status == UpstreamStatus::Draining;
+}
+
+} // namespace banyanwall::connection
--- a/src/connection/flowrouter.h
+++ b/src/connection/flowrouter.h
@@ -30,8 +30,14 @@
     std::uint32_t hops = 0;
     /// Set on an open that the first bucket owner has decided; the receiver records it.
     std::optional<common::UpstreamId> record;
+    /// Peer that relayed the packet. The second owner decides a packet without record that the
+    /// first owner has passed on, because the first owner is then not able to decide.
+    std::optional<common::InstanceId> relayedBy;
 };
 
+/// Relays of one packet, so that differing views cannot cause an endless loop.
+inline constexpr std::uint32_t HopLimit = 3;
+
 struct ForwardToUpstream
 {
     common::UpstreamId upstream;
@@ -74,7 +80,12 @@
 {
     common::ServiceId service;
     common::SettledRevision revision;
+    /// Transitional buckets whose default served no packet for the idle limit.
     std::vector<common::BucketIndex> buckets;
+    /// Roster that the report refers to: the newest known one, which is also in force.
+    common::RosterVersion rosterVersion;
+    /// Transitional buckets without an override to another upstream than their open upstream.
+    std::vector<common::BucketIndex> clean;
 };
 
 /// Decides where each packet of a flow goes. Thread-safe: route() takes shared locks, all other
@@ -102,6 +113,14 @@
     /// A stale instance relays instead of deciding.
     void setStale(bool stale);
     void setUnreachableZones(std::vector<common::ZoneId> zones);
+    /// Suspected members are passed over as owners until they are heard from again.
+    void setSuspected(std::vector<common::InstanceId> members);
+    /// Others took this instance for dead or suspected: its overrides may have gaps. It behaves as
+    /// a new owner until handovers are finished.
+    void onRejoined(common::TimePoint now);
+    /// A member restarted under its id without leaving the list of members: it has lost its
+    /// overrides and gets them again.
+    void onMemberRestarted(common::InstanceId member, common::TimePoint now);
     /// The upstream failed without notice; its flows are lost and its buckets open elsewhere.
     void setUpstreamLost(common::UpstreamId upstream, bool lost);
 
@@ -120,6 +139,8 @@
     void acceptHandover(const OverrideBatch &batch, common::TimePoint now);
 
     [[nodiscard]] std::size_t overrideCount() const;
+    /// Bytes allocated for overrides.
+    [[nodiscard]] std::size_t overrideBytes() const;
     /// Current map of a service; null when the service is unknown.
     [[nodiscard]] std::shared_ptr<const version::BucketMap> map(common::ServiceId service) const;
 
--- /dev/null
+++ b/src/connection/servicetable.cpp
@@ -0,0 +1,353 @@
+#include "connection/servicetable.h"
+
+#include "connection/flowdecision.h"
+#include "connection/ownerchange.h"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+
+namespace banyanwall::connection {
+
+using common::BucketIndex;
+using common::InstanceId;
+using common::TimePoint;
+using common::UpstreamId;
+using version::BucketMap;
+
+namespace {
+
+/// Former maps that nextCandidate may fall back to.
+constexpr std::size_t HistoryLength = 4;
+
+void waitFor(BucketRuntime &runtime, std::optional<InstanceId> source, TimePoint now)
+{
+    runtime.source = source.value_or(InstanceId(0)).value();
+    runtime.sourceSince = now.time_since_epoch().count();
+}
+
+UpstreamStatus statusOf(const version::RosterUpstream &upstream, const Outages &outages)
+{
+    if (upstream.state == version::UpstreamState::Withdrawn) {
+        return UpstreamStatus::Withdrawn;
+    }
+    if (outages.lostUpstreams.contains(upstream.id)) {
+        return UpstreamStatus::Lost;
+    }
+    if (outages.unreachableZones.contains(upstream.zone)) {
+        return UpstreamStatus::Unreachable;
+    }
+    return upstream.state == version::UpstreamState::Draining ? UpstreamStatus::Draining
+                                                              : UpstreamStatus::Active;
+}
+
+bool isUsable(UpstreamStatus status)
+{
+    return status == UpstreamStatus::Active || status == UpstreamStatus::Draining;
+}
+
+} // namespace
+
+ServiceTable::ServiceTable(common::ServiceId service)
+    : m_service(service)
+{ }
+
+bool ServiceTable::applyRoster(const version::ServiceRoster &roster)
+{
+    if (m_roster && roster.version <= m_roster->version) {
+        return false;
+    }
+    m_roster = roster;
+    rebuildMap();
+    return true;
+}
+
+bool ServiceTable::applySettled(const version::SettledTable &settled)
+{
+    if (m_settled && settled.revision <= m_settled->revision) {
+        return false;
+    }
+    m_settled = settled;
+    m_diverted.reset();
+    if (m_roster) {
+        rebuildMap();
+    }
+    return true;
+}
+
+void ServiceTable::rebuildMap()
+{
+    const auto former = m_map;
+    m_map = std::make_shared<const BucketMap>(*m_roster, m_settled, former.get());
+    if (former && former->rosterVersion() != m_map->rosterVersion()) {
+        m_history.push_front(former);
+        m_history.resize(std::min(m_history.size(), HistoryLength));
+    }
+    m_pending[m_map->rosterVersion()] = m_map;
+    setInForce(m_inForce);
+}
+
+bool ServiceTable::setInForce(common::RosterVersion version)
+{
+    const auto *before = inForceMap();
+    m_inForce = std::max(m_inForce, version);
+    const auto next = m_pending.upper_bound(m_inForce);
+    if (next != m_pending.begin()) {
+        m_pending.erase(m_pending.begin(), std::prev(next));
+    }
+    return inForceMap() != before;
+}
+
+const BucketMap *ServiceTable::inForceMap() const
+{
+    const auto oldest = m_pending.begin();
+    return oldest != m_pending.end() && oldest->first <= m_inForce ? oldest->second.get() : nullptr;
+}
+
+void ServiceTable::updateOwners(const OwnershipView &ownership, TimePoint now)
+{
+    for (auto &[bucket, runtime] : m_runtimes) {
+        follow(*runtime, bucket, ownership, now);
+    }
+}
+
+void ServiceTable::follow(BucketRuntime &runtime, BucketIndex bucket,
+                          const OwnershipView &ownership, TimePoint now) const
+{
+    const auto after = ownership.members->bucketOwners(m_service, bucket).value_or(BucketOwners {});
+    const auto before = ownership.young
+            ? ownership.others->bucketOwners(m_service, bucket).value_or(BucketOwners {})
+            : runtime.owners;
+    const auto isLive = [&](InstanceId instance) { return ownership.live.contains(instance); };
+    const auto change = ownerChange(ownership.self, before, after, isLive);
+    const bool gained = isOwner(after, ownership.self) && !isOwner(before, ownership.self);
+    const InstanceId source(runtime.source.load());
+    if (gained && (change.source != source || source == InstanceId(0))) {
+        waitFor(runtime, change.source, now);
+    } else if (source != InstanceId(0) && !isLive(source)) {
+        const auto other = otherOwner(after, ownership.self);
+        waitFor(runtime, other && isOwner(before, *other) ? other : std::nullopt, now);
+    }
+    std::erase_if(runtime.owed, [&](const auto &owed) { return !isOwner(after, owed.receiver); });
+    for (const auto receiver : change.receivers) {
+        const auto known = std::ranges::find(runtime.owed, receiver, &OwedHandover::receiver);
+        if (known == runtime.owed.end()) {
+            runtime.owed.push_back({ receiver, std::nullopt });
+        }
+    }
+    runtime.owners = after;
+    runtime.owesFirst = std::ranges::any_of(
+            runtime.owed, [&](const auto &owed) { return owed.receiver == after.first; });
+}
+
+void ServiceTable::restartHandovers(InstanceId self, TimePoint now)
+{
+    for (auto &[bucket, runtime] : m_runtimes) {
+        if (isOwner(runtime->owners, self)) {
+            waitFor(*runtime, otherOwner(runtime->owners, self), now);
+        }
+    }
+}
+
+void ServiceTable::onMemberRestarted(InstanceId self, InstanceId member, TimePoint now)
+{
+    for (auto &[bucket, runtime] : m_runtimes) {
+        if (!isOwner(runtime->owners, self) || !isOwner(runtime->owners, member)) {
+            continue;
+        }
+        if (runtime->source.load() == member.value()) {
+            waitFor(*runtime, std::nullopt, now);
+        }
+        std::erase_if(runtime->owed, [&](const auto &owed) { return owed.receiver == member; });
+        runtime->owed.push_back({ member, std::nullopt });
+        runtime->owesFirst = runtime->owesFirst || runtime->owners.first == member;
+    }
+}
+
+void ServiceTable::dropNeedless(OverrideStore &overrides)
+{
+    if (!m_map || m_acknowledged < m_map->settledRevision()
+        || m_map->settledRevision() == common::SettledRevision(0)) {
+        return;
+    }
+    for (const auto &[bucket, runtime] : m_runtimes) {
+        const auto entry = m_map->entry(bucket);
+        // Records at the default guard against late duplicates while a newer roster is in roll-out.
+        if (!entry.transitional || m_pending.size() == 1) {
+            overrides.eraseUpstream({ m_service, bucket }, entry.defaultUpstream);
+        }
+    }
+    std::erase_if(m_runtimes, [this](const auto &item) {
+        return !m_map->entry(item.first).transitional && !m_diverted[item.first.value()];
+    });
+}
+
+void ServiceTable::setAcknowledged(common::SettledRevision revision)
+{
+    m_acknowledged = std::max(m_acknowledged, revision);
+}
+
+std::shared_ptr<const ServiceView> ServiceTable::buildView(const OwnershipView &ownership,
+                                                           const Outages &outages, TimePoint now)
+{
+    auto known = statuses(outages);
+    const auto statusIn = [&](UpstreamId upstream) {
+        const auto found = known.find(upstream);
+        return found == known.end() ? UpstreamStatus::Absent : found->second;
+    };
+    const auto *inForce = inForceMap();
+    std::vector<BucketRoute> routes;
+    for (std::uint32_t index = 0; index < version::BucketCount; ++index) {
+        const BucketIndex bucket(index);
+        const auto entry = m_map->entry(bucket);
+        if (!entry.transitional && !isUsable(statusIn(entry.defaultUpstream))) {
+            m_diverted.set(index);
+        }
+        if (!entry.transitional && !m_diverted[index]) {
+            continue;
+        }
+        auto runtime = addRuntime(bucket, ownership, now);
+        routes.push_back({ bucket, runtime->owners, entry.defaultUpstream,
+                           inForce == nullptr ? std::nullopt
+                                              : std::optional(inForce->entry(bucket).openUpstream),
+                           entry.openUpstream, runtime });
+    }
+    return std::make_shared<const ServiceView>(m_service, m_map, std::move(routes),
+                                               std::move(known), m_roster->idleLimit);
+}
+
+ServiceTable::Statuses ServiceTable::statuses(const Outages &outages) const
+{
+    Statuses known;
+    for (const auto &upstream : m_roster->upstreams) {
+        known.emplace(upstream.id, statusOf(upstream, outages));
+    }
+    return known;
+}
+
+std::shared_ptr<BucketRuntime>
+ServiceTable::addRuntime(BucketIndex bucket, const OwnershipView &ownership, TimePoint now)
+{
+    auto &runtime = m_runtimes[bucket];
+    if (!runtime) {
+        runtime = std::make_shared<BucketRuntime>();
+        runtime->lastDefault = now.time_since_epoch().count();
+        runtime->owners =
+                ownership.members->bucketOwners(m_service, bucket).value_or(BucketOwners {});
+        follow(*runtime, bucket, ownership, now);
+    }
+    return runtime;
+}
+
+IdleBucketReport ServiceTable::idleReport(InstanceId self, const OverrideStore &overrides,
+                                          TimePoint lastHandover, TimePoint now) const
+{
+    IdleBucketReport report;
+    if (!m_map || m_pending.size() != 1 || inForceMap() == nullptr) {
+        return report;
+    }
+    report.service = m_service;
+    report.revision = m_map->settledRevision();
+    report.rosterVersion = m_map->rosterVersion();
+    for (const auto &[bucket, runtime] : m_runtimes) {
+        const auto entry = m_map->entry(bucket);
+        if (!entry.transitional || runtime->owners.first != self
+            || !holdsOverrides(*runtime, lastHandover, now)) {
+            continue;
+        }
+        const TimePoint lastDefault { common::Duration(runtime->lastDefault.load()) };
+        if (now - lastDefault > m_roster->idleLimit) {
+            report.buckets.push_back(bucket);
+        }
+        if (!overrides.hasOther({ m_service, bucket }, entry.openUpstream)) {
+            report.clean.push_back(bucket);
+        }
+    }
+    return report;
+}
+
+void ServiceTable::takeHandovers(const OverrideStore &overrides, TimePoint lastHandover,
+                                 std::size_t &budget, TimePoint now,
+                                 std::vector<OverrideBatch> &batches)
+{
+    for (auto &[bucket, runtime] : m_runtimes) {
+        if (budget == 0) {
+            return;
+        }
+        if (!runtime->owed.empty() && holdsOverrides(*runtime, lastHandover, now)) {
+            sendBucket(bucket, *runtime, overrides, budget, batches);
+        }
+    }
+}
+
+void ServiceTable::sendBucket(BucketIndex bucket, BucketRuntime &runtime,
+                              const OverrideStore &overrides, std::size_t &budget,
+                              std::vector<OverrideBatch> &batches) const
+{
+    for (auto &owed : runtime.owed) {
+        if (budget == 0) {
+            break;
+        }
+        const auto records = overrides.list({ m_service, bucket }, owed.cursor, budget);
+        OverrideBatch batch { owed.receiver, m_service, bucket, {}, records.size() < budget };
+        std::ranges::transform(records, std::back_inserter(batch.records), [](const auto &record) {
+            return OverrideBatch::Record { record.flow, record.upstream };
+        });
+        if (!records.empty()) {
+            owed.cursor = records.back().flow;
+        }
+        // An empty batch costs a message as well.
+        budget -= std::min(budget, std::max<std::size_t>(records.size(), 1));
+        batches.push_back(std::move(batch));
+    }
+    const auto isSent = [&](const OwedHandover &owed) {
+        return std::ranges::any_of(batches, [&](const auto &batch) {
+            return batch.complete && batch.receiver == owed.receiver && batch.bucket == bucket
+                    && batch.service == m_service;
+        });
+    };
+    std::erase_if(runtime.owed, isSent);
+    runtime.owesFirst = std::ranges::any_of(
+            runtime.owed, [&](const auto &owed) { return owed.receiver == runtime.owners.first; });
+}
+
+void ServiceTable::acceptHandover(const OverrideBatch &batch, OverrideStore &overrides,
+                                  TimePoint now)
+{
+    const auto found = m_runtimes.find(batch.bucket);
+    const bool waiting = found != m_runtimes.end() && found->second->source.load() != 0;
+    for (const auto &record : batch.records) {
+        if (waiting) {
+            overrides.assign({ m_service, batch.bucket }, { record.flow, record.upstream }, now);
+        } else {
+            overrides.insert({ m_service, batch.bucket }, { record.flow, record.upstream }, now);
+        }
+    }
+    if (waiting && batch.complete) {
+        found->second->source = 0;
+    }
+}
+
+std::vector<UpstreamId> ServiceTable::recentUpstreams(BucketIndex bucket) const
+{
+    std::vector<UpstreamId> recent;
+    const auto add = [&](const BucketMap &map) {
+        const auto entry = map.entry(bucket);
+        for (const auto upstream : { entry.openUpstream, entry.defaultUpstream }) {
+            if (upstream != UpstreamId(0) && std::ranges::find(recent, upstream) == recent.end()) {
+                recent.push_back(upstream);
+            }
+        }
+    };
+    add(*m_map);
+    std::ranges::for_each(m_history, [&](const auto &former) { add(*former); });
+    return recent;
+}
+
+const BucketRuntime *ServiceTable::runtime(BucketIndex bucket) const
+{
+    const auto found = m_runtimes.find(bucket);
+    return found == m_runtimes.end() ? nullptr : found->second.get();
+}
+
+} // namespace banyanwall::connection
--- /dev/null
+++ b/src/tests/routerfleet.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "connection/flowrouter.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace banyanwall::tests {
+
+/// Routers of several instances, connected by direct calls.
+class RouterFleet
+{
+public:
+    using Outcome = std::variant<common::UpstreamId, common::Reason>;
+
+    static constexpr common::ServiceId Service { 77 };
+
+    explicit RouterFleet(std::uint32_t instances)
+    {
+        for (std::uint32_t id = 1; id <= instances; ++id) {
+            add(id);
+        }
+        announceMembers();
+        now += std::chrono::seconds(10);
+    }
+
+    void add(std::uint32_t id)
+    {
+        routers[id] = std::make_unique<connection::FlowRouter>(common::InstanceId(id), zoneOf(id));
+    }
+
+    static common::ZoneId zoneOf(std::uint32_t id) { return common::ZoneId(1 + id % 3); }
+
+    /// Tells all routers that exactly they are live.
+    void announceMembers()
+    {
+        std::vector<connection::Member> members;
+        for (const auto &[id, router] : routers) {
+            members.push_back({ common::InstanceId(id), zoneOf(id), false });
+        }
+        selector = std::make_shared<const connection::OwnerSelector>(members);
+        each([&](auto &router) { router.setMembers(selector, now); });
+    }
+
+    void each(const std::function<void(connection::FlowRouter &)> &visit)
+    {
+        for (const auto &[id, router] : routers) {
+            visit(*router);
+        }
+    }
+
+    void roll(const version::ServiceRoster &roster)
+    {
+        each([&](auto &router) { router.applyRoster(roster, now); });
+        each([&](auto &router) { router.setInForce(Service, roster.version); });
+    }
+
+    void settle(const version::SettledTable &settled)
+    {
+        each([&](auto &router) { router.applySettled(Service, settled, now); });
+        each([&](auto &router) { router.setSettledAcknowledged(Service, settled.revision); });
+    }
+
+    /// Follows a packet from the instance that gets it from the fabric.
+    Outcome deliver(std::uint32_t instance, connection::PacketKind kind, common::FlowKey flow)
+    {
+        connection::FlowPacket packet { Service, flow, kind, 0, std::nullopt, std::nullopt };
+        while (routers.contains(instance)) {
+            const auto decision = routers.at(instance)->route(packet, now);
+            if (const auto *forward = std::get_if<connection::ForwardToUpstream>(&decision)) {
+                lastInstance = instance;
+                return forward->upstream;
+            }
+            if (const auto *reject = std::get_if<connection::RejectPacket>(&decision)) {
+                return reject->reason;
+            }
+            const auto &relay = std::get<connection::RelayToPeer>(decision);
+            packet = { Service,         flow,         kind,
+                       packet.hops + 1, relay.record, common::InstanceId(instance) };
+            instance = relay.peer.value();
+        }
+        return common::Reason::UnknownPeer;
+    }
+
+    /// Moves all handovers to their receivers.
+    void handOver()
+    {
+        for (const auto &[id, router] : routers) {
+            for (const auto &batch : router->takeHandovers(100'000, now)) {
+                if (routers.contains(batch.receiver.value())) {
+                    routers.at(batch.receiver.value())->acceptHandover(batch, now);
+                }
+            }
+        }
+    }
+
+    std::map<std::uint32_t, std::unique_ptr<connection::FlowRouter>> routers;
+    std::shared_ptr<const connection::OwnerSelector> selector;
+    common::TimePoint now { std::chrono::seconds(1'000) };
+    /// Instance that forwarded the last delivered packet.
+    std::uint32_t lastInstance = 0;
+};
+
+} // namespace banyanwall::tests
