Implement slots and slow start of an upstream on its owner

Cause: upstreams that start or turn cold need a limit on the requests in progress that follows their own answers, and exactly one place that counts their slots.

Change: UpstreamOwner grants at most min(window, slots) slots, with an expiry for grants whose holder died. The window falls to 1 on a shed, a timeout, a restart, a bad health report or three very slow answers, and grows only by answers. A new owner grants nothing until the longest request has passed or all peers have reported. opensPerSecond() limits connection opens to a cold upstream in proportion to its window.

--- a/src/connection/upstreamowner.h
+++ b/src/connection/upstreamowner.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 #include <optional>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace banyanwall::connection {
@@ -32,12 +32,19 @@
 /// The window is the number of slots in use at the same time. It starts at 1 and grows by 1 after
 /// GrowAfterAnswers answers in a row under twice the usual latency; it falls to 1 on a shed, a
 /// timeout, a new incarnation, or after ColdAfterAnswers answers in a row over four times the usual
-/// latency. Reports of the health endpoint only lower it. Not thread-safe.
+/// latency. Reports of the health endpoint only lower it.
+///
+/// A grant whose holder does not release it ends after its hold time. Such an expiry ends the run
+/// of good answers but does not lower the window, because it shows a lost holder, not a slow
+/// upstream. Not thread-safe.
 class UpstreamOwner
 {
 public:
     static constexpr std::uint32_t GrowAfterAnswers = 8;
     static constexpr std::uint32_t ColdAfterAnswers = 3;
+    /// A warm upstream may fill up with connections within this time; a cold one takes longer in
+    /// proportion to its window.
+    static constexpr common::Duration ConnectionFillTime = std::chrono::seconds(30);
 
     /// All slots count as taken until ownedSince + longestRequest, except those reported by peers.
     UpstreamOwner(std::uint32_t slots, common::Duration usualLatency,
@@ -46,7 +53,9 @@
     /// Grants a slot for at most hold. A repeated request for a held slot is granted again.
     [[nodiscard]] bool acquire(SlotKey key, common::Duration hold, common::TimePoint now);
     void release(SlotKey key, SlotOutcome outcome, common::Duration latency, common::TimePoint now);
-    /// Peers that have reported their grants to the new owner shorten the initial wait.
+    /// Peers that have reported their grants to the new owner shorten the initial wait. allReported
+    /// may be set only when every instance that could hold a grant has reported; the grants of an
+    /// instance that died within longestRequest are unknown to its peers.
     void adoptGrants(const std::vector<SlotKey> &held, common::Duration hold, bool allReported,
                      common::TimePoint now);
     void observeIncarnation(common::Incarnation incarnation, common::TimePoint now);
@@ -54,6 +63,11 @@
 
     [[nodiscard]] std::uint32_t window() const { return m_window; }
 
+    /// Connection opens a second that the upstream takes in its present slow-start state; empty
+    /// when it is warm and only its connection limit applies.
+    [[nodiscard]] std::optional<std::uint32_t> opensPerSecond(std::uint32_t connectionLimit) const;
+
+    /// Grants that have not ended; all slots while a new owner does not know the grants.
     [[nodiscard]] std::uint32_t busySlots(common::TimePoint now) const;
     [[nodiscard]] std::uint32_t freeSlots(common::TimePoint now) const;
 
@@ -62,6 +76,10 @@
 
 private:
     void fallBack();
+    void expire(common::TimePoint now);
+    void countAnswer(common::Duration latency);
+    /// Drops the grant; false when it is not held.
+    bool forget(SlotKey key);
 
     std::uint32_t m_slots;
     common::Duration m_usualLatency;
