Implement the coordinator of requests

Cause: a request needs one place that decides on slots, dispatches, retries and its verdict, so that a non-repeatable request runs at most once and "not run" is true.

Change: Coordinator looks up requests and decides on admission, takeover and duplicates; RequestRunner takes a request from admission to verdict. Every verdict leaves a marker until after the deadline, so that a late duplicate cannot run a request that was called not run. A slot stays held until the upstream answers or refuses or the deadline has passed, also after a cancellation. CountDrop reports dropped fragments with their reason.

--- a/src/common/reason.cpp
+++ b/src/common/reason.cpp
@@ -69,6 +69,10 @@
         return "cancelled";
     case Reason::ShuttingDown:
         return "shutting_down";
+    case Reason::AnswerDropped:
+        return "answer_dropped";
+    case Reason::TooManyRequests:
+        return "too_many_requests";
     }
     return "unknown";
 }
--- a/src/common/reason.h
+++ b/src/common/reason.h
@@ -41,6 +41,8 @@
     StaleAttempt,
     Cancelled,
     ShuttingDown,
+    AnswerDropped,
+    TooManyRequests,
 };
 
 /// Name for logs, metrics and refusals, in snake_case.
--- /dev/null
+++ b/src/request/coordinator.cpp
@@ -0,0 +1,305 @@
+#include "request/coordinator.h"
+
+#include "request/admission.h"
+#include "request/requestrunner.h"
+#include "request/requesttable.h"
+#include "request/takeoverfence.h"
+#include "request/upstreamchooser.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanwall::request {
+
+using common::Duration;
+using common::Reason;
+using common::Verdict;
+using common::WallTime;
+using connection::SlotKey;
+
+namespace {
+
+// The longest request of a service whose roster is not known yet.
+constexpr std::chrono::milliseconds UnknownLongestRequest = std::chrono::seconds(60);
+// A request from further in the future would need a marker for too long.
+constexpr Duration MaxIssuedAhead = std::chrono::seconds(10);
+
+RequestActions refusal(const RequestArrival &arrival, Verdict verdict, Reason reason)
+{
+    return { RefuseRequest { arrival.requestId, verdict, reason, arrival.returnToken } };
+}
+
+} // namespace
+
+struct Coordinator::State
+{
+    explicit State(std::uint64_t seed)
+        : chooser(seed)
+        , table(MaxStoredBytes)
+        , runner(chooser, table, admission)
+    { }
+
+    [[nodiscard]] WallTime effectiveDeadline(const RequestArrival &arrival) const;
+    [[nodiscard]] std::optional<Reason> reasonToRefuse(const RequestArrival &arrival,
+                                                       Moment moment);
+    [[nodiscard]] RequestActions accept(RequestArrival arrival, WallTime deadline, bool foreign,
+                                        Moment moment);
+    [[nodiscard]] static RequestActions repeatStored(RequestRecord &record,
+                                                     const RequestArrival &arrival);
+    [[nodiscard]] static DispatchedAttempt *findAttempt(RequestRecord *record,
+                                                        common::AttemptNumber number);
+
+    UpstreamChooser chooser;
+    RequestTable table;
+    Admission admission;
+    RequestRunner runner;
+    TakeoverFence fence;
+    bool shuttingDown = false;
+};
+
+WallTime Coordinator::State::effectiveDeadline(const RequestArrival &arrival) const
+{
+    const auto *roster = chooser.roster(arrival.service);
+    const auto longest = roster == nullptr ? UnknownLongestRequest : roster->longestRequest;
+    return std::min(arrival.deadline, arrival.issued + longest);
+}
+
+std::optional<Reason> Coordinator::State::reasonToRefuse(const RequestArrival &arrival,
+                                                         Moment moment)
+{
+    const auto *roster = chooser.roster(arrival.service);
+    if (shuttingDown) {
+        return Reason::ShuttingDown;
+    }
+    if (roster == nullptr) {
+        return Reason::UnknownService;
+    }
+    if (!runner.mayDispatch(arrival.repeatable, moment.wall)) {
+        return Reason::LeaseLost;
+    }
+    if (chooser.activeCount(arrival.service) == 0) {
+        return Reason::NoUpstream;
+    }
+    return admission.admit(roster->customer, arrival.service, moment.now);
+}
+
+RequestActions Coordinator::State::repeatStored(RequestRecord &record,
+                                                const RequestArrival &arrival)
+{
+    if (!record.verdict) {
+        // The duplicate may have come over a newer path to the caller.
+        record.progress->returnToken = arrival.returnToken;
+        return {};
+    }
+    if (record.answer) {
+        return { DeliverAnswer { arrival.requestId, record.attempt, *record.answer,
+                                 arrival.returnToken } };
+    }
+    if (*record.verdict == Verdict::Completed) {
+        return refusal(arrival, Verdict::MayHaveRun, Reason::AnswerDropped);
+    }
+    return refusal(arrival, *record.verdict, record.reason);
+}
+
+RequestActions Coordinator::State::accept(RequestArrival arrival, WallTime deadline, bool foreign,
+                                          Moment moment)
+{
+    if (table.size() >= MaxKnown) {
+        return { CountDrop { Reason::TooManyRequests } };
+    }
+    const auto reason = reasonToRefuse(arrival, moment);
+    auto &record = table.add(arrival.key);
+    record.forgetAt = moment.now + (deadline - moment.wall) + ForgetAfter;
+    RequestActions actions;
+    const RequestStep step { arrival.key, record, moment, actions };
+    if (reason) {
+        record.verdict = foreign ? Verdict::MayHaveRun : Verdict::NotRun;
+        record.reason = *reason;
+        actions = refusal(arrival, *record.verdict, *reason);
+        runner.schedule(step);
+        return actions;
+    }
+    runner.begin(step, std::move(arrival), deadline, foreign);
+    return actions;
+}
+
+DispatchedAttempt *Coordinator::State::findAttempt(RequestRecord *record,
+                                                   common::AttemptNumber number)
+{
+    return record == nullptr || !record->progress ? nullptr : record->progress->find(number);
+}
+
+Coordinator::Coordinator(std::uint64_t seed)
+    : m_state(std::make_unique<State>(seed))
+{ }
+
+Coordinator::~Coordinator() = default;
+
+void Coordinator::applyRoster(const version::ServiceRoster &roster)
+{
+    if (m_state->chooser.applyRoster(roster)) {
+        m_state->admission.setRate(roster.service, roster.requestsPerSecond);
+    }
+}
+
+void Coordinator::setTakeover(WallTime takeover, WallTime fenceEnd)
+{
+    setTakeover(takeover, fenceEnd, {});
+}
+
+void Coordinator::setTakeover(WallTime takeover, WallTime fenceEnd,
+                              std::function<bool(common::RequestKey)> gained)
+{
+    m_state->fence.add(takeover, fenceEnd, std::move(gained));
+}
+
+void Coordinator::setPermit(const DispatchPermit &permit)
+{
+    m_state->runner.setPermit(permit);
+}
+
+void Coordinator::setInstances(std::uint32_t instances)
+{
+    m_state->admission.setInstances(instances);
+}
+
+void Coordinator::setInProgressBound(std::size_t bound)
+{
+    m_state->admission.setInProgressBound(bound);
+}
+
+void Coordinator::setLoadHint(common::UpstreamId upstream, std::uint32_t load)
+{
+    m_state->chooser.setLoadHint(upstream, load);
+}
+
+void Coordinator::beginShutdown()
+{
+    m_state->shuttingDown = true;
+}
+
+RequestActions Coordinator::onRequest(RequestArrival arrival, Moment moment)
+{
+    if (auto *known = m_state->table.find(arrival.key); known != nullptr) {
+        return m_state->repeatStored(*known, arrival);
+    }
+    if (arrival.issued > moment.wall + MaxIssuedAhead) {
+        return { CountDrop { Reason::MalformedPacket } };
+    }
+    const auto origin = m_state->fence.foreignOrigin(arrival.key, arrival.issued);
+    if (origin && !arrival.repeatable) {
+        return refusal(arrival, Verdict::MayHaveRun,
+                       *origin == TakeoverFence::Origin::BeforeTakeover
+                               ? Reason::IssuedBeforeTakeover
+                               : Reason::AwaitingTakeover);
+    }
+    const auto deadline = m_state->effectiveDeadline(arrival);
+    if (moment.wall >= deadline) {
+        // Past ForgetAfter its marker may be gone, so that it may have run here.
+        const bool mayHaveRun = origin.has_value() || moment.wall >= deadline + ForgetAfter;
+        return refusal(arrival, mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun,
+                       Reason::DeadlineExceeded);
+    }
+    return m_state->accept(std::move(arrival), deadline, origin.has_value(), moment);
+}
+
+RequestActions Coordinator::onCancel(common::RequestKey key, Moment moment)
+{
+    auto *record = m_state->table.find(key);
+    if (record == nullptr || record->verdict) {
+        return { CountDrop { Reason::Cancelled } };
+    }
+    RequestActions actions;
+    m_state->runner.cancel({ key, *record, moment, actions });
+    return actions;
+}
+
+RequestActions Coordinator::onSlotAnswer(SlotKey slot, bool granted, Moment moment)
+{
+    auto *record = m_state->table.find(slot.request);
+    if (record == nullptr || !record->progress) {
+        return { CountDrop { Reason::StaleAttempt } };
+    }
+    RequestActions actions;
+    m_state->runner.onSlotAnswer({ slot.request, *record, moment, actions }, slot, granted);
+    return actions;
+}
+
+RequestActions Coordinator::onAnswer(AnswerFragment fragment, Moment moment)
+{
+    auto *record = m_state->table.find(fragment.key);
+    auto *attempt = m_state->findAttempt(record, fragment.attempt);
+    if (attempt == nullptr) {
+        return { CountDrop { Reason::StaleAttempt } };
+    }
+    RequestActions actions;
+    const RequestStep step { fragment.key, *record, moment, actions };
+    m_state->runner.onAnswer(step, *attempt, std::move(fragment));
+    return actions;
+}
+
+RequestActions Coordinator::onRefusal(SlotKey slot, DispatchRefusal refusal, Moment moment)
+{
+    auto *record = m_state->table.find(slot.request);
+    auto *attempt = m_state->findAttempt(record, slot.attempt);
+    if (attempt == nullptr) {
+        return { CountDrop { Reason::StaleAttempt } };
+    }
+    RequestActions actions;
+    m_state->runner.onRefusal({ slot.request, *record, moment, actions }, *attempt, refusal);
+    return actions;
+}
+
+RequestActions Coordinator::onOwnerChange(common::UpstreamId upstream, Moment moment)
+{
+    std::vector<common::RequestKey> asking;
+    for (const auto &[key, record] : m_state->table.records()) {
+        if (record.progress && record.progress->ask && record.progress->ask->upstream == upstream) {
+            asking.push_back(key);
+        }
+    }
+    RequestActions actions;
+    for (const auto key : asking) {
+        m_state->runner.onOwnerChange({ key, *m_state->table.find(key), moment, actions });
+    }
+    return actions;
+}
+
+RequestActions Coordinator::onTick(Moment moment)
+{
+    // Twice the longest request covers callers whose clock is behind.
+    m_state->fence.forget(moment.wall - 2 * UnknownLongestRequest);
+    RequestActions actions;
+    while (const auto key = m_state->table.takeDue(moment.now)) {
+        m_state->runner.runTimers({ *key, *m_state->table.find(*key), moment, actions });
+    }
+    return actions;
+}
+
+std::size_t Coordinator::inProgress() const
+{
+    return m_state->admission.inProgress();
+}
+
+std::vector<SlotKey> Coordinator::heldSlots(common::UpstreamId upstream) const
+{
+    std::vector<SlotKey> held;
+    for (const auto &[key, record] : m_state->table.records()) {
+        if (!record.progress) {
+            continue;
+        }
+        for (const auto &attempt : record.progress->dispatched) {
+            if (attempt.slotHeld && attempt.upstream == upstream) {
+                held.push_back({ key, attempt.number });
+            }
+        }
+    }
+    return held;
+}
+
+std::size_t Coordinator::remembered() const
+{
+    return m_state->table.size() - m_state->admission.inProgress();
+}
+
+} // namespace banyanwall::request
--- a/src/request/coordinator.h
+++ b/src/request/coordinator.h
@@ -8,6 +8,7 @@
 #include "version/roster.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <variant>
@@ -110,8 +111,14 @@
     common::Reason reason;
 };
 
+/// For the counter of dropped packets and fragments.
+struct CountDrop
+{
+    common::Reason reason;
+};
+
 using RequestAction = std::variant<AskSlot, ReleaseSlot, DispatchRequest, CancelDispatch,
-                                   DeliverAnswer, RefuseRequest, CountRetry>;
+                                   DeliverAnswer, RefuseRequest, CountRetry, CountDrop>;
 using RequestActions = std::vector<RequestAction>;
 
 /// Both clocks at one moment.
@@ -131,6 +138,11 @@
 };
 
 /// Runs the requests whose key hashes to this instance, by the rules of docs/design.md, section 5.
+///
+/// A verdict is final: once a request has one, it is never dispatched again, and a duplicate gets
+/// the same verdict. A marker of each request stays until ForgetAfter past its deadline. A slot is
+/// held until the upstream answers or refuses, or four usual answer times past the deadline, also
+/// when the caller has its verdict already, because the upstream may still be running the request.
 /// Not thread-safe.
 class Coordinator
 {
@@ -143,11 +155,20 @@
 
     /// Takes the newest roster of a service; only Active upstreams get dispatches.
     void applyRoster(const version::ServiceRoster &roster);
-    /// Members changed: keys that this instance gained from another one may have been dispatched by
-    /// it until fenceEnd. Requests issued before takeover that are unknown here get MayHaveRun, or
-    /// NotRun when transmission and issue time prove that no other instance can have had them.
+    /// Members changed: keys that this instance gained from another one may be dispatched by it
+    /// until fenceEnd. A non-repeatable request that is unknown here and was issued before fenceEnd
+    /// gets MayHaveRun; other requests of that age never get NotRun. Call it at start, too.
     void setTakeover(common::WallTime takeover, common::WallTime fenceEnd);
+    /// The same for the keys that gained selects; the other keys keep their coordinator.
+    void setTakeover(common::WallTime takeover, common::WallTime fenceEnd,
+                     std::function<bool(common::RequestKey)> gained);
     void setPermit(const DispatchPermit &permit);
+    /// Number of live instances, which share the contract's request rates.
+    void setInstances(std::uint32_t instances);
+    /// Requests in progress at which customers are limited to equal shares.
+    void setInProgressBound(std::size_t bound);
+    /// Requests that an upstream is running, as last heard; only compared with other upstreams.
+    void setLoadHint(common::UpstreamId upstream, std::uint32_t load);
     /// Refuses new requests with NotRun; requests in progress go on.
     void beginShutdown();
 
@@ -158,6 +179,9 @@
     [[nodiscard]] RequestActions onAnswer(AnswerFragment fragment, Moment moment);
     [[nodiscard]] RequestActions onRefusal(connection::SlotKey slot, DispatchRefusal refusal,
                                            Moment moment);
+    /// Another instance owns the upstream now. Asks under way are abandoned, since a late grant of
+    /// the former owner is unknown to the new one; call it before heldSlots() is reported.
+    [[nodiscard]] RequestActions onOwnerChange(common::UpstreamId upstream, Moment moment);
     /// Deadlines, timeouts and forgetting of finished requests; call every TickInterval.
     [[nodiscard]] RequestActions onTick(Moment moment);
 
@@ -166,7 +190,17 @@
     /// Grants that this instance holds for an upstream, for a new upstream owner.
     [[nodiscard]] std::vector<connection::SlotKey> heldSlots(common::UpstreamId upstream) const;
 
+    /// Finished requests whose answer or marker is kept.
+    [[nodiscard]] std::size_t remembered() const;
+
     static constexpr common::Duration TickInterval = std::chrono::milliseconds(20);
+    /// A request that is unknown after this time past its deadline may have been forgotten.
+    static constexpr common::Duration ForgetAfter = std::chrono::seconds(5);
+    /// Finished answers kept for duplicates; older answers leave only a marker.
+    static constexpr std::size_t MaxStoredBytes = 8U << 20U;
+    /// Known requests; beyond this, unknown ones are dropped without a verdict, because a verdict
+    /// without a marker could become untrue.
+    static constexpr std::size_t MaxKnown = 250'000;
 
 private:
     struct State;
--- /dev/null
+++ b/src/request/requestrunner.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "request/admission.h"
+#include "request/coordinator.h"
+#include "request/requesttable.h"
+#include "request/retrybudget.h"
+#include "request/upstreamchooser.h"
+
+namespace banyanwall::request {
+
+/// One request at one moment, and the actions that are collected for it.
+struct RequestStep
+{
+    common::RequestKey key;
+    RequestRecord &record;
+    Moment moment;
+    RequestActions &actions;
+
+    [[nodiscard]] RequestProgress &progress() const { return *record.progress; }
+};
+
+/// Takes one request from its admission to its verdict: slots, dispatches, retries, answers and
+/// timers. The coordinator looks up the requests and decides whether new ones are accepted.
+class RequestRunner
+{
+public:
+    RequestRunner(UpstreamChooser &chooser, RequestTable &table, Admission &admission);
+
+    void setPermit(const DispatchPermit &permit);
+    [[nodiscard]] bool mayDispatch(bool repeatable, common::WallTime wall) const;
+
+    /// Starts an admitted request. foreign says that another instance may have dispatched it.
+    void begin(RequestStep step, RequestArrival arrival, common::WallTime deadline, bool foreign);
+    void onSlotAnswer(RequestStep step, connection::SlotKey slot, bool granted);
+    void onAnswer(RequestStep step, DispatchedAttempt &attempt, AnswerFragment fragment);
+    void onRefusal(RequestStep step, DispatchedAttempt &attempt, DispatchRefusal refusal);
+    /// The owner of the upstream that is being asked has changed.
+    void onOwnerChange(RequestStep step);
+    void cancel(RequestStep step);
+    /// Handles what is due; may erase the record.
+    void runTimers(RequestStep step);
+    /// Queues the next timer of the request.
+    void schedule(RequestStep step);
+
+private:
+    void askNext(RequestStep step);
+    void dropAsk(RequestStep step);
+    void returnStaleGrant(RequestStep step, connection::SlotKey slot, bool granted);
+    void dispatch(RequestStep step, const PendingAsk &granted);
+    bool retry(RequestStep step, common::Reason reason);
+    void retryOrGiveUp(RequestStep step, common::Reason reason);
+    void takeFragment(RequestStep step, DispatchedAttempt &attempt, AnswerFragment fragment);
+    void settle(RequestStep step, DispatchedAttempt &attempt, connection::SlotOutcome outcome);
+    void deliver(RequestStep step, const DispatchedAttempt &attempt, std::string payload);
+    void giveUp(RequestStep step, common::Reason reason);
+    void finish(RequestStep step);
+    void runAskTimers(RequestStep step);
+    void runAttemptTimers(RequestStep step);
+    void runFinished(RequestStep step);
+    [[nodiscard]] common::TimePoint nextTimer(const RequestProgress &progress) const;
+    [[nodiscard]] common::Duration attemptTimeout(const RequestProgress &progress) const;
+
+    UpstreamChooser &m_chooser;
+    RequestTable &m_table;
+    Admission &m_admission;
+    RetryBudget m_budget;
+    DispatchPermit m_permit;
+};
+
+} // namespace banyanwall::request
