Let the lease guard use the later of lease and acknowledgements

Cause: with the store down, the permit followed the lease until its last moment although a majority had promised no takeover for longer. Dispatch deadlines shrank to nothing just before the lease ended. A late answer to a renewal from before a lost lease made the lease valid again.

Change: with the store down the later end of both promises counts. An answer to a renewal that is not newer than the last known one does not revive a lost lease.

--- a/src/request/coordinator.h
+++ b/src/request/coordinator.h
@@ -157,7 +157,8 @@
     void applyRoster(const version::ServiceRoster &roster);
     /// Members changed: keys that this instance gained from another one may be dispatched by it
     /// until fenceEnd. A non-repeatable request that is unknown here and was issued before fenceEnd
-    /// gets MayHaveRun; other requests of that age never get NotRun. Call it at start, too.
+    /// gets MayHaveRun; other requests of that age never get NotRun. Call it at start, too, and
+    /// again before fenceEnd when the other instance has renewed its lease in the meantime.
     void setTakeover(common::WallTime takeover, common::WallTime fenceEnd);
     /// The same for the keys that gained selects; the other keys keep their coordinator.
     void setTakeover(common::WallTime takeover, common::WallTime fenceEnd,
--- a/src/request/leaseguard.cpp
+++ b/src/request/leaseguard.cpp
@@ -6,9 +6,13 @@
 
 void LeaseGuard::onRenewed(common::TimePoint sentAt)
 {
+    m_storeReachable = true;
+    if (!m_held && sentAt <= m_renewedAt) {
+        // A late answer to a renewal from before the loss says nothing about the lease now.
+        return;
+    }
     m_renewedAt = std::max(m_renewedAt, sentAt);
     m_held = true;
-    m_storeReachable = true;
 }
 
 void LeaseGuard::onLost()
@@ -40,11 +44,12 @@
         return DispatchPermit { left.count() > 0, moment.wall + left };
     };
     const auto byLease = permitUntil(m_renewedAt + LeaseTerm - ClockBound);
-    if (byLease.fenced || m_storeReachable || !m_majority
-        || moment.now - m_majoritySince > AcknowledgementAge) {
+    if (m_storeReachable || !m_majority || moment.now - m_majoritySince > AcknowledgementAge) {
         return byLease;
     }
-    return permitUntil(m_majoritySince + PromiseTerm - ClockBound);
+    // Either promise alone rules out a takeover, so the later end counts.
+    const auto byMembers = permitUntil(m_majoritySince + PromiseTerm - ClockBound);
+    return byMembers.latestDeadline > byLease.latestDeadline ? byMembers : byLease;
 }
 
 } // namespace banyanwall::request
--- a/src/request/leaseguard.h
+++ b/src/request/leaseguard.h
@@ -10,9 +10,10 @@
 /// Says whether this instance may dispatch non-repeatable requests.
 ///
 /// With the store up the permit follows the lease: last successful renewal by send time, plus the
-/// lease term, less the clock bound. When the lease has run out and the store does not answer, the
-/// permit goes on while more than half of the members acknowledged a heartbeat within
-/// AcknowledgementAge; each acknowledgement promises no takeover for PromiseTerm.
+/// lease term, less the clock bound. While the store does not answer, the permit goes on as long as
+/// more than half of the members acknowledged a heartbeat within AcknowledgementAge; each
+/// acknowledgement promises no takeover for PromiseTerm. A permit names the end of the later of
+/// both, and a holder that was paused past that end has no permit.
 class LeaseGuard
 {
 public:
