Add contract parser, documents, limits and roster builder

The daemon and the command-line tool need one reading of the contract. The parser reports the first fault as "file:line: key: what is allowed" and rejects names whose 32-bit ids collide, because they would mix packets of two services. Limits and rosters are pure functions of the contract, drained upstreams and zone states. During a cutover the shares are scaled by the number of active upstreams, so that the new group as a whole gets its share.

The contract library is separate from the routing core, so that the tool does not link protobuf.

--- /dev/null
+++ b/src/tests/documentstest.cpp
@@ -0,0 +1,84 @@
+#include "version/documents.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanwall;
+
+namespace {
+
+template<typename T>
+void checkError(const common::Result<T> &result, const char *message)
+{
+    CHECK_FALSE(common::isOk(result));
+    STRCMP_EQUAL("invalid_document", common::errorOf(result).code.c_str());
+    STRCMP_EQUAL(message, common::errorOf(result).message.c_str());
+}
+
+} // namespace
+
+TEST_GROUP(Documents) {};
+
+// Guards against a contract that changes when it is written and read back.
+TEST(Documents, contractRoundTrip)
+{
+    auto document = version::nextVersion({}, "customer = \"a\"\n", "ana", {});
+    document = version::nextVersion(document, document.toml, "rui", { "s/u2", "s/u1" });
+    const auto parsed = version::parseContractDocument(version::formatContractDocument(document));
+    CHECK_TRUE(common::isOk(parsed));
+    const auto &read = common::valueOf(parsed);
+    LONGS_EQUAL(2, read.version);
+    STRCMP_EQUAL("customer = \"a\"\n", read.toml.c_str());
+    STRCMP_EQUAL("rui", read.author.c_str());
+    STRCMP_EQUAL("s/u1", read.drainedUpstreams.at(0).c_str());
+    LONGS_EQUAL(2, read.history.size());
+    STRCMP_EQUAL("ana", read.history.at(0).author.c_str());
+}
+
+// Guards against a document that outgrows the store's limit of 1 MB a value.
+TEST(Documents, historyKeepsTheLastTwentyVersions)
+{
+    version::ContractDocument document;
+    for (int edit = 0; edit < 25; ++edit) {
+        document = version::nextVersion(document, std::string(32'768, '"'), "ana", {});
+    }
+    LONGS_EQUAL(25, document.version);
+    LONGS_EQUAL(20, document.history.size());
+    LONGS_EQUAL(6, document.history.front().version);
+    LONGS_EQUAL(25, document.history.back().version);
+}
+
+// Guards against zone states and instance records that lose a field.
+TEST(Documents, zoneStatesAndInstanceRecordRoundTrip)
+{
+    const version::ZoneStates states { 7, { { "east", true, 100 }, { "west", false, 20 } } };
+    const auto zones = common::valueOf(version::parseZoneStates(version::formatZoneStates(states)));
+    LONGS_EQUAL(7, zones.version);
+    CHECK_TRUE(zones.zones.at(0).withdrawn);
+    LONGS_EQUAL(20, zones.zones.at(1).returningSharePercent);
+
+    const version::InstanceRecord record {
+        "i1", "east", 5, { 0x7f000001, 1 }, { 0x7f000001, 2 }, { 0x7f000001, 3 }, true
+    };
+    const auto read =
+            common::valueOf(version::parseInstanceRecord(version::formatInstanceRecord(record)));
+    STRCMP_EQUAL("i1", read.name.c_str());
+    LONGS_EQUAL(5, read.incarnation);
+    STRCMP_EQUAL("127.0.0.1:3", common::toString(read.admin).c_str());
+    CHECK_TRUE(read.leaving);
+}
+
+// Guards against a crash on, or acceptance of, a damaged value in the store.
+TEST(Documents, rejectsDamagedValues)
+{
+    checkError(version::parseZoneStates("[]"), "the value is not an object");
+    checkError(version::parseZoneStates(R"({"version":-1,"zones":[]})"),
+               "field 'version' must be an unsigned integer");
+    checkError(version::parseZoneStates(R"({"version":1,"zones":[{"name":"a","withdrawn":false,)"
+                                        R"("returning_share_percent":101}]})"),
+               "field 'returning_share_percent' must be at most 100");
+    checkError(version::parseContractDocument(R"({"version":1})"), "field 'toml' is missing");
+    checkError(version::parseInstanceRecord(R"({"name":"i","zone":"z","incarnation":1,)"
+                                            R"("fabric":"here"})"),
+               "field 'fabric' must be an address \"ip:port\"");
+    CHECK_FALSE(common::isOk(version::parseContractDocument("{\"version\":")));
+}
