Add the fabric stand-in

The demo needs the platform's fabric, which hands any packet to any instance. The program wraps caller datagrams into frames, sends each to a random live instance of the polled list, and can drop, duplicate, delay and reorder packets from a seed.

--- /dev/null
+++ b/src/tools/fabricrelay.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "common/endpoint.h"
+#include "tools/faultinjector.h"
+#include "tools/udpport.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace banyanwall::tools {
+
+/// Stand-in of the platform's fabric: wraps each caller datagram into a FabricFrame and sends it to
+/// a random instance, and unwraps answers towards the callers.
+class FabricRelay
+{
+public:
+    struct Counters
+    {
+        std::uint64_t fromCallers = 0;
+        std::uint64_t toInstances = 0;
+        std::uint64_t fromInstances = 0;
+        std::uint64_t toCallers = 0;
+        std::uint64_t noInstance = 0;
+        std::uint64_t malformedReplies = 0;
+        std::uint64_t unknownService = 0;
+        std::uint64_t sendFailures = 0;
+    };
+
+    FabricRelay(boost::asio::io_context &context, const std::vector<common::Endpoint> &services,
+                common::Endpoint reply, FaultRates rates, std::uint64_t seed);
+
+    /// Replaces the instances that receive packets.
+    void setInstances(std::vector<common::Endpoint> instances);
+
+    /// One line of key=value pairs.
+    [[nodiscard]] std::string report() const;
+
+private:
+    void onCallerDatagram(std::string_view bytes, common::Endpoint caller,
+                          common::Endpoint service);
+    void onReply(std::string_view bytes);
+    void sendWithFaults(UdpPort &port, const std::string &bytes, common::Endpoint receiver,
+                        std::uint64_t &counter);
+    void sendNow(UdpPort &port, const std::string &bytes, common::Endpoint receiver,
+                 std::uint64_t &counter);
+
+    boost::asio::io_context &m_context;
+    FaultInjector m_faults;
+    std::vector<common::Endpoint> m_instances;
+    std::map<common::Endpoint, std::unique_ptr<UdpPort>> m_services;
+    std::unique_ptr<UdpPort> m_reply;
+    Counters m_counters;
+};
+
+/// Fabric endpoints of the instances in the platform's list that are not leaving. Entries that
+/// cannot be read are left out.
+[[nodiscard]] std::vector<common::Endpoint> liveInstances(std::string_view json);
+
+} // namespace banyanwall::tools
