Add the upstream stand-in

One process hosts many upstreams; a control port makes them cold, stops or restarts them and makes their health reports lie.

--- /dev/null
+++ b/src/tools/upstreamhost.cpp
@@ -0,0 +1,163 @@
+#include "tools/upstreamhost.h"
+
+#include "common/hash.h"
+
+#include <boost/json.hpp>
+
+#include <numeric>
+#include <sstream>
+
+namespace banyanwall::tools {
+
+namespace {
+
+/// Granularity of answer times.
+constexpr std::chrono::milliseconds TickInterval { 2 };
+
+common::Incarnation newIncarnation(Moment moment)
+{
+    return common::Incarnation(static_cast<std::uint64_t>(moment.wall.time_since_epoch().count()));
+}
+
+} // namespace
+
+UpstreamHost::UpstreamHost(boost::asio::io_context &context, std::uint64_t seed)
+    : m_context(context)
+    , m_timer(context)
+    , m_seed(seed)
+{ }
+
+void UpstreamHost::add(UpstreamSettings settings, common::Endpoint address)
+{
+    const auto name = settings.name;
+    auto hosted = std::make_unique<Hosted>(
+            Hosted { address,
+                     UpstreamModel(std::move(settings), newIncarnation(Moment::current()), m_ledger,
+                                   m_seed + m_upstreams.size()),
+                     nullptr });
+    listen(*hosted);
+    m_upstreams[name] = std::move(hosted);
+}
+
+void UpstreamHost::listen(Hosted &hosted)
+{
+    hosted.port = std::make_unique<UdpPort>(
+            m_context, hosted.address, [&hosted](std::string_view bytes, common::Endpoint sender) {
+                send(hosted, hosted.model.onDatagram(bytes, sender, Moment::current()));
+            });
+}
+
+void UpstreamHost::start()
+{
+    m_timer.expires_after(TickInterval);
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            tick();
+            start();
+        }
+    });
+}
+
+void UpstreamHost::tick()
+{
+    const auto moment = Moment::current();
+    for (const auto &[name, hosted] : m_upstreams) {
+        send(*hosted, hosted->model.onTick(moment));
+    }
+}
+
+void UpstreamHost::send(Hosted &hosted, const std::vector<UpstreamModel::Outgoing> &outgoing)
+{
+    if (!hosted.port) {
+        return;
+    }
+    for (const auto &packet : outgoing) {
+        hosted.port->send(wire::encode(packet.message), packet.receiver);
+    }
+}
+
+HttpAnswer UpstreamHost::control(const std::string &target)
+{
+    if (target == "/counters") {
+        return { 200, countersJson() };
+    }
+    if (target == "/runs") {
+        return { 200, boost::json::serialize(m_ledger.toJson()) };
+    }
+    static const std::string parameter = "?upstream=";
+    const auto query = target.find(parameter);
+    if (query == std::string::npos) {
+        return { 404, "{}" };
+    }
+    const auto hosted = m_upstreams.find(target.substr(query + parameter.size()));
+    const bool applied =
+            hosted != m_upstreams.end() && apply(target.substr(0, query), *hosted->second);
+    return { applied ? 200U : 404U, "{}" };
+}
+
+bool UpstreamHost::apply(const std::string &command, Hosted &hosted)
+{
+    if (command == "/cold") {
+        hosted.model.turnCold();
+    } else if (command == "/stop") {
+        hosted.port.reset();
+        hosted.model.restart(hosted.model.incarnation());
+    } else if (command == "/restart") {
+        hosted.port.reset();
+        hosted.model.restart(newIncarnation(Moment::current()));
+        listen(hosted);
+    } else if (command == "/drain") {
+        hosted.model.setDraining(true);
+    } else if (command == "/silence") {
+        hosted.model.silenceFlows();
+    } else if (command == "/lie") {
+        hosted.model.setHealth(UpstreamModel::Health::ClaimsHealthy);
+    } else if (command == "/sick") {
+        hosted.model.setHealth(UpstreamModel::Health::ClaimsSick);
+    } else if (command == "/truth") {
+        hosted.model.setHealth(UpstreamModel::Health::Truthful);
+    } else {
+        return false;
+    }
+    return true;
+}
+
+std::string UpstreamHost::countersJson() const
+{
+    boost::json::object upstreams;
+    for (const auto &[name, hosted] : m_upstreams) {
+        auto entry = hosted->model.counters().toJson();
+        entry["id"] = common::idFromName<common::UpstreamId>(name).value();
+        entry["flows"] = hosted->model.flows();
+        entry["busy_slots"] = hosted->model.busySlots();
+        entry["cold"] = hosted->model.isCold();
+        entry["incarnation"] = hosted->model.incarnation().value();
+        upstreams[name] = std::move(entry);
+    }
+    return boost::json::serialize(boost::json::object {
+            { "duplicate_runs", m_ledger.duplicateRuns() }, { "upstreams", upstreams } });
+}
+
+std::string UpstreamHost::report() const
+{
+    const auto sum = [this](auto member) {
+        return std::accumulate(m_upstreams.begin(), m_upstreams.end(), std::uint64_t { 0 },
+                               [member](std::uint64_t total, const auto &entry) {
+                                   return total + entry.second->model.counters().*member;
+                               });
+    };
+    std::ostringstream line;
+    line << "upstreams=" << m_upstreams.size() << " runs=" << sum(&UpstreamCounters::runs)
+         << " answers=" << sum(&UpstreamCounters::answers)
+         << " duplicate_runs=" << m_ledger.duplicateRuns()
+         << " wrong_service=" << sum(&UpstreamCounters::wrongService)
+         << " wrong_incarnation=" << sum(&UpstreamCounters::wrongIncarnation)
+         << " unknown_flow=" << sum(&UpstreamCounters::unknownFlow)
+         << " slots_over_limit=" << sum(&UpstreamCounters::slotsOverLimit)
+         << " cold_overload=" << sum(&UpstreamCounters::coldOverload)
+         << " turned_cold_overload=" << sum(&UpstreamCounters::turnedColdOverload)
+         << " connections_over_limit=" << sum(&UpstreamCounters::connectionsOverLimit);
+    return line.str();
+}
+
+} // namespace banyanwall::tools
--- /dev/null
+++ b/src/tools/upstreammodel.cpp
@@ -0,0 +1,321 @@
+#include "tools/upstreammodel.h"
+
+#include "common/hash.h"
+#include "tools/workload.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace banyanwall::tools {
+
+using namespace wire::proto;
+using Event = UpstreamCounters::Event;
+using Outgoing = UpstreamModel::Outgoing;
+
+UpstreamModel::UpstreamModel(UpstreamSettings settings, common::Incarnation incarnation,
+                             RunLedger &ledger, std::uint64_t seed)
+    : m_settings(std::move(settings))
+    , m_incarnation(incarnation)
+    , m_serviceId(common::idFromName<common::ServiceId>(m_settings.service))
+    , m_id(common::idFromName<common::UpstreamId>(m_settings.name))
+    , m_ledger(ledger)
+    , m_random(seed)
+    , m_coldAnswersLeft(m_settings.warmAfterAnswers)
+{ }
+
+std::vector<Outgoing> UpstreamModel::onDatagram(std::string_view bytes, common::Endpoint sender,
+                                                Moment moment)
+{
+    const auto decoded = wire::decodeUpstreamMessage(bytes);
+    if (!common::isOk(decoded)) {
+        ++m_counters.malformed;
+        return {};
+    }
+    const auto &message = common::valueOf(decoded);
+    countKind(message, moment);
+    auto answer = rejectMisdirected(message);
+    if (!answer) {
+        switch (message.body_case()) {
+        case UpstreamMessage::kDispatch:
+            answer = dispatch(message, sender, moment);
+            break;
+        case UpstreamMessage::kCancel:
+            cancel(message.cancel());
+            break;
+        case UpstreamMessage::kProbe:
+            answer = report(message, moment);
+            break;
+        default:
+            answer = answerFlowPacket(message, moment);
+        }
+    }
+    std::vector<Outgoing> outgoing;
+    if (answer) {
+        outgoing.push_back({ sender, std::move(*answer) });
+    }
+    return outgoing;
+}
+
+void UpstreamModel::countKind(const UpstreamMessage &message, Moment moment)
+{
+    m_counters.count(message.has_probe() ? Event::Probe : Event::Packet, moment.wall);
+    if (message.has_dispatch()) {
+        m_counters.count(Event::Request, moment.wall);
+    }
+    if (message.has_open() && !m_flows.contains(message.flow_key())) {
+        m_counters.count(Event::NewFlow, moment.wall);
+    }
+}
+
+bool UpstreamModel::isForeignPayload(const UpstreamMessage &message) const
+{
+    if (message.has_data()) {
+        return !message.data().payload().starts_with(m_settings.service + "|");
+    }
+    if (message.has_dispatch()) {
+        const auto request = decodeRequest(message.dispatch().payload());
+        return !request || request->service != m_settings.service;
+    }
+    return false;
+}
+
+std::optional<UpstreamMessage> UpstreamModel::rejectMisdirected(const UpstreamMessage &message)
+{
+    if (message.service() != m_serviceId.value() || isForeignPayload(message)) {
+        ++m_counters.wrongService;
+        return message.has_dispatch() ? refusal(message, DISPATCH_REFUSAL_WRONG_SERVICE)
+                                      : reset(message, RESET_WRONG_SERVICE);
+    }
+    const bool formerIncarnation =
+            message.incarnation() != 0 && message.incarnation() != m_incarnation.value();
+    if (!formerIncarnation || message.has_probe()) {
+        return std::nullopt;
+    }
+    ++m_counters.wrongIncarnation;
+    return message.has_dispatch() ? refusal(message, DISPATCH_REFUSAL_WRONG_INCARNATION)
+                                  : reset(message, RESET_WRONG_INCARNATION);
+}
+
+std::optional<UpstreamMessage> UpstreamModel::answerFlowPacket(const UpstreamMessage &message,
+                                                               Moment moment)
+{
+    if (message.has_open()) {
+        return openFlow(message, moment);
+    }
+    if (message.has_data()) {
+        return echo(message);
+    }
+    if (message.has_close()) {
+        m_flows.erase(message.flow_key());
+    }
+    return std::nullopt;
+}
+
+std::optional<UpstreamMessage> UpstreamModel::openFlow(const UpstreamMessage &message, Moment)
+{
+    if (!m_flows.contains(message.flow_key())) {
+        if (m_draining) {
+            return reset(message, RESET_DRAINED);
+        }
+        if (m_flows.size() >= m_settings.connections) {
+            ++m_counters.connectionsOverLimit;
+            return reset(message, RESET_CONNECTION_LIMIT);
+        }
+        m_flows.emplace(message.flow_key(), Flow {});
+        const auto coldConnections =
+                std::size_t { m_settings.connections } * m_settings.coldSlots / m_settings.slots;
+        if (isCold() && m_flows.size() > coldConnections) {
+            countColdOverload();
+        }
+    }
+    auto reply = replyTo(message);
+    reply.mutable_opened()->set_upstream(m_id.value());
+    return reply;
+}
+
+std::optional<UpstreamMessage> UpstreamModel::echo(const UpstreamMessage &message)
+{
+    const auto flow = m_flows.find(message.flow_key());
+    if (flow == m_flows.end()) {
+        ++m_counters.unknownFlow;
+        return reset(message, RESET_UNKNOWN_FLOW);
+    }
+    if (flow->second.silent) {
+        return std::nullopt;
+    }
+    auto reply = replyTo(message);
+    reply.mutable_feed()->set_sequence(message.data().sequence());
+    reply.mutable_feed()->set_payload(encodeEcho(m_settings.name, message.data().payload()));
+    return reply;
+}
+
+std::optional<DispatchRefusalReason> UpstreamModel::refusalOf(const UpstreamMessage &message,
+                                                              Moment moment) const
+{
+    if (m_draining) {
+        return DISPATCH_REFUSAL_DRAINING;
+    }
+    if (moment.wall.time_since_epoch().count() > message.dispatch().deadline_unix_ms()) {
+        return DISPATCH_REFUSAL_DEADLINE;
+    }
+    if (m_work.size() >= m_settings.slots && m_settings.shedsOverLimit) {
+        return DISPATCH_REFUSAL_SHED;
+    }
+    return std::nullopt;
+}
+
+std::optional<UpstreamMessage> UpstreamModel::dispatch(const UpstreamMessage &message,
+                                                       common::Endpoint sender, Moment moment)
+{
+    if (m_work.size() >= m_settings.slots) {
+        ++m_counters.slotsOverLimit;
+    }
+    const auto reason = refusalOf(message, moment);
+    if (!reason) {
+        startWork(message, sender, moment);
+        return std::nullopt;
+    }
+    m_counters.refusedDraining += *reason == DISPATCH_REFUSAL_DRAINING ? 1 : 0;
+    m_counters.refusedDeadline += *reason == DISPATCH_REFUSAL_DEADLINE ? 1 : 0;
+    m_counters.shed += *reason == DISPATCH_REFUSAL_SHED ? 1 : 0;
+    return refusal(message, *reason);
+}
+
+void UpstreamModel::startWork(const UpstreamMessage &message, common::Endpoint sender,
+                              Moment moment)
+{
+    if (isCold() && m_work.size() >= m_settings.coldSlots) {
+        countColdOverload();
+    }
+    ++m_counters.runs;
+    m_ledger.recordRun(message.dispatch().request_id(), message.dispatch().repeatable());
+    const auto latency =
+            isCold() ? m_settings.usualLatency * m_settings.coldFactor : m_settings.usualLatency;
+    m_work.push_back({ moment.now + latency, sender, message });
+    m_counters.largestBusy = std::max<std::uint64_t>(m_counters.largestBusy, m_work.size());
+}
+
+void UpstreamModel::cancel(const DispatchCancel &cancel)
+{
+    m_counters.cancelled += std::erase_if(m_work, [&](const Work &work) {
+        const auto &dispatch = work.request.dispatch();
+        return dispatch.request_id() == cancel.request_id()
+                && dispatch.attempt() == cancel.attempt();
+    });
+}
+
+std::vector<Outgoing> UpstreamModel::onTick(Moment moment)
+{
+    const auto due = std::stable_partition(m_work.begin(), m_work.end(), [&](const Work &work) {
+        return work.finished > moment.now;
+    });
+    std::vector<Outgoing> outgoing;
+    std::for_each(due, m_work.end(), [&](const Work &work) {
+        appendAnswer(work, outgoing);
+        ++m_counters.answers;
+        m_coldAnswersLeft -= m_coldAnswersLeft > 0 ? 1 : 0;
+    });
+    m_work.erase(due, m_work.end());
+    return outgoing;
+}
+
+void UpstreamModel::appendAnswer(const Work &work, std::vector<Outgoing> &outgoing)
+{
+    const auto &dispatch = work.request.dispatch();
+    const auto request = decodeRequest(dispatch.payload()).value_or(RequestPayload {});
+    const auto payload = answerTo(m_settings.service, dispatch.request_id(), request.answerBytes);
+    const auto count = std::max<std::size_t>(
+            1, (payload.size() + m_settings.fragmentBytes - 1) / m_settings.fragmentBytes);
+    std::vector<Outgoing> fragments;
+    for (std::size_t index = 0; index < count; ++index) {
+        auto message = replyTo(work.request);
+        auto *piece = message.mutable_answer();
+        piece->set_request_id(dispatch.request_id());
+        piece->set_attempt(dispatch.attempt());
+        piece->set_index(static_cast<std::uint32_t>(index));
+        piece->set_count(static_cast<std::uint32_t>(count));
+        piece->set_checksum(common::hashBytes(payload));
+        piece->set_payload(
+                payload.substr(index * m_settings.fragmentBytes, m_settings.fragmentBytes));
+        fragments.push_back({ work.sender, std::move(message) });
+    }
+    if (std::bernoulli_distribution(m_settings.shuffle)(m_random)) {
+        std::ranges::shuffle(fragments, m_random);
+    }
+    std::ranges::move(fragments, std::back_inserter(outgoing));
+}
+
+void UpstreamModel::countColdOverload()
+{
+    ++(m_turnedCold ? m_counters.turnedColdOverload : m_counters.coldOverload);
+}
+
+UpstreamMessage UpstreamModel::report(const UpstreamMessage &probe, Moment moment)
+{
+    if (moment.now - m_reported.taken >= m_settings.healthLag) {
+        m_reported = { moment.now, static_cast<std::uint32_t>(m_work.size()),
+                       static_cast<std::uint32_t>(m_flows.size()) };
+    }
+    auto reply = replyTo(probe);
+    auto *health = reply.mutable_report();
+    health->set_sequence(probe.probe().sequence());
+    health->set_incarnation(m_incarnation.value());
+    health->set_healthy(m_health != Health::ClaimsSick);
+    health->set_busy_slots(m_health == Health::ClaimsHealthy ? 0 : m_reported.busySlots);
+    health->set_connections(m_health == Health::ClaimsHealthy ? 0 : m_reported.connections);
+    return reply;
+}
+
+UpstreamMessage UpstreamModel::replyTo(const UpstreamMessage &message) const
+{
+    UpstreamMessage reply;
+    reply.set_service(m_serviceId.value());
+    reply.set_incarnation(m_incarnation.value());
+    reply.set_flow_key(message.flow_key());
+    reply.set_return_token(message.return_token());
+    return reply;
+}
+
+UpstreamMessage UpstreamModel::reset(const UpstreamMessage &message, ResetReason reason) const
+{
+    auto reply = replyTo(message);
+    reply.mutable_reset()->set_reason(reason);
+    return reply;
+}
+
+UpstreamMessage UpstreamModel::refusal(const UpstreamMessage &message,
+                                       DispatchRefusalReason reason) const
+{
+    auto reply = replyTo(message);
+    reply.mutable_refusal()->set_request_id(message.dispatch().request_id());
+    reply.mutable_refusal()->set_attempt(message.dispatch().attempt());
+    reply.mutable_refusal()->set_reason(reason);
+    return reply;
+}
+
+void UpstreamModel::restart(common::Incarnation incarnation)
+{
+    m_incarnation = incarnation;
+    m_flows.clear();
+    m_work.clear();
+    m_coldAnswersLeft = m_settings.warmAfterAnswers;
+    m_turnedCold = false;
+    m_draining = false;
+    m_health = Health::Truthful;
+    m_reported = {};
+}
+
+void UpstreamModel::turnCold()
+{
+    m_coldAnswersLeft = m_settings.warmAfterAnswers;
+    m_turnedCold = true;
+}
+
+void UpstreamModel::silenceFlows()
+{
+    for (auto &[key, flow] : m_flows) {
+        flow.silent = true;
+    }
+}
+
+} // namespace banyanwall::tools
