--- /dev/null
+++ b/src/tools/requestset.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "common/time.h"
+#include "tools/moment.h"
+#include "wire/datagram.h"
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace banyanwall::tools {
+
+struct RequestSettings
+{
+    /// "customer/service".
+    std::string service;
+    double perSecond = 0;
+    /// Share of repeatable requests, from 0 to 1.
+    double repeatable = 0.5;
+    /// Share of downloads among the requests, from 0 to 1; downloads are repeatable.
+    double downloads = 0;
+    std::size_t answerBytes = 600;
+    std::size_t downloadBytes = 60'000;
+    common::Duration deadline = std::chrono::seconds(3);
+};
+
+/// Requests of one caller: sends at a steady rate, retransmits until a verdict arrives, assembles
+/// answers and compares them with the one right answer.
+class RequestSet
+{
+public:
+    static constexpr common::Duration Retransmission = std::chrono::milliseconds(300);
+    /// Time after the deadline in which a verdict may still arrive.
+    static constexpr common::Duration VerdictGrace = std::chrono::seconds(2);
+    /// Verdicts are remembered, so that a second and different one is noticed.
+    static constexpr common::Duration Memory = std::chrono::seconds(10);
+
+    struct Counters
+    {
+        std::uint64_t issued = 0;
+        std::uint64_t transmissions = 0;
+        std::uint64_t completed = 0;
+        std::uint64_t notRun = 0;
+        std::uint64_t mayHaveRun = 0;
+        /// No verdict by the deadline and the grace; the caller has to assume that it may have run.
+        std::uint64_t noVerdict = 0;
+        /// Answers whose fragments are complete but wrong: mixed, cut off or of another request.
+        std::uint64_t wrongAnswers = 0;
+        /// Requests for which fragments arrived, but never all of one answer.
+        std::uint64_t incompleteAnswers = 0;
+        std::uint64_t conflictingVerdicts = 0;
+    };
+
+    RequestSet(RequestSettings settings, std::uint64_t seed);
+
+    [[nodiscard]] std::vector<wire::proto::CallerMessage> onTick(Moment moment);
+    void onMessage(const wire::proto::CallerMessage &message, Moment moment);
+
+    /// Issues no more requests.
+    void stop() { m_stopping = true; }
+
+    [[nodiscard]] const Counters &counters() const { return m_counters; }
+
+    [[nodiscard]] std::size_t pending() const { return m_pending; }
+
+    /// Counters, ids by verdict, refusals by reason and latencies.
+    [[nodiscard]] boost::json::object toJson() const;
+
+private:
+    enum class State {
+        Pending,
+        Completed,
+        NotRun,
+        MayHaveRun,
+        NoVerdict,
+    };
+
+    struct Attempt
+    {
+        std::uint32_t count = 0;
+        std::uint64_t checksum = 0;
+        std::map<std::uint32_t, std::string> pieces;
+    };
+
+    struct Entry
+    {
+        State state = State::Pending;
+        bool repeatable = false;
+        std::size_t answerBytes = 0;
+        std::uint32_t transmissions = 0;
+        Moment issued;
+        common::TimePoint due;
+        common::TimePoint finished;
+        std::map<std::uint32_t, Attempt> attempts;
+    };
+
+    void issue(Moment moment);
+    [[nodiscard]] wire::proto::CallerMessage transmit(std::uint64_t id, Entry &entry,
+                                                      common::TimePoint now);
+    void expire(std::uint64_t id, Entry &entry, common::TimePoint now);
+    void onPiece(std::uint64_t id, Entry &entry, const wire::proto::AnswerPiece &piece,
+                 common::TimePoint now);
+    void onRefusal(std::uint64_t id, Entry &entry, const wire::proto::Refusal &refusal,
+                   common::TimePoint now);
+    void finish(std::uint64_t id, Entry &entry, State state, common::TimePoint now);
+    [[nodiscard]] bool isRightAnswer(std::uint64_t id, const Entry &entry,
+                                     const Attempt &attempt) const;
+
+    RequestSettings m_settings;
+    std::mt19937_64 m_random;
+    std::uint64_t m_seed;
+    std::uint64_t m_issuedCount = 0;
+    bool m_stopping = false;
+    std::size_t m_pending = 0;
+    common::TimePoint m_nextIssue {};
+    std::unordered_map<std::uint64_t, Entry> m_requests;
+    std::vector<std::uint64_t> m_notRunIds;
+    std::vector<std::uint64_t> m_completedIds;
+    std::map<std::string, std::uint64_t> m_refusals;
+    std::vector<std::uint32_t> m_latenciesMs;
+    Counters m_counters;
+};
+
+} // namespace banyanwall::tools
