--- a/src/benchmarks/controlbenchmark.cpp
+++ b/src/benchmarks/controlbenchmark.cpp
@@ -208,12 +208,12 @@
         catalogue.put(document(index, 1));
     }
     printRow("catalogue_memory_bytes", documents, heapBytes() - heapBefore);
-    constexpr std::size_t Updates = 2'000;
+    constexpr std::size_t updates = 2'000;
     const auto cpuBefore = cpuSeconds();
-    for (std::size_t update = 0; update < Updates; ++update) {
+    for (std::size_t update = 0; update < updates; ++update) {
         catalogue.put(document(update % documents, 2 + update / documents));
     }
-    printRow("catalogue_update_us", documents, (cpuSeconds() - cpuBefore) * 1e6 / Updates);
+    printRow("catalogue_update_us", documents, (cpuSeconds() - cpuBefore) * 1e6 / updates);
     wire::proto::PeerMessage summary;
     for (const auto &version : catalogue.versions()) {
         *summary.mutable_catalogue_summary()->add_versions() = version;
@@ -227,10 +227,10 @@
     wire::PeerCodec receiver(InstanceId(2), common::Incarnation(1), { { 1, "key" } }, 1);
     wire::proto::PeerMessage message;
     message.mutable_relay()->mutable_frame()->set_payload(std::string(payloadBytes, 'p'));
-    constexpr std::size_t Messages = 50'000;
+    constexpr std::size_t messages = 50'000;
     std::size_t accepted = 0;
     const auto cpuBefore = cpuSeconds();
-    for (std::size_t index = 0; index < Messages; ++index) {
+    for (std::size_t index = 0; index < messages; ++index) {
         accepted += common::isOk(receiver.decode(sender.encode(message))) ? 1 : 0;
     }
     printRow("peer_message_us", payloadBytes,
