--- a/src/benchmarks/controlbenchmark.cpp
+++ b/src/benchmarks/controlbenchmark.cpp
@@ -1,4 +1,6 @@
 #include "common/hash.h"
+#include "connection/flowrouter.h"
+#include "connection/upstreamowner.h"
 #include "process/membership.h"
 #include "version/catalogue.h"
 #include "wire/peercodec.h"
@@ -221,6 +223,69 @@
     printRow("catalogue_summary_bytes", documents, summary.ByteSizeLong());
 }
 
+version::ServiceRoster roster(std::size_t service, std::uint64_t revision)
+{
+    constexpr std::uint32_t upstreamCount = 5;
+    version::ServiceRoster roster;
+    roster.service = common::ServiceId(static_cast<std::uint32_t>(service + 1));
+    roster.version = common::RosterVersion(revision);
+    for (std::uint32_t index = 1; index <= upstreamCount; ++index) {
+        const auto id = static_cast<std::uint32_t>(common::hashPair(service, index));
+        roster.upstreams.push_back(
+                { common::UpstreamId(id), common::ZoneId(index % ZoneCount), {} });
+    }
+    std::ranges::sort(roster.upstreams, {}, &version::RosterUpstream::id);
+    return roster;
+}
+
+/// Memory of the routing tables when no bucket is in transition, and time of one roster change.
+void measureRouter(std::size_t services)
+{
+    const auto heapBefore = heapBytes();
+    connection::FlowRouter router(InstanceId(1), common::ZoneId(1));
+    for (std::size_t service = 0; service < services; ++service) {
+        router.applyRoster(roster(service, 1), Start);
+        router.setInForce(common::ServiceId(static_cast<std::uint32_t>(service + 1)),
+                          common::RosterVersion(1));
+    }
+    printRow("router_memory_bytes", services, heapBytes() - heapBefore);
+    constexpr std::size_t changes = 20;
+    const auto cpuBefore = cpuSeconds();
+    for (std::size_t change = 0; change < changes; ++change) {
+        auto changed = roster(change, 2);
+        changed.upstreams.front().state = version::UpstreamState::Draining;
+        router.applyRoster(changed, Start);
+    }
+    printRow("router_change_us", services, (cpuSeconds() - cpuBefore) * 1e6 / changes);
+}
+
+void measureUpstreamOwners(std::size_t owners)
+{
+    const auto heapBefore = heapBytes();
+    std::vector<std::unique_ptr<connection::UpstreamOwner>> owned;
+    for (std::size_t index = 0; index < owners; ++index) {
+        owned.push_back(std::make_unique<connection::UpstreamOwner>(
+                3, std::chrono::milliseconds(50), std::chrono::seconds(10), Start));
+        const auto later = Start + std::chrono::seconds(20);
+        std::ignore = owned.back()->acquire({ common::RequestKey(index), {} },
+                                            std::chrono::seconds(1), later);
+    }
+    printRow("upstream_owner_memory_bytes", owners, heapBytes() - heapBefore);
+    constexpr std::size_t rounds = 20'000;
+    const auto cpuBefore = cpuSeconds();
+    auto now = Start + std::chrono::seconds(30);
+    for (std::size_t round = 0; round < rounds; ++round) {
+        auto &owner = *owned[round % owners];
+        const connection::SlotKey key { common::RequestKey(round), common::AttemptNumber(1) };
+        now += std::chrono::milliseconds(1);
+        if (owner.acquire(key, std::chrono::seconds(1), now)) {
+            owner.release(key, connection::SlotOutcome::Answered, std::chrono::milliseconds(40),
+                          now);
+        }
+    }
+    printRow("slot_cycle_us", owners, (cpuSeconds() - cpuBefore) * 1e6 / rounds);
+}
+
 void measureSigning(std::size_t payloadBytes)
 {
     wire::PeerCodec sender(InstanceId(1), common::Incarnation(1), { { 1, "key" } }, 1);
@@ -247,5 +312,7 @@
     std::ranges::for_each(std::vector<std::size_t> { 16, 64, 130, 260, 520 }, measureMembership);
     std::ranges::for_each(std::vector<std::size_t> { 50, 200, 650, 1'300 }, measureCatalogue);
     std::ranges::for_each(std::vector<std::size_t> { 64, 256, 1'024 }, measureSigning);
+    std::ranges::for_each(std::vector<std::size_t> { 100, 400, 1'300 }, measureRouter);
+    std::ranges::for_each(std::vector<std::size_t> { 12, 48, 192 }, measureUpstreamOwners);
     return 0;
 }
