Treat all buckets as transitional after skipped rosters

An instance that learns of a drain and of its end at once has no sticky bits for the flows that were opened in between, and sends them to the default. When versions are skipped, all buckets stay in transition until a settled table accounts for the roster.

--- a/src/tests/bucketmaptest.cpp
+++ b/src/tests/bucketmaptest.cpp
@@ -155,6 +155,19 @@
     CHECK_TRUE(BucketMap(rosterOf(14, 3), followed, nullptr).transitional().none());
 }
 
+// Guards against an instance that learns of a drain and of its end at once, and therefore sends
+// flows that were opened in between to the default.
+TEST(BucketMap, skippedRostersMakeAllBucketsTransitional)
+{
+    const BucketMap first(rosterOf(14, 1), std::nullopt, nullptr);
+    const BucketMap skipped(rosterOf(14, 3), settledAt(first, 1), &first);
+    CHECK_TRUE(skipped.transitional().all());
+    const BucketMap followed(rosterOf(14, 2), settledAt(first, 1), &first);
+    CHECK_TRUE(followed.transitional().none());
+    const BucketMap contractEdit(rosterOf(14, (1ULL << 32U) + 1), settledAt(first, 1), &first);
+    CHECK_TRUE(contractEdit.transitional().none());
+}
+
 // Guards against a settled table of a lower revision reverting the defaults.
 TEST(BucketMap, olderSettledTableIsIgnored)
 {
--- a/src/version/bucketmap.cpp
+++ b/src/version/bucketmap.cpp
@@ -17,6 +17,16 @@
             && (previous == nullptr || settled->revision >= previous->settledRevision());
 }
 
+/// True when rosters may exist between the two versions: contract version and zone version have
+/// not grown by one in sum.
+bool mayHaveSkipped(common::RosterVersion before, common::RosterVersion after)
+{
+    const auto contractSteps = (after.value() >> 32U) - (before.value() >> 32U);
+    const auto zoneSteps =
+            (after.value() & 0xffffffffU) - std::uint64_t { before.value() & 0xffffffffU };
+    return contractSteps > 1 || zoneSteps > 1 || contractSteps + zoneSteps > 1;
+}
+
 } // namespace
 
 BucketMap::BucketMap(const ServiceRoster &roster, const std::optional<SettledTable> &settled,
@@ -89,10 +99,10 @@
     if (usable) {
         m_transitional = settled->transitional;
     }
-    if (previous != nullptr) {
-        const bool newer = usable && settled->revision > previous->m_settledRevision;
-        if (!newer || !accountsForRoster) {
-            m_transitional |= previous->m_transitional;
+    if (previous != nullptr && !accountsForRoster) {
+        m_transitional |= previous->m_transitional;
+        if (mayHaveSkipped(previous->m_rosterVersion, m_rosterVersion)) {
+            m_transitional.set();
         }
     } else if (usable && !accountsForRoster) {
         m_transitional.set();
--- a/src/version/bucketmap.h
+++ b/src/version/bucketmap.h
@@ -40,9 +40,10 @@
 public:
     /// Builds the map of a roster. Without a settled table the open upstreams become the defaults.
     /// A bucket is transitional when its default and open upstreams differ, when settled says so,
-    /// or when it was transitional in previous and settled is not newer than previous or is based
-    /// on an older roster. Without previous, a settled table that is based on an older roster makes
-    /// all buckets transitional: opens by rosters in between are unknown here.
+    /// or when it was transitional in previous and settled is older or based on an older roster.
+    /// Where rosters between previous or settled and this one may be unknown
+    /// here, all buckets are transitional until a settled table accounts for this roster, because
+    /// flows may have been opened by them.
     BucketMap(const ServiceRoster &roster, const std::optional<SettledTable> &settled,
               const BucketMap *previous);
 
