Add the planner of settled maps

Idle reports carry the roster version and the buckets without foreign overrides, so that a report that does not know of the newest roster cannot end a transition. Defaults that are lost, withdrawn or removed are replaced at once. Each new roster leads to a table that accounts for its transitions; a plan from an older map than the stored one is refused.

--- /dev/null
+++ b/src/tests/settleplannertest.cpp
@@ -0,0 +1,163 @@
+#include "version/settleplanner.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanwall;
+using common::BucketIndex;
+using common::RosterVersion;
+using common::ServiceId;
+using common::SettledRevision;
+using common::UpstreamId;
+using version::BucketCount;
+using version::BucketMap;
+using version::IdleEvidence;
+using version::planSettled;
+using version::ServiceRoster;
+using version::SettledTable;
+using version::UpstreamState;
+
+namespace {
+
+ServiceRoster rosterAt(std::uint64_t version, UpstreamState firstState = UpstreamState::Active)
+{
+    ServiceRoster roster;
+    roster.service = ServiceId(77);
+    roster.version = RosterVersion(version);
+    for (std::uint32_t id = 1; id <= 14; ++id) {
+        roster.upstreams.push_back({ UpstreamId(id * 7919), {}, {} });
+    }
+    roster.upstreams[0].state = firstState;
+    return roster;
+}
+
+std::vector<BucketIndex> allBuckets()
+{
+    std::vector<BucketIndex> buckets;
+    for (std::uint32_t bucket = 0; bucket < BucketCount; ++bucket) {
+        buckets.emplace_back(bucket);
+    }
+    return buckets;
+}
+
+} // namespace
+
+TEST_GROUP(SettlePlanner)
+{
+    const UpstreamId changed { 7919 };
+    const ServiceRoster roster = rosterAt(1);
+    const BucketMap start { roster, std::nullopt, nullptr };
+    const SettledTable first = *planSettled({ start, roster, {}, {}, {} }, std::nullopt);
+    const BucketMap settled { roster, first, &start };
+    const ServiceRoster drainedRoster = rosterAt(2, UpstreamState::Draining);
+    const BucketMap drained { drainedRoster, first, &settled };
+};
+
+// Guards against instances that join before the first table and derive other defaults.
+TEST(SettlePlanner, writesTheFirstTableAtOnceAndNoSecondOne)
+{
+    LONGS_EQUAL(1, first.revision.value());
+    CHECK_TRUE(first.defaults == start.settledTable().defaults);
+    CHECK_FALSE(planSettled({ settled, roster, {}, {}, {} }, first).has_value());
+}
+
+// Guards against a drain that never ends, and against ending it while flows need the overrides.
+TEST(SettlePlanner, idleBucketsSettleAndKeepOtherOverrides)
+{
+    const auto noted = planSettled({ drained, drainedRoster, {}, {}, {} }, first);
+    CHECK_TRUE(noted && noted->defaults == first.defaults);
+    CHECK_TRUE(noted->transitional == drained.transitional());
+    const BucketMap map(drainedRoster, noted, &drained);
+
+    IdleEvidence evidence { noted->revision, RosterVersion(2), allBuckets(), {} };
+    const auto idle = planSettled({ map, drainedRoster, { evidence }, {}, {} }, noted);
+    CHECK_TRUE(idle.has_value());
+    LONGS_EQUAL(noted->revision.value() + 1, idle->revision.value());
+    CHECK_TRUE(std::ranges::find(idle->defaults, changed) == idle->defaults.end());
+    CHECK_TRUE(idle->transitional == map.transitional());
+
+    evidence.clean = allBuckets();
+    const auto clean = planSettled({ map, drainedRoster, { evidence }, {}, {} }, noted);
+    CHECK_TRUE(clean->transitional.none());
+    evidence.idle.clear();
+    CHECK_FALSE(planSettled({ map, drainedRoster, { evidence }, {}, {} }, noted).has_value());
+}
+
+// Guards against settling by a report that does not know of the newest roster or table.
+TEST(SettlePlanner, reportsOfOtherRevisionsAreIgnored)
+{
+    const auto noted = planSettled({ drained, drainedRoster, {}, {}, {} }, first);
+    const BucketMap map(drainedRoster, noted, &drained);
+    const IdleEvidence oldTable { first.revision, RosterVersion(2), allBuckets(), allBuckets() };
+    const IdleEvidence oldRoster { noted->revision, RosterVersion(1), allBuckets(), allBuckets() };
+    const auto next = planSettled({ map, drainedRoster, { oldTable, oldRoster }, {}, {} }, noted);
+    CHECK_FALSE(next.has_value());
+    // The planner itself does not know the table that is in the store.
+    CHECK_FALSE(planSettled({ drained, drainedRoster, {}, {}, {} }, noted).has_value());
+}
+
+// Guards against buckets that wait for flows which are lost anyway.
+TEST(SettlePlanner, goneDefaultsAreReplacedAtOnce)
+{
+    const auto withdrawnRoster = rosterAt(2, UpstreamState::Withdrawn);
+    const BucketMap withdrawn(withdrawnRoster, first, &settled);
+    const auto lost = planSettled({ drained, drainedRoster, {}, { changed }, {} }, first);
+    const auto gone = planSettled({ withdrawn, withdrawnRoster, {}, {}, {} }, first);
+    for (const auto &table : { lost, gone }) {
+        CHECK_TRUE(std::ranges::find(table->defaults, changed) == table->defaults.end());
+        // Flows with overrides to others may live in these buckets.
+        CHECK_TRUE(table->transitional == drained.transitional());
+    }
+}
+
+// Guards against flows that were opened around a failed or unreachable upstream being sent to it.
+TEST(SettlePlanner, bucketsWithUnusableDefaultAreInTransition)
+{
+    const auto lost = planSettled({ settled, roster, {}, { changed }, {} }, first);
+    const auto away = planSettled({ settled, roster, {}, {}, { changed } }, first);
+    for (const auto &table : { lost, away }) {
+        CHECK_TRUE(table->defaults == first.defaults);
+        LONGS_EQUAL(std::ranges::count(first.defaults, changed), table->transitional.count());
+    }
+}
+
+// Guards against tables that change on their way through the store.
+TEST(SettlePlanner, wireFormKeepsTheTableAndRejectsDamage)
+{
+    auto table = *planSettled({ drained, drainedRoster, {}, {}, {} }, first);
+    table.defaults[9] = UpstreamId(0);
+    const auto message = version::toProto(ServiceId(77), table);
+    const auto read = version::fromProto(message, table.revision);
+    CHECK_TRUE(read && read->defaults == table.defaults && read->basedOn == table.basedOn);
+    CHECK_TRUE(read->transitional == table.transitional && read->revision == table.revision);
+
+    auto damaged = message;
+    damaged.mutable_buckets()->at(1) = '\x7f';
+    CHECK_FALSE(version::fromProto(damaged, table.revision).has_value());
+    damaged = message;
+    damaged.mutable_buckets()->pop_back();
+    CHECK_FALSE(version::fromProto(damaged, table.revision).has_value());
+    damaged = message;
+    damaged.clear_transitional();
+    CHECK_FALSE(version::fromProto(damaged, table.revision).has_value());
+}
+
+// Guards against a change of one service that loses or reverts another service of the customer.
+TEST(SettlePlanner, mapOfACustomerKeepsUnchangedServices)
+{
+    auto otherRoster = roster;
+    otherRoster.service = ServiceId(78);
+    const BucketMap other(otherRoster, std::nullopt, nullptr);
+    const auto both = version::planSettledMap(
+            { { start, roster, {}, {}, {} }, { other, otherRoster, {}, {}, {} } }, {});
+    LONGS_EQUAL(1, both->revision());
+    const auto next = version::planSettledMap(
+            { { drained, drainedRoster, {}, {}, {} }, { other, otherRoster, {}, {}, {} } }, *both);
+    LONGS_EQUAL(2, next->revision());
+    const auto kept = version::findSettled(*next, ServiceId(78));
+    CHECK_TRUE(kept && kept->defaults == other.settledTable().defaults);
+    CHECK_TRUE(version::findSettled(*next, ServiceId(77))->transitional.any());
+    CHECK_FALSE(version::findSettled(*next, ServiceId(79)).has_value());
+}
--- /dev/null
+++ b/src/version/settleplanner.cpp
@@ -0,0 +1,198 @@
+#include "version/settleplanner.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace banyanwall::version {
+
+using common::BucketIndex;
+using common::SettledRevision;
+using common::UpstreamId;
+using wire::proto::SettledService;
+
+namespace {
+
+constexpr std::size_t BytesPerBucket = 2;
+constexpr std::size_t BitsPerByte = 8;
+constexpr unsigned ByteMask = 0xff;
+
+/// Plans one service step by step.
+class TablePlan
+{
+public:
+    explicit TablePlan(const SettleInput &input)
+        : m_input(input)
+        , m_table(input.map.settledTable())
+    {
+        for (const auto &upstream : input.roster.upstreams) {
+            m_states.emplace(upstream.id, upstream.state);
+        }
+    }
+
+    SettledTable run()
+    {
+        for (std::uint32_t bucket = 0; bucket < BucketCount; ++bucket) {
+            replaceUnusable(bucket);
+        }
+        for (const auto &evidence : m_input.evidence) {
+            if (evidence.revision == m_input.map.settledRevision()
+                && evidence.rosterVersion == m_input.map.rosterVersion()) {
+                apply(evidence);
+            }
+        }
+        return m_table;
+    }
+
+private:
+    [[nodiscard]] UpstreamId openOf(std::uint32_t bucket) const
+    {
+        return m_input.map.entry(BucketIndex(bucket)).openUpstream;
+    }
+
+    /// Its flows are gone for good.
+    [[nodiscard]] bool isGone(UpstreamId upstream) const
+    {
+        const auto state = m_states.find(upstream);
+        return state == m_states.end() || state->second == UpstreamState::Withdrawn
+                || m_input.lost.contains(upstream);
+    }
+
+    [[nodiscard]] bool takesFlows(UpstreamId upstream) const
+    {
+        return !isGone(upstream) && !m_input.unreachable.contains(upstream);
+    }
+
+    void replaceUnusable(std::uint32_t bucket)
+    {
+        auto &current = m_table.defaults[bucket];
+        if (takesFlows(current)) {
+            return;
+        }
+        const auto open = openOf(bucket);
+        if (isGone(current) && takesFlows(open)) {
+            current = open;
+        }
+        if (current != UpstreamId(0) || open != UpstreamId(0)) {
+            m_table.transitional.set(bucket);
+        }
+    }
+
+    void apply(const IdleEvidence &evidence)
+    {
+        for (const auto bucket : evidence.idle) {
+            const auto index = bucket.value();
+            if (index < BucketCount && takesFlows(openOf(index))) {
+                m_table.defaults[index] = openOf(index);
+            }
+        }
+        for (const auto bucket : evidence.clean) {
+            const auto index = bucket.value();
+            if (index < BucketCount && m_table.defaults[index] == openOf(index)
+                && takesFlows(openOf(index))) {
+                m_table.transitional.reset(index);
+            }
+        }
+    }
+
+    const SettleInput &m_input;
+    SettledTable m_table;
+    std::map<UpstreamId, UpstreamState> m_states;
+};
+
+} // namespace
+
+std::optional<SettledTable> planSettled(const SettleInput &input,
+                                        const std::optional<SettledTable> &current)
+{
+    if (current && current->revision != input.map.settledRevision()) {
+        return std::nullopt;
+    }
+    auto next = TablePlan(input).run();
+    if (current && current->basedOn >= next.basedOn && current->defaults == next.defaults
+        && current->transitional == next.transitional) {
+        return std::nullopt;
+    }
+    next.revision = SettledRevision(next.revision.value() + 1);
+    return next;
+}
+
+std::optional<wire::proto::SettledMap> planSettledMap(const std::vector<SettleInput> &services,
+                                                      const wire::proto::SettledMap &current)
+{
+    wire::proto::SettledMap next;
+    next.set_revision(current.revision() + 1);
+    bool changed = current.services_size() != static_cast<int>(services.size());
+    for (const auto &input : services) {
+        const auto known = findSettled(current, input.roster.service);
+        const auto planned = planSettled(input, known);
+        changed = changed || planned.has_value();
+        *next.add_services() = toProto(input.roster.service, planned ? *planned : *known);
+    }
+    return changed ? std::optional(next) : std::nullopt;
+}
+
+SettledService toProto(common::ServiceId service, const SettledTable &table)
+{
+    SettledService message;
+    message.set_service(service.value());
+    message.set_roster_version(table.basedOn.value());
+    std::map<UpstreamId, std::size_t> positions;
+    std::string buckets;
+    for (const auto upstream : table.defaults) {
+        const auto [known, added] = positions.emplace(upstream, positions.size());
+        if (added) {
+            message.add_upstreams(upstream.value());
+        }
+        buckets.push_back(static_cast<char>(known->second & ByteMask));
+        buckets.push_back(static_cast<char>((known->second >> BitsPerByte) & ByteMask));
+    }
+    message.set_buckets(std::move(buckets));
+    std::string transitional(BucketCount / BitsPerByte, '\0');
+    for (std::size_t bucket = 0; bucket < BucketCount; ++bucket) {
+        if (table.transitional[bucket]) {
+            auto &byte = transitional[bucket / BitsPerByte];
+            byte = static_cast<char>(static_cast<unsigned char>(byte)
+                                     | (1U << (bucket % BitsPerByte)));
+        }
+    }
+    message.set_transitional(std::move(transitional));
+    return message;
+}
+
+std::optional<SettledTable> fromProto(const SettledService &service, SettledRevision revision)
+{
+    const auto &buckets = service.buckets();
+    const auto &transitional = service.transitional();
+    if (buckets.size() != BytesPerBucket * BucketCount
+        || transitional.size() != BucketCount / BitsPerByte) {
+        return std::nullopt;
+    }
+    SettledTable table { revision, {}, {}, common::RosterVersion(service.roster_version()) };
+    table.defaults.reserve(BucketCount);
+    for (std::size_t bucket = 0; bucket < BucketCount; ++bucket) {
+        const auto low = static_cast<unsigned char>(buckets[BytesPerBucket * bucket]);
+        const auto high = static_cast<unsigned char>(buckets[BytesPerBucket * bucket + 1]);
+        const int position = low + (high << BitsPerByte);
+        if (position >= service.upstreams_size()) {
+            return std::nullopt;
+        }
+        table.defaults.emplace_back(service.upstreams(position));
+        const auto byte = static_cast<unsigned char>(transitional[bucket / BitsPerByte]);
+        table.transitional[bucket] = ((byte >> (bucket % BitsPerByte)) & 1U) != 0;
+    }
+    return table;
+}
+
+std::optional<SettledTable> findSettled(const wire::proto::SettledMap &map,
+                                        common::ServiceId service)
+{
+    const auto &services = map.services();
+    const auto found = std::ranges::find_if(services, [&](const SettledService &entry) {
+        return entry.service() == service.value();
+    });
+    return found == services.end() ? std::nullopt
+                                   : fromProto(*found, SettledRevision(map.revision()));
+}
+
+} // namespace banyanwall::version
