Close gaps of bucket handover

Causes and changes:

- An instance with an older view of the members recorded decisions with owners that had handed over already.
A record from a sender that is not the other owner now passes on to the other owner, or follows with the next handover at the hop limit.
- Views that change in different steps left owners waiting for an instance that owed nothing.
An overdue handover is requested with a digest of the records held, until it is complete.
- Instances that never held the overrides decided for a new owner.
Only the second owner and a former owner with all records do so.
- Replicas aged out after a handover.
A record is refreshed after a change of owners and after a handover, at the next packet of the flow.
- A new first owner reported buckets as idle from the former owner's packets that it had not seen.

--- a/src/connection/bucketruntime.h
+++ b/src/connection/bucketruntime.h
@@ -29,10 +29,16 @@
     /// Instance that holds the overrides which are still missing here; 0 when none are missing.
     std::atomic<std::uint32_t> source = 0;
     std::atomic<std::int64_t> sourceSince = 0;
+    /// Last change of the owners; records replicated before then are due for a refresh.
+    std::atomic<std::int64_t> ownersSince = 0;
+    /// This instance is not an owner any more, and had all overrides when it was one.
+    std::atomic<bool> formerHolder = false;
     /// The first owner still waits for overrides from this instance.
     std::atomic<bool> owesFirst = false;
 
     BucketOwners owners;
+    /// Last request for the missing overrides.
+    common::TimePoint requested;
     std::vector<OwedHandover> owed;
 };
 
--- a/src/connection/flowdecision.cpp
+++ b/src/connection/flowdecision.cpp
@@ -23,13 +23,10 @@
 
 } // namespace
 
-bool holdsOverrides(const BucketRuntime &runtime, TimePoint lastHandover, TimePoint now)
+bool holdsOverrides(const BucketRuntime &runtime, std::chrono::seconds idleLimit, TimePoint now)
 {
-    if (runtime.source.load(std::memory_order_relaxed) == 0) {
-        return true;
-    }
-    const auto since = timeOf(runtime.sourceSince.load(std::memory_order_relaxed));
-    return now - std::max(since, lastHandover) > HandoverSilence;
+    return runtime.source.load(std::memory_order_relaxed) == 0
+            || now - timeOf(runtime.sourceSince.load(std::memory_order_relaxed)) > 2 * idleLimit;
 }
 
 FlowDecision::FlowDecision(const RoutingContext &context, const FlowPacket &packet,
@@ -68,21 +65,34 @@
         return std::nullopt;
     }
     const auto &runtime = *m_route->runtime;
-    const bool complete = holdsOverrides(runtime, m_context.lastHandover, m_now);
+    const auto missingFrom = holdsOverrides(runtime, m_context.view.idleLimit(), m_now)
+            ? std::nullopt
+            : std::optional(InstanceId(runtime.source.load(std::memory_order_relaxed)));
     if (m_owners->first == m_context.self) {
-        return complete ? std::nullopt : std::optional(InstanceId(runtime.source.load()));
+        return missingFrom;
+    }
+    const bool second = m_owners->second == m_context.self;
+    if (isAsked() || (second && runtime.owesFirst.load(std::memory_order_relaxed))) {
+        return missingFrom == m_packet.relayedBy ? std::nullopt : missingFrom;
+    }
+    if (m_owners->first != m_packet.relayedBy) {
+        return m_owners->first;
     }
+    return m_owners->second;
+}
+
+bool FlowDecision::isAsked() const
+{
     // An owner passes a packet without record on only when it cannot decide itself; the second
     // owner's regular relays go to the first owner alone.
-    const bool second = m_owners->second == m_context.self;
-    if (m_packet.relayedBy == m_owners->first
-        || (!second && m_packet.relayedBy && m_packet.relayedBy == m_owners->second)) {
-        return std::nullopt;
+    if (!m_owners || !m_packet.relayedBy) {
+        return false;
     }
-    if (complete && runtime.owesFirst.load(std::memory_order_relaxed)) {
-        return std::nullopt;
+    if (m_owners->second == m_context.self) {
+        return m_packet.relayedBy == m_owners->first;
     }
-    return m_owners->first;
+    return m_route != nullptr && m_route->runtime->formerHolder.load(std::memory_order_relaxed)
+            && isOwner(*m_owners, *m_packet.relayedBy);
 }
 
 std::optional<InstanceId> FlowDecision::staleRelayTarget() const
@@ -96,10 +106,11 @@
 
 bool FlowDecision::servedByRecord() const
 {
-    // A recorded flow has one upstream in every view. The second owner serves it only at the hop
-    // limit, so that the first owner sees the flow in use.
-    const bool mayServe = (m_owners && m_owners->first == m_context.self) || !mayRelay();
-    return mayServe && !m_context.stale && m_packet.kind == PacketKind::Data
+    // A record is a fact that neither a newer roster nor missing overrides change. Other instances
+    // than the first owner serve it only when asked, so that the first owner sees the flow in use.
+    const bool mayServe = (m_owners && m_owners->first == m_context.self) || isAsked()
+            || (!mayRelay() && m_packet.kind == PacketKind::Data);
+    return mayServe && m_route != nullptr
             && m_context.overrides.use(m_key, m_packet.flow, std::chrono::seconds::max(), m_now)
                        .has_value();
 }
@@ -115,21 +126,51 @@
     if (m_context.view.status(upstream) == UpstreamStatus::Withdrawn) {
         return RejectPacket { Reason::ZoneWithdrawn };
     }
+    const auto recorded = store(upstream);
+    const auto next = nextReplica();
+    if (next && mayRelay()) {
+        return RelayToPeer { *next, recorded };
+    }
+    if (next && m_packet.kind != PacketKind::Close) {
+        m_context.lateRecords.push(
+                { *next, m_key.service, m_key.bucket, { { m_packet.flow, recorded } }, false });
+    }
+    return ForwardToUpstream { recorded };
+}
+
+UpstreamId FlowDecision::store(UpstreamId upstream)
+{
+    auto &overrides = m_context.overrides;
     if (m_packet.kind == PacketKind::Close) {
-        m_context.overrides.erase(m_key, m_packet.flow);
-        return ForwardToUpstream { upstream };
+        overrides.erase(m_key, m_packet.flow);
+        return upstream;
     }
     const bool first = m_owners && m_owners->first == m_context.self;
     if (first && m_packet.kind == PacketKind::Open) {
         // The second owner decided in place of this one. A decision that was made here since then
         // prevails; the second owner learns of it with the record of that packet.
-        const auto recorded = m_context.overrides.insert(m_key, { m_packet.flow, upstream }, m_now);
+        const auto recorded = overrides.insert(m_key, { m_packet.flow, upstream }, m_now);
         if (recorded && takesOpens(*recorded)) {
-            return ForwardToUpstream { *recorded };
+            return *recorded;
         }
     }
-    m_context.overrides.assign(m_key, { m_packet.flow, upstream }, m_now);
-    return ForwardToUpstream { upstream };
+    overrides.assign(m_key, { m_packet.flow, upstream }, m_now);
+    return upstream;
+}
+
+std::optional<InstanceId> FlowDecision::nextReplica() const
+{
+    // The sender is usually the other owner. When it is not, it knows other members, and the owners
+    // that are known here may have finished their handover without this record.
+    if (!m_owners || !m_packet.relayedBy) {
+        return std::nullopt;
+    }
+    if (isOwner(*m_owners, m_context.self)) {
+        const auto other = otherOwner(*m_owners, m_context.self);
+        return other == m_packet.relayedBy ? std::nullopt : other;
+    }
+    return m_owners->first == m_packet.relayedBy ? m_owners->second
+                                                 : std::optional(m_owners->first);
 }
 
 RouteDecision FlowDecision::decideOpen()
@@ -178,16 +219,23 @@
     if (m_route == nullptr) {
         return useDefault();
     }
-    const bool mayRefresh = mayRelay() && m_owners && otherOwner(*m_owners, m_context.self);
-    const auto refreshAfter =
-            mayRefresh ? m_context.view.idleLimit() / 2 : std::chrono::seconds::max();
-    const auto hit = m_context.overrides.use(m_key, m_packet.flow, refreshAfter, m_now);
+    const auto hit = m_context.overrides.use(m_key, m_packet.flow, refreshInterval(), m_now);
     if (!hit) {
         return useDefault();
     }
     return hit->refreshDue ? forwardThroughOther(hit->upstream) : forward(hit->upstream);
 }
 
+std::chrono::seconds FlowDecision::refreshInterval() const
+{
+    if (!mayRelay() || !m_owners || !otherOwner(*m_owners, m_context.self)) {
+        return std::chrono::seconds::max();
+    }
+    const auto sinceChange = m_now - timeOf(m_route->runtime->ownersSince.load());
+    return std::min(m_context.view.idleLimit() / 2,
+                    std::chrono::duration_cast<std::chrono::seconds>(sinceChange));
+}
+
 RouteDecision FlowDecision::decideClose()
 {
     const auto upstream = m_context.overrides.erase(m_key, m_packet.flow);
--- a/src/connection/flowdecision.h
+++ b/src/connection/flowdecision.h
@@ -1,28 +1,26 @@
 #pragma once
 
 #include "connection/flowrouter.h"
+#include "connection/laterecords.h"
 #include "connection/overridestore.h"
 #include "connection/serviceview.h"
 
 namespace banyanwall::connection {
 
-/// A new owner without finished handover, and without any handover message for this long, answers
-/// by itself: the sender has failed or has nothing to send.
-inline constexpr common::Duration HandoverSilence = std::chrono::seconds(5);
-
 /// Knowledge of one instance that a decision depends on.
 struct RoutingContext
 {
     common::InstanceId self;
     bool stale = false;
-    /// Last handover message from any peer.
-    common::TimePoint lastHandover;
     const ServiceView &view;
     OverrideStore &overrides;
+    LateRecords &lateRecords;
 };
 
-/// True when all overrides of the bucket are here, as far as can be known.
-[[nodiscard]] bool holdsOverrides(const BucketRuntime &runtime, common::TimePoint lastHandover,
+/// True when all overrides of the bucket are here: none are awaited, or twice the idle limit has
+/// passed without a complete handover. By then each live flow has sent a packet that refreshed its
+/// record here.
+[[nodiscard]] bool holdsOverrides(const BucketRuntime &runtime, std::chrono::seconds idleLimit,
                                   common::TimePoint now);
 
 /// Decides one packet of a bucket in transition, or of any bucket on a stale instance.
@@ -38,12 +36,18 @@
 private:
     [[nodiscard]] std::optional<common::InstanceId> relayTarget() const;
     [[nodiscard]] std::optional<common::InstanceId> staleRelayTarget() const;
+    /// The first owner, or an owner that misses overrides, leaves the decision to this instance.
+    [[nodiscard]] bool isAsked() const;
     [[nodiscard]] bool servedByRecord() const;
     [[nodiscard]] RouteDecision relay(common::InstanceId peer) const;
     [[nodiscard]] RouteDecision followRecord(common::UpstreamId upstream);
+    [[nodiscard]] common::UpstreamId store(common::UpstreamId upstream);
+    [[nodiscard]] std::optional<common::InstanceId> nextReplica() const;
     [[nodiscard]] RouteDecision decideOpen();
     [[nodiscard]] RouteDecision decideData();
     [[nodiscard]] RouteDecision decideClose();
+    /// Age from which on the other owner hears of a record again.
+    [[nodiscard]] std::chrono::seconds refreshInterval() const;
     [[nodiscard]] RouteDecision openAt(common::UpstreamId upstream, bool replace);
     [[nodiscard]] RouteDecision useDefault();
     [[nodiscard]] RouteDecision forward(common::UpstreamId upstream) const;
--- a/src/connection/flowrouter.cpp
+++ b/src/connection/flowrouter.cpp
@@ -103,8 +103,8 @@
     RouterSnapshot working;
     std::unordered_map<std::uint64_t, Search> searches;
 
-    std::atomic<std::int64_t> lastHandover = 0;
     OverrideStore overrides;
+    LateRecords lateRecords;
 
     /// Protects published; taken once for each thread and change.
     std::mutex publishMutex;
@@ -274,10 +274,6 @@
         return;
     }
     state.stale = stale;
-    if (!stale) {
-        // Others may have passed over this instance in the meantime.
-        state.restartHandovers();
-    }
     state.publish();
 }
 
@@ -362,9 +358,8 @@
     const auto *route = view.route(bucket);
     const auto owners = route != nullptr ? std::optional(route->owners)
                                          : snapshot.members->bucketOwners(packet.service, bucket);
-    const TimePoint lastHandover { common::Duration(m_state->lastHandover.load()) };
-    const RoutingContext context { m_state->self, snapshot.stale, lastHandover, view,
-                                   m_state->overrides };
+    const RoutingContext context { m_state->self, snapshot.stale, view, m_state->overrides,
+                                   m_state->lateRecords };
     return FlowDecision(context, packet, owners, now).decide();
 }
 
@@ -411,7 +406,6 @@
     auto &state = *m_state;
     const std::scoped_lock lock(state.mutex);
     state.observe(now);
-    const TimePoint lastHandover { common::Duration(state.lastHandover.load()) };
     std::vector<IdleBucketReport> reports;
     for (auto &[service, table] : state.tables) {
         if (!table.roster()) {
@@ -419,7 +413,7 @@
         }
         state.overrides.expire(service, table.roster()->idleLimit, now);
         table.dropNeedless(state.overrides);
-        auto report = table.idleReport(state.self, state.overrides, lastHandover, now);
+        auto report = table.idleReport(state.self, state.overrides, now);
         if (!report.buckets.empty() || !report.clean.empty()) {
             reports.push_back(std::move(report));
         }
@@ -432,10 +426,10 @@
     auto &state = *m_state;
     const std::scoped_lock lock(state.mutex);
     state.observe(now);
-    const TimePoint lastHandover { common::Duration(state.lastHandover.load()) };
-    std::vector<OverrideBatch> batches;
+    auto batches = state.lateRecords.take(maxRecords);
+    maxRecords -= batches.size();
     for (auto &[service, table] : state.tables) {
-        table.takeHandovers(state.overrides, lastHandover, maxRecords, now, batches);
+        table.takeHandovers(state.overrides, maxRecords, now, batches);
     }
     return batches;
 }
@@ -445,13 +439,36 @@
     auto &state = *m_state;
     const std::scoped_lock lock(state.mutex);
     state.observe(now);
-    state.lastHandover = now.time_since_epoch().count();
     const auto found = state.tables.find(batch.service);
     if (found != state.tables.end()) {
         found->second.acceptHandover(batch, state.overrides, now);
     }
 }
 
+std::vector<OverrideRequest> FlowRouter::takeRequests(std::size_t maxRequests, TimePoint now)
+{
+    auto &state = *m_state;
+    const std::scoped_lock lock(state.mutex);
+    state.observe(now);
+    std::vector<OverrideRequest> requests;
+    for (auto &[service, table] : state.tables) {
+        table.takeRequests(state.self, state.overrides, maxRequests, now, requests);
+    }
+    return requests;
+}
+
+void FlowRouter::acceptRequest(InstanceId sender, const OverrideRequest &request, TimePoint now)
+{
+    auto &state = *m_state;
+    const std::scoped_lock lock(state.mutex);
+    state.observe(now);
+    const auto found = state.tables.find(request.service);
+    if (found != state.tables.end()
+        && found->second.acceptRequest(state.self, sender, request, state.overrides, now)) {
+        state.lateRecords.push({ sender, request.service, request.bucket, {}, true });
+    }
+}
+
 std::size_t FlowRouter::overrideCount() const
 {
     return m_state->overrides.size();
--- a/src/connection/flowrouter.h
+++ b/src/connection/flowrouter.h
@@ -75,6 +75,17 @@
     bool complete = false;
 };
 
+/// Asks for the overrides of a bucket that have not arrived.
+struct OverrideRequest
+{
+    common::InstanceId receiver;
+    common::ServiceId service;
+    common::BucketIndex bucket;
+    /// Records held by the sender, and the exclusive or of their hashes.
+    std::uint32_t count = 0;
+    std::uint64_t hash = 0;
+};
+
 /// Buckets that the planner may settle.
 struct IdleBucketReport
 {
@@ -137,6 +148,13 @@
     [[nodiscard]] std::vector<OverrideBatch> takeHandovers(std::size_t maxRecords,
                                                            common::TimePoint now);
     void acceptHandover(const OverrideBatch &batch, common::TimePoint now);
+    /// Requests for handovers that are overdue, at most maxRequests. Views of the members that
+    /// change in different steps can leave two instances waiting for a third that owes nothing.
+    [[nodiscard]] std::vector<OverrideRequest> takeRequests(std::size_t maxRequests,
+                                                            common::TimePoint now);
+    /// Queues the handover unless both sides hold the same records, in which case it is confirmed.
+    void acceptRequest(common::InstanceId sender, const OverrideRequest &request,
+                       common::TimePoint now);
 
     [[nodiscard]] std::size_t overrideCount() const;
     /// Bytes allocated for overrides.
--- a/src/connection/overridestore.cpp
+++ b/src/connection/overridestore.cpp
@@ -52,7 +52,7 @@
     }
     auto &entry = found->second;
     entry.used = secondsOf(now);
-    const bool due = age(entry.refreshed, now) > refreshAfter.count();
+    const bool due = age(entry.refreshed, now) >= refreshAfter.count();
     if (due) {
         entry.refreshed = entry.used;
     }
@@ -134,6 +134,21 @@
     return records;
 }
 
+OverrideStore::Digest OverrideStore::digest(BucketKey key) const
+{
+    const auto &shard = shardOf(key);
+    const std::shared_lock lock(shard.mutex);
+    Digest digest;
+    const auto table = shard.tables.find(tableKey(key));
+    if (table != shard.tables.end()) {
+        for (const auto &[flow, entry] : table->second) {
+            ++digest.count;
+            digest.hash ^= common::hashPair(flow, entry.upstream.value());
+        }
+    }
+    return digest;
+}
+
 bool OverrideStore::hasOther(BucketKey key, UpstreamId upstream) const
 {
     const auto &shard = shardOf(key);
@@ -164,7 +179,7 @@
         for (auto table = shard.tables.begin(); table != shard.tables.end();) {
             const bool emptied = serviceOf(table->first) == service
                     && !eraseIf(table->second, [&](const auto &stored) {
-                                     return age(stored.second.used, now) > idleLimit.count();
+                                     return age(stored.second.used, now) > idleLimit.count() + 1;
                                  });
             table = emptied ? shard.tables.erase(table) : std::next(table);
         }
--- a/src/connection/overridestore.h
+++ b/src/connection/overridestore.h
@@ -42,7 +42,7 @@
     struct Hit
     {
         common::UpstreamId upstream;
-        /// The other owner last heard of this record more than refreshAfter ago.
+        /// The other owner last heard of this record refreshAfter ago or earlier.
         bool refreshDue = false;
     };
 
@@ -62,11 +62,23 @@
     /// Records of a bucket with flows above after, in order, at most maxRecords.
     [[nodiscard]] std::vector<Record> list(BucketKey key, std::optional<common::FlowKey> after,
                                            std::size_t maxRecords) const;
+
+    struct Digest
+    {
+        std::uint32_t count = 0;
+        /// Exclusive or of the hashes of all records.
+        std::uint64_t hash = 0;
+
+        auto operator<=>(const Digest &) const = default;
+    };
+
+    [[nodiscard]] Digest digest(BucketKey key) const;
     /// True when a flow of the bucket is recorded for another upstream.
     [[nodiscard]] bool hasOther(BucketKey key, common::UpstreamId upstream) const;
     /// Removes the records of a bucket that name this upstream.
     void eraseUpstream(BucketKey key, common::UpstreamId upstream);
-    /// Removes records of the service that were not used for longer than idleLimit.
+    /// Removes records of the service that were not used for longer than idleLimit, give or take
+    /// the resolution of a second.
     void expire(common::ServiceId service, std::chrono::seconds idleLimit, common::TimePoint now);
 
     [[nodiscard]] std::size_t size() const { return m_size.load(std::memory_order_relaxed); }
--- a/src/connection/servicetable.cpp
+++ b/src/connection/servicetable.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+/// A handover that has not arrived after this time is requested, again and again.
+constexpr common::Duration HandoverRetry = std::chrono::seconds(2);
+
 /// Former maps that nextCandidate may fall back to.
 constexpr std::size_t HistoryLength = 4;
 
@@ -24,6 +27,7 @@
 {
     runtime.source = source.value_or(InstanceId(0)).value();
     runtime.sourceSince = now.time_since_epoch().count();
+    runtime.requested = now;
 }
 
 UpstreamStatus statusOf(const version::RosterUpstream &upstream, const Outages &outages)
@@ -46,6 +50,18 @@
     return status == UpstreamStatus::Active || status == UpstreamStatus::Draining;
 }
 
+/// Time from which on no packet went by default.
+TimePoint watchedSince(const BucketRuntime &runtime, std::chrono::seconds idleLimit)
+{
+    const TimePoint lastDefault { common::Duration(runtime.lastDefault.load()) };
+    if (runtime.source.load() == 0) {
+        return lastDefault;
+    }
+    // While overrides were awaited, the other owner decided.
+    const TimePoint waiting { common::Duration(runtime.sourceSince.load()) };
+    return std::max(lastDefault, waiting + 2 * idleLimit);
+}
+
 } // namespace
 
 ServiceTable::ServiceTable(common::ServiceId service)
@@ -135,6 +151,18 @@
             runtime.owed.push_back({ receiver, std::nullopt });
         }
     }
+    if (isOwner(after, ownership.self)) {
+        runtime.formerHolder = false;
+    } else if (isOwner(runtime.owners, ownership.self)) {
+        runtime.formerHolder = runtime.source.load() == 0;
+    }
+    if (after.first != runtime.owners.first) {
+        // Others saw the packets that went by default until now.
+        runtime.lastDefault = now.time_since_epoch().count();
+    }
+    if (after.first != runtime.owners.first || after.second != runtime.owners.second) {
+        runtime.ownersSince = now.time_since_epoch().count();
+    }
     runtime.owners = after;
     runtime.owesFirst = std::ranges::any_of(
             runtime.owed, [&](const auto &owed) { return owed.receiver == after.first; });
@@ -240,7 +268,7 @@
 }
 
 IdleBucketReport ServiceTable::idleReport(InstanceId self, const OverrideStore &overrides,
-                                          TimePoint lastHandover, TimePoint now) const
+                                          TimePoint now) const
 {
     IdleBucketReport report;
     if (!m_map || m_pending.size() != 1 || inForceMap() == nullptr) {
@@ -252,11 +280,10 @@
     for (const auto &[bucket, runtime] : m_runtimes) {
         const auto entry = m_map->entry(bucket);
         if (!entry.transitional || runtime->owners.first != self
-            || !holdsOverrides(*runtime, lastHandover, now)) {
+            || !holdsOverrides(*runtime, m_roster->idleLimit, now)) {
             continue;
         }
-        const TimePoint lastDefault { common::Duration(runtime->lastDefault.load()) };
-        if (now - lastDefault > m_roster->idleLimit) {
+        if (now - watchedSince(*runtime, m_roster->idleLimit) > m_roster->idleLimit) {
             report.buckets.push_back(bucket);
         }
         if (!overrides.hasOther({ m_service, bucket }, entry.openUpstream)) {
@@ -266,15 +293,19 @@
     return report;
 }
 
-void ServiceTable::takeHandovers(const OverrideStore &overrides, TimePoint lastHandover,
-                                 std::size_t &budget, TimePoint now,
+void ServiceTable::takeHandovers(const OverrideStore &overrides, std::size_t &budget, TimePoint now,
                                  std::vector<OverrideBatch> &batches)
 {
     for (auto &[bucket, runtime] : m_runtimes) {
         if (budget == 0) {
             return;
         }
-        if (!runtime->owed.empty() && holdsOverrides(*runtime, lastHandover, now)) {
+        const InstanceId source(runtime->source.load());
+        // Two instances that wait for each other exchange what they have.
+        const bool mutual = std::ranges::find(runtime->owed, source, &OwedHandover::receiver)
+                != runtime->owed.end();
+        if (!runtime->owed.empty()
+            && (mutual || holdsOverrides(*runtime, m_roster->idleLimit, now))) {
             sendBucket(bucket, *runtime, overrides, budget, batches);
         }
     }
@@ -318,14 +349,67 @@
     const bool waiting = found != m_runtimes.end() && found->second->source.load() != 0;
     for (const auto &record : batch.records) {
         if (waiting) {
-            overrides.assign({ m_service, batch.bucket }, { record.flow, record.upstream }, now);
+            // The next packet of the flow tells the other owner, whose record may be about to age
+            // out.
+            overrides.assign({ m_service, batch.bucket }, { record.flow, record.upstream }, now,
+                             false);
         } else {
             overrides.insert({ m_service, batch.bucket }, { record.flow, record.upstream }, now);
         }
     }
     if (waiting && batch.complete) {
         found->second->source = 0;
+        found->second->lastDefault = now.time_since_epoch().count();
+    }
+}
+
+void ServiceTable::takeRequests(InstanceId self, const OverrideStore &overrides,
+                                std::size_t maxRequests, TimePoint now,
+                                std::vector<OverrideRequest> &requests)
+{
+    for (auto &[bucket, runtime] : m_runtimes) {
+        if (requests.size() >= maxRequests) {
+            return;
+        }
+        const InstanceId source(runtime->source.load());
+        if (source == InstanceId(0) || !isOwner(runtime->owners, self)
+            || now - runtime->requested < HandoverRetry) {
+            continue;
+        }
+        runtime->requested = now;
+        const auto digest = overrides.digest({ m_service, bucket });
+        requests.push_back({ source, m_service, bucket, digest.count, digest.hash });
+        const auto other = otherOwner(runtime->owners, self);
+        if (other && *other != source) {
+            requests.push_back({ *other, m_service, bucket, digest.count, digest.hash });
+        }
+    }
+}
+
+bool ServiceTable::acceptRequest(InstanceId self, InstanceId sender, const OverrideRequest &request,
+                                 const OverrideStore &overrides, TimePoint now)
+{
+    const auto found = m_runtimes.find(request.bucket);
+    if (found == m_runtimes.end()) {
+        // In a settled bucket there is nothing to hand over.
+        return m_map != nullptr;
+    }
+    auto &runtime = *found->second;
+    const bool held = isOwner(runtime.owners, self) || runtime.formerHolder.load();
+    const bool mutual = runtime.source.load() == sender.value();
+    if (!held || !(mutual || holdsOverrides(runtime, m_roster->idleLimit, now))) {
+        return false;
+    }
+    if (overrides.digest({ m_service, request.bucket })
+        == OverrideStore::Digest { request.count, request.hash }) {
+        return true;
+    }
+    const auto known = std::ranges::find(runtime.owed, sender, &OwedHandover::receiver);
+    if (known == runtime.owed.end()) {
+        runtime.owed.push_back({ sender, std::nullopt });
+        runtime.owesFirst = runtime.owesFirst || runtime.owners.first == sender;
     }
+    return false;
 }
 
 std::vector<UpstreamId> ServiceTable::recentUpstreams(BucketIndex bucket) const
--- a/src/connection/servicetable.h
+++ b/src/connection/servicetable.h
@@ -70,15 +70,22 @@
 
     [[nodiscard]] IdleBucketReport idleReport(common::InstanceId self,
                                               const OverrideStore &overrides,
-                                              common::TimePoint lastHandover,
                                               common::TimePoint now) const;
     /// Appends handovers of at most budget records and reduces the budget.
-    void takeHandovers(const OverrideStore &overrides, common::TimePoint lastHandover,
-                       std::size_t &budget, common::TimePoint now,
+    void takeHandovers(const OverrideStore &overrides, std::size_t &budget, common::TimePoint now,
                        std::vector<OverrideBatch> &batches);
     void acceptHandover(const OverrideBatch &batch, OverrideStore &overrides,
                         common::TimePoint now);
 
+    void takeRequests(common::InstanceId self, const OverrideStore &overrides,
+                      std::size_t maxRequests, common::TimePoint now,
+                      std::vector<OverrideRequest> &requests);
+    /// True when the requested records are all known to the sender, so that only the confirmation
+    /// is missing. Otherwise the handover is queued, if the records are here.
+    [[nodiscard]] bool acceptRequest(common::InstanceId self, common::InstanceId sender,
+                                     const OverrideRequest &request, const OverrideStore &overrides,
+                                     common::TimePoint now);
+
     /// Upstreams that the bucket's recent maps named, newest first, without duplicates.
     [[nodiscard]] std::vector<common::UpstreamId> recentUpstreams(common::BucketIndex bucket) const;
     [[nodiscard]] const BucketRuntime *runtime(common::BucketIndex bucket) const;
