Add the flow benchmark

Measures decisions a second, broken flows of a replayed fleet against three baselines, moved buckets against a Maglev fill, imbalance against rendezvous hashing, and the capacity rows of overrides and handovers. Replayed time and fixed seeds make all but the speed deterministic.

--- /dev/null
+++ b/src/benchmarks/fleetreplay.cpp
@@ -0,0 +1,289 @@
+#include "fleetreplay.h"
+
+#include "version/rollout.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace banyanwall::benchmarks {
+
+using common::Duration;
+using common::InstanceId;
+using common::TimePoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using version::Rollout;
+
+namespace {
+
+constexpr Duration LongestDelay = seconds(3);
+constexpr Duration HeartbeatInterval = milliseconds(500);
+constexpr Duration SuspectAfter = seconds(2);
+constexpr Duration DeadAfter = seconds(5);
+/// Background handover is limited to 1 KB/s; a record takes 12 bytes.
+constexpr std::size_t HandoverRecordsPerTick = 85;
+constexpr std::uint64_t PlanEveryTicks = 5;
+/// A new instance gets packets after this time.
+constexpr Duration SprayAfter = seconds(1);
+/// Times from the start of the successor.
+constexpr Duration LeaveAfter = seconds(4);
+constexpr Duration LastSprayAfter = seconds(10);
+constexpr Duration ExitAfter = seconds(14);
+
+common::ZoneId zoneOf(std::uint32_t id)
+{
+    return common::ZoneId(1 + id % 3);
+}
+
+} // namespace
+
+FleetReplay::FleetReplay(std::uint32_t instances, const version::ServiceRoster &roster,
+                         std::uint64_t seed)
+    : m_random(seed)
+    , m_roster(roster)
+{
+    const version::BucketMap map(roster, std::nullopt, nullptr);
+    m_settled = *version::planSettled({ map, roster, {}, {}, {} }, std::nullopt);
+    for (std::uint32_t count = 0; count < instances; ++count) {
+        start(m_nextInstance++);
+    }
+    for (auto &[id, instance] : m_instances) {
+        instance.router->setMembers(m_selector, m_now);
+        instance.router->setInForce(Service, roster.version);
+        m_sprayed.push_back(id);
+    }
+    m_now += seconds(10);
+    at(m_now, [this] { tick(); });
+}
+
+void FleetReplay::at(TimePoint time, std::function<void()> event)
+{
+    m_events.emplace(time, std::move(event));
+}
+
+void FleetReplay::advance(TimePoint until)
+{
+    while (!m_events.empty() && m_events.begin()->first <= until) {
+        auto next = m_events.extract(m_events.begin());
+        m_now = next.key();
+        next.mapped()();
+    }
+    m_now = until;
+}
+
+ReplayInstance *FleetReplay::find(std::uint32_t id)
+{
+    const auto found = m_instances.find(id);
+    return found == m_instances.end() ? nullptr : &found->second;
+}
+
+void FleetReplay::start(std::uint32_t id)
+{
+    auto &instance = m_instances[id];
+    instance.router = std::make_unique<connection::FlowRouter>(InstanceId(id), zoneOf(id));
+    instance.roster = m_roster;
+    m_members.push_back({ InstanceId(id), zoneOf(id), false });
+    m_selector = std::make_shared<const connection::OwnerSelector>(m_members);
+    instance.router->setMembers(m_selector, m_now);
+    instance.router->applySettled(Service, m_settled, m_now);
+    instance.router->applyRoster(m_roster, m_now);
+    instance.viewNumber = ++m_viewNumber;
+}
+
+TimePoint FleetReplay::spread(const Update &update, Duration longest)
+{
+    std::uniform_int_distribution<Duration::rep> delays(0, longest.count());
+    TimePoint last = m_now;
+    for (const auto &[id, instance] : m_instances) {
+        const auto arrival = m_now + Duration(delays(m_random));
+        last = std::max(last, arrival);
+        const bool silent = arrival - m_now > Rollout::StaleAfter;
+        if (silent) {
+            at(m_now + Rollout::StaleAfter, [this, id = id] {
+                if (auto *late = find(id); late != nullptr && ++late->silences == 1) {
+                    late->router->setStale(true);
+                }
+            });
+        }
+        at(arrival, [this, update, silent, id = id] {
+            auto *reached = find(id);
+            if (reached == nullptr) {
+                return;
+            }
+            update(*reached);
+            if (silent && --reached->silences == 0) {
+                reached->router->setStale(false);
+            }
+        });
+    }
+    return last;
+}
+
+void FleetReplay::publishRoster(const version::ServiceRoster &roster)
+{
+    m_roster = roster;
+    const auto enforce = [this](std::uint32_t id, TimePoint when, common::RosterVersion version) {
+        at(when, [this, id, version] {
+            if (auto *instance = find(id); instance != nullptr) {
+                instance->router->setInForce(Service, version);
+            }
+        });
+    };
+    const auto apply = [this, roster, enforce](ReplayInstance &instance) {
+        instance.router->applyRoster(roster, m_now);
+        if (instance.roster.version < roster.version) {
+            instance.roster = roster;
+        }
+        const auto found = std::ranges::find_if(
+                m_instances, [&](const auto &entry) { return &entry.second == &instance; });
+        enforce(found->first, m_now + Rollout::Deadline, roster.version);
+    };
+    const auto acknowledged = spread(apply, LongestDelay) + HeartbeatInterval;
+    for (const auto &[id, instance] : m_instances) {
+        enforce(id, acknowledged, roster.version);
+    }
+}
+
+void FleetReplay::publishSettled(const version::SettledTable &settled)
+{
+    m_settled = settled;
+    const auto acknowledged = spread(
+            [this, settled](ReplayInstance &instance) {
+                instance.router->applySettled(Service, settled, m_now);
+            },
+            LongestDelay);
+    at(acknowledged + HeartbeatInterval, [this, revision = settled.revision] {
+        for (auto &[id, instance] : m_instances) {
+            instance.router->setSettledAcknowledged(Service, revision);
+        }
+    });
+}
+
+void FleetReplay::spreadMembers()
+{
+    m_selector = std::make_shared<const connection::OwnerSelector>(m_members);
+    spread(
+            [this, members = m_selector, number = ++m_viewNumber](ReplayInstance &instance) {
+                if (instance.viewNumber < number) {
+                    instance.viewNumber = number;
+                    instance.router->setMembers(members, m_now);
+                }
+            },
+            LongestDelay);
+}
+
+void FleetReplay::spreadSuspicions()
+{
+    spread([members = m_suspected](
+                   ReplayInstance &instance) { instance.router->setSuspected(members); },
+           HeartbeatInterval);
+}
+
+void FleetReplay::replaceInstance(std::uint32_t id)
+{
+    const auto successor = m_nextInstance++;
+    const auto started = m_now;
+    start(successor);
+    spreadMembers();
+    at(started + Rollout::Deadline, [this, successor, version = m_roster.version] {
+        if (auto *instance = find(successor); instance != nullptr) {
+            instance->router->setInForce(Service, version);
+        }
+    });
+    at(started + SprayAfter, [this, successor] { m_sprayed.push_back(successor); });
+    at(started + LeaveAfter, [this, id] {
+        std::ranges::for_each(m_members, [&](auto &member) {
+            member.leaving = member.leaving || member.id == InstanceId(id);
+        });
+        spreadMembers();
+    });
+    at(started + LastSprayAfter, [this, id] { stopSpraying(id); });
+    at(started + ExitAfter, [this, id] {
+        m_instances.erase(id);
+        std::erase_if(m_members, [&](const auto &member) { return member.id == InstanceId(id); });
+        spreadMembers();
+    });
+}
+
+void FleetReplay::killInstance(std::uint32_t id)
+{
+    m_instances.erase(id);
+    at(m_now + SuspectAfter, [this, id] {
+        m_suspected.emplace_back(id);
+        stopSpraying(id);
+        spreadSuspicions();
+    });
+    at(m_now + DeadAfter, [this, id] {
+        std::erase_if(m_members, [&](const auto &member) { return member.id == InstanceId(id); });
+        spreadMembers();
+    });
+}
+
+void FleetReplay::loseUpstream(common::UpstreamId upstream)
+{
+    spread(
+            [upstream](ReplayInstance &instance) {
+                instance.lost.insert(upstream);
+                instance.router->setUpstreamLost(upstream, true);
+            },
+            LongestDelay);
+}
+
+void FleetReplay::stopSpraying(std::uint32_t id)
+{
+    std::erase(m_sprayed, id);
+}
+
+void FleetReplay::tick()
+{
+    std::vector<connection::IdleBucketReport> reports;
+    std::size_t overrides = 0;
+    for (auto &[id, instance] : m_instances) {
+        std::ranges::move(instance.router->idleBuckets(m_now), std::back_inserter(reports));
+        for (const auto &batch : instance.router->takeHandovers(HandoverRecordsPerTick, m_now)) {
+            m_handoverRecords += batch.records.size();
+            if (auto *receiver = find(batch.receiver.value()); receiver != nullptr) {
+                receiver->router->acceptHandover(batch, m_now);
+            }
+        }
+        for (const auto &request : instance.router->takeRequests(HandoverRecordsPerTick, m_now)) {
+            ++m_handoverRequests;
+            if (auto *receiver = find(request.receiver.value()); receiver != nullptr) {
+                receiver->router->acceptRequest(InstanceId(id), request, m_now);
+            }
+        }
+        overrides += instance.router->overrideCount();
+    }
+    m_mostOverrides = std::max(m_mostOverrides, overrides);
+    if (++m_ticks % PlanEveryTicks == 0) {
+        plan(reports);
+    }
+    at(m_now + seconds(1), [this] { tick(); });
+}
+
+void FleetReplay::plan(const std::vector<connection::IdleBucketReport> &reports)
+{
+    const auto planner = m_selector->planner(Customer);
+    auto *instance = planner ? find(planner->value()) : nullptr;
+    if (instance == nullptr) {
+        return;
+    }
+    std::vector<version::IdleEvidence> evidence;
+    std::ranges::transform(reports, std::back_inserter(evidence), [](const auto &report) {
+        return version::IdleEvidence { report.revision, report.rosterVersion, report.buckets,
+                                       report.clean };
+    });
+    const auto map = instance->router->map(Service);
+    const auto next = version::planSettled(
+            { *map, instance->roster, std::move(evidence), instance->lost, {} }, m_settled);
+    if (next) {
+        publishSettled(*next);
+    }
+}
+
+std::size_t FleetReplay::transitionalBuckets() const
+{
+    return m_instances.begin()->second.router->map(Service)->transitional().count();
+}
+
+} // namespace banyanwall::benchmarks
--- /dev/null
+++ b/src/benchmarks/flowbenchmark.cpp
@@ -0,0 +1,369 @@
+#include "flowworkload.h"
+#include "maglevfill.h"
+
+#include "common/hash.h"
+#include "peer.pb.h"
+#include "version/bucketassignment.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <iostream>
+#include <numeric>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+
+#include <tclap/CmdLine.h>
+
+using namespace banyanwall;
+using benchmarks::FleetReplay;
+using benchmarks::FlowWorkload;
+using benchmarks::workloadRoster;
+using common::FlowKey;
+using common::InstanceId;
+using common::TimePoint;
+using common::UpstreamId;
+using connection::FlowRouter;
+using connection::PacketKind;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20'261;
+constexpr std::uint32_t Upstreams = 14;
+constexpr std::uint64_t PacketsPerThread = 10'000'000;
+/// Flows of one balance measurement, and measurements with different flows.
+constexpr std::size_t BalancedFlows = 60'000;
+constexpr std::uint64_t BalanceRuns = 20;
+/// Services over which moved buckets are averaged.
+constexpr std::uint32_t MoveServices = 50;
+/// Records of 12 bytes in 1 KB.
+constexpr std::size_t RecordsPerMessage = 85;
+const TimePoint Start { std::chrono::seconds(1'000) };
+
+template<typename Value>
+void print(const std::string &key, const Value &value)
+{
+    std::cout << key << '=' << value << '\n';
+}
+
+std::shared_ptr<const connection::OwnerSelector> membersUpTo(std::uint32_t count)
+{
+    std::vector<connection::Member> members;
+    for (std::uint32_t id = 1; id <= count; ++id) {
+        members.push_back({ InstanceId(id), common::ZoneId(1 + id % 3), false });
+    }
+    return std::make_shared<const connection::OwnerSelector>(std::move(members));
+}
+
+std::vector<FlowKey> randomFlows(std::size_t count, std::uint64_t seed = Seed)
+{
+    std::mt19937_64 random(seed);
+    std::vector<FlowKey> flows(count);
+    std::ranges::generate(flows, [&] { return FlowKey(random()); });
+    return flows;
+}
+
+// Decisions a second
+
+std::uint64_t decideFor(FlowRouter &router, const std::vector<FlowKey> &flows, std::uint64_t count)
+{
+    std::uint64_t forwarded = 0;
+    for (std::uint64_t number = 0; number < count; ++number) {
+        const connection::FlowPacket packet { FleetReplay::Service, flows[number % flows.size()],
+                                              PacketKind::Data,     0,
+                                              std::nullopt,         std::nullopt };
+        const auto decision = router.route(packet, Start);
+        forwarded += std::holds_alternative<connection::ForwardToUpstream>(decision) ? 1 : 0;
+    }
+    return forwarded;
+}
+
+void runDecisions(FlowRouter &router, const std::string &name, std::size_t threads)
+{
+    const auto flows = randomFlows(65'536);
+    std::vector<std::uint64_t> forwarded(threads);
+    const auto begin = std::chrono::steady_clock::now();
+    {
+        std::vector<std::jthread> workers;
+        for (std::size_t worker = 0; worker < threads; ++worker) {
+            workers.emplace_back([&, worker] {
+                forwarded[worker] = decideFor(router, flows, PacketsPerThread);
+            });
+        }
+    }
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - begin;
+    const auto total = std::accumulate(forwarded.begin(), forwarded.end(), std::uint64_t { 0 });
+    print("decisions." + name + ".threads", threads);
+    print("decisions." + name + ".per_second",
+          static_cast<std::uint64_t>(static_cast<double>(total) / elapsed.count()));
+}
+
+void runSpeed()
+{
+    FlowRouter router(InstanceId(1), common::ZoneId(2));
+    router.setMembers(membersUpTo(16), Start);
+    const auto roster = workloadRoster(1, Upstreams, 0);
+    router.applyRoster(roster, Start);
+    router.setInForce(FleetReplay::Service, roster.version);
+    runDecisions(router, "settled", 1);
+    runDecisions(router, "settled_parallel", 4);
+
+    FlowRouter alone(InstanceId(1), common::ZoneId(2));
+    alone.setMembers(membersUpTo(1), Start);
+    alone.applyRoster(roster, Start);
+    alone.applyRoster(workloadRoster(2, 2 * Upstreams, Upstreams), Start);
+    runDecisions(alone, "transitional", 1);
+}
+
+// Broken flows
+
+void runReplay(const std::string &name, bool faults)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    benchmarks::WorkloadOptions options;
+    options.faults = faults;
+    options.seed = Seed;
+    FlowWorkload workload(options);
+    const auto result = workload.run();
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - begin;
+    print(name + ".flows", result.flows);
+    print(name + ".packets", result.packets);
+    print(name + ".broken.core", result.broken);
+    print(name + ".broken.modulo", result.baselineBroken[0]);
+    print(name + ".broken.rendezvous", result.baselineBroken[1]);
+    print(name + ".broken.rendezvous_table", result.baselineBroken[2]);
+    print(name + ".upstream_died", result.upstreamDied);
+    print(name + ".recovered", result.recovered);
+    print(name + ".split_opens", result.splitOpens);
+    print(name + ".failed_opens", result.failedOpens);
+    print(name + ".lost_packets", result.lostPackets);
+    print(name + ".hop_limit", result.hopLimit);
+    print(name + ".relays_per_packet",
+          static_cast<double>(result.relays) / static_cast<double>(result.packets));
+    print(name + ".most_overrides", result.mostOverrides);
+    print(name + ".handover_records", result.handoverRecords);
+    print(name + ".handover_requests", result.handoverRequests);
+    print(name + ".settled_revisions", result.settledRevisions);
+    print(name + ".transitional_at_end", result.transitionalAtEnd);
+    print(name + ".seconds", elapsed.count());
+}
+
+// Balance and moved buckets
+
+double busiestOverMean(const std::map<UpstreamId, std::uint64_t> &counts)
+{
+    std::uint64_t total = 0;
+    std::uint64_t busiest = 0;
+    for (const auto &[upstream, count] : counts) {
+        total += count;
+        busiest = std::max(busiest, count);
+    }
+    return static_cast<double>(busiest) * static_cast<double>(counts.size())
+            / static_cast<double>(total);
+}
+
+struct Imbalance
+{
+    double core = 0;
+    double rendezvous = 0;
+};
+
+Imbalance measureImbalance(std::uint64_t run)
+{
+    auto roster = workloadRoster(1, Upstreams, 0);
+    roster.service = common::ServiceId(static_cast<std::uint32_t>(Seed + run));
+    const version::BucketMap map(roster, std::nullopt, nullptr);
+    std::map<UpstreamId, std::uint64_t> core;
+    std::map<UpstreamId, std::uint64_t> rendezvous;
+    for (const auto flow : randomFlows(BalancedFlows, Seed + run)) {
+        ++core[map.entry(version::BucketMap::bucketOf(flow)).openUpstream];
+        const auto best = std::ranges::max(roster.upstreams, {}, [&](const auto &upstream) {
+            return common::hashPair(flow.value(), upstream.id.value());
+        });
+        ++rendezvous[best.id];
+    }
+    return { busiestOverMean(core), busiestOverMean(rendezvous) };
+}
+
+void runBalance()
+{
+    Imbalance sum;
+    Imbalance worst;
+    for (std::uint64_t run = 0; run < BalanceRuns; ++run) {
+        const auto measured = measureImbalance(run);
+        sum.core += measured.core;
+        sum.rendezvous += measured.rendezvous;
+        worst.core = std::max(worst.core, measured.core);
+        worst.rendezvous = std::max(worst.rendezvous, measured.rendezvous);
+    }
+    const version::BucketMap map(workloadRoster(1, Upstreams, 0), std::nullopt, nullptr);
+    std::map<UpstreamId, std::uint64_t> buckets;
+    for (std::uint32_t bucket = 0; bucket < version::BucketCount; ++bucket) {
+        ++buckets[map.entry(common::BucketIndex(bucket)).openUpstream];
+    }
+    print("imbalance.flows", BalancedFlows);
+    print("imbalance.runs", BalanceRuns);
+    print("imbalance.mean.core", sum.core / BalanceRuns);
+    print("imbalance.mean.rendezvous", sum.rendezvous / BalanceRuns);
+    print("imbalance.worst.core", worst.core);
+    print("imbalance.worst.rendezvous", worst.rendezvous);
+    print("imbalance.core_buckets", busiestOverMean(buckets));
+}
+
+using Assign = std::function<std::vector<std::uint16_t>(
+        common::ServiceId, const std::vector<version::WeightedUpstream> &, std::uint32_t)>;
+
+double movedOverMinimum(const Assign &assign, bool addition)
+{
+    double sum = 0;
+    for (std::uint32_t number = 0; number < MoveServices; ++number) {
+        std::mt19937_64 random(Seed + number);
+        const common::ServiceId service(static_cast<std::uint32_t>(random()));
+        std::vector<version::WeightedUpstream> larger;
+        for (std::uint32_t count = 0; count < Upstreams + (addition ? 1 : 0); ++count) {
+            larger.push_back({ UpstreamId(static_cast<std::uint32_t>(random())) });
+        }
+        std::ranges::sort(larger, {}, &version::WeightedUpstream::id);
+        auto smaller = larger;
+        smaller.erase(smaller.begin() + static_cast<std::ptrdiff_t>(random() % smaller.size()));
+        const auto before = assign(service, larger, version::BucketCount);
+        const auto after = assign(service, smaller, version::BucketCount);
+        std::uint32_t moved = 0;
+        for (std::uint32_t bucket = 0; bucket < version::BucketCount; ++bucket) {
+            moved += larger[before[bucket]].id != smaller[after[bucket]].id ? 1 : 0;
+        }
+        sum += moved * static_cast<double>(larger.size()) / version::BucketCount;
+    }
+    return sum / MoveServices;
+}
+
+void runMoves()
+{
+    // A drain leaves the same upstreams as a removal.
+    print("moved_over_minimum.removal_or_drain.capacity_rendezvous",
+          movedOverMinimum(version::assignBuckets, false));
+    print("moved_over_minimum.removal_or_drain.maglev",
+          movedOverMinimum(benchmarks::maglevFill, false));
+    print("moved_over_minimum.addition.capacity_rendezvous",
+          movedOverMinimum(version::assignBuckets, true));
+    print("moved_over_minimum.addition.maglev", movedOverMinimum(benchmarks::maglevFill, true));
+}
+
+// Capacity
+
+void printCapacity(const std::string &metric, std::size_t size, double value)
+{
+    std::cout << "capacity." << metric << " n=" << size << " value=" << value << '\n';
+}
+
+std::size_t wireBytes(const connection::OverrideBatch &batch)
+{
+    wire::proto::PeerMessage message;
+    auto &handover = *message.mutable_handover();
+    handover.set_service(batch.service.value());
+    handover.set_bucket(batch.bucket.value());
+    handover.set_complete(batch.complete);
+    for (const auto &record : batch.records) {
+        handover.add_flows(record.flow.value());
+        handover.add_upstreams(record.upstream.value());
+    }
+    return message.ByteSizeLong();
+}
+
+/// All buckets are in transition and all flows have an override on one instance, which then hands
+/// over to a second one.
+void runOverrides(std::size_t size)
+{
+    FlowRouter router(InstanceId(1), common::ZoneId(2));
+    router.setMembers(membersUpTo(1), Start);
+    router.applyRoster(workloadRoster(1, Upstreams, 0), Start);
+    const auto next = workloadRoster(2, 2 * Upstreams, Upstreams);
+    router.applyRoster(next, Start);
+    router.setInForce(FleetReplay::Service, next.version);
+    for (const auto flow : randomFlows(size)) {
+        std::ignore = router.route(
+                { FleetReplay::Service, flow, PacketKind::Open, 0, std::nullopt, std::nullopt },
+                Start);
+    }
+    printCapacity("override_records", size, static_cast<double>(router.overrideCount()));
+    printCapacity("override_bytes", size, static_cast<double>(router.overrideBytes()));
+    printCapacity("override_bytes_per_record", size,
+                  static_cast<double>(router.overrideBytes()) / static_cast<double>(size));
+
+    const auto later = Start + std::chrono::seconds(20);
+    router.setMembers(membersUpTo(2), later);
+    std::size_t bytes = 0;
+    std::size_t messages = 0;
+    for (auto batches = router.takeHandovers(RecordsPerMessage, later); !batches.empty();
+         batches = router.takeHandovers(RecordsPerMessage, later)) {
+        messages += batches.size();
+        bytes = std::accumulate(
+                batches.begin(), batches.end(), bytes,
+                [](std::size_t sum, const auto &batch) { return sum + wireBytes(batch); });
+    }
+    printCapacity("handover_bytes", size, static_cast<double>(bytes));
+    printCapacity("handover_messages", size, static_cast<double>(messages));
+}
+
+/// Time for one instance to follow a change of members while all buckets of one service are in
+/// transition, and to take a roster.
+void runControl(std::uint32_t members)
+{
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+    FlowRouter router(InstanceId(1), common::ZoneId(2));
+    router.setMembers(membersUpTo(members), Start);
+    router.applyRoster(workloadRoster(1, Upstreams, 0), Start);
+    auto begin = std::chrono::steady_clock::now();
+    router.applyRoster(workloadRoster(2, 2 * Upstreams, Upstreams), Start);
+    printCapacity("roster_change_ms", members,
+                  Milliseconds(std::chrono::steady_clock::now() - begin).count());
+    begin = std::chrono::steady_clock::now();
+    router.setMembers(membersUpTo(members + 1), Start + std::chrono::seconds(20));
+    printCapacity("member_change_ms", members,
+                  Milliseconds(std::chrono::steady_clock::now() - begin).count());
+}
+
+void runCapacity()
+{
+    for (const std::size_t size : { 1'000, 10'000, 100'000, 1'000'000 }) {
+        runOverrides(size);
+    }
+    for (const std::uint32_t members : { 16, 130, 520 }) {
+        runControl(members);
+    }
+}
+
+const std::map<std::string, std::function<void()>> Parts {
+    { "balance", runBalance },
+    { "capacity", runCapacity },
+    { "faults", [] { runReplay("faults", true); } },
+    { "moves", runMoves },
+    { "replay", [] { runReplay("replay", false); } },
+    { "speed", runSpeed },
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        TCLAP::CmdLine commandLine("Measures flow routing; prints key=value lines.", ' ', "0.1.0");
+        std::vector<std::string> names;
+        std::ranges::transform(Parts, std::back_inserter(names),
+                               [](const auto &part) { return part.first; });
+        TCLAP::ValuesConstraint<std::string> known(names);
+        TCLAP::UnlabeledMultiArg<std::string> selected("part", "parts to run; default all", false,
+                                                       &known);
+        commandLine.add(selected);
+        commandLine.parse(argc, argv);
+        for (const auto &name : selected.getValue().empty() ? names : selected.getValue()) {
+            Parts.at(name)();
+        }
+    } catch (const std::exception &error) {
+        std::cerr << "flowbenchmark: " << error.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
