--- /dev/null
+++ b/src/process/logging.cpp
@@ -0,0 +1,93 @@
+#include "process/logging.h"
+
+#include <boost/log/attributes/constant.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+
+#include <iostream>
+
+namespace banyanwall::process {
+
+namespace {
+
+namespace blog = boost::log;
+using Severity = blog::trivial::severity_level;
+
+Severity severityOf(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Trace:
+        return Severity::trace;
+    case LogLevel::Debug:
+        return Severity::debug;
+    case LogLevel::Info:
+        return Severity::info;
+    case LogLevel::Warning:
+        return Severity::warning;
+    case LogLevel::Error:
+        return Severity::error;
+    }
+    return Severity::info;
+}
+
+bool needsQuotes(const std::string &value)
+{
+    return value.empty() || value.find_first_of(" \"=\n\t") != std::string::npos;
+}
+
+std::string quoted(const std::string &value)
+{
+    std::string text = "\"";
+    for (const char symbol : value) {
+        if (symbol == '"' || symbol == '\\') {
+            text += '\\';
+        }
+        text += symbol == '\n' ? ' ' : symbol;
+    }
+    return text + '"';
+}
+
+} // namespace
+
+void startLogging(std::string_view level, const std::string &instance)
+{
+    namespace expressions = blog::expressions;
+    Severity threshold = Severity::info;
+    blog::trivial::from_string(level.data(), level.size(), threshold);
+    blog::add_common_attributes();
+    blog::core::get()->set_filter(blog::trivial::severity >= threshold);
+    blog::add_console_log(std::cerr, blog::keywords::auto_flush = true,
+                          blog::keywords::format = expressions::stream
+                                  << "time="
+                                  << expressions::format_date_time<boost::posix_time::ptime>(
+                                                           "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                                  << " level=" << blog::trivial::severity
+                                  << " instance=" << instance << " " << expressions::smessage);
+}
+
+LogEvent::LogEvent(LogLevel level, std::string_view event)
+    : m_level(level)
+    , m_line("event=" + std::string(event))
+{ }
+
+LogEvent::~LogEvent()
+{
+    BOOST_LOG_STREAM_WITH_PARAMS(blog::trivial::logger::get(),
+                                 (blog::keywords::severity = severityOf(m_level)))
+            << m_line;
+}
+
+LogEvent &LogEvent::append(std::string_view key, const std::string &value)
+{
+    m_line += ' ';
+    m_line += key;
+    m_line += '=';
+    m_line += needsQuotes(value) ? quoted(value) : value;
+    return *this;
+}
+
+} // namespace banyanwall::process
