Add the transports of an instance

Peers talk over ZeroMQ; connections open on demand, close after 60 s without use and are dialled again after 2 s of silence; control and relay bytes are counted apart.

--- /dev/null
+++ b/src/process/peertransport.cpp
@@ -0,0 +1,220 @@
+#include "process/peertransport.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <system_error>
+
+namespace banyanwall::process {
+
+namespace {
+
+constexpr std::chrono::milliseconds PollInterval { 1'000 };
+// Bytes of messages that leave after stop(), such as the leave message.
+constexpr int LingerMilliseconds = 500;
+constexpr int KeepAliveMilliseconds = 1'000;
+// Largest message: a catalogue push with documents of up to 1 MB each.
+constexpr std::int64_t MaxMessageBytes = 8L * 1024 * 1024;
+constexpr std::size_t MessagesPerPass = 1'024;
+
+std::string urlOf(common::Endpoint endpoint)
+{
+    return "tcp://" + common::toString(endpoint);
+}
+
+bool isData(const wire::proto::PeerMessage &message)
+{
+    return message.has_relay() || message.has_request_relay();
+}
+
+} // namespace
+
+PeerTransport::PeerTransport(common::Endpoint listen, wire::PeerCodec codec, Metrics &metrics,
+                             Handler handler)
+    : m_listen(listen)
+    , m_codec(std::move(codec))
+    , m_metrics(metrics)
+    , m_handler(std::move(handler))
+    , m_context(1)
+    , m_router(m_context, zmq::socket_type::router)
+    , m_wakeDescriptor(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+    if (m_wakeDescriptor < 0) {
+        throw std::system_error(errno, std::generic_category(), "eventfd");
+    }
+}
+
+PeerTransport::~PeerTransport()
+{
+    stop();
+    close(m_wakeDescriptor);
+}
+
+void PeerTransport::start()
+{
+    m_router.set(zmq::sockopt::linger, 0);
+    m_router.set(zmq::sockopt::rcvhwm, QueuedMessages);
+    m_router.set(zmq::sockopt::maxmsgsize, MaxMessageBytes);
+    m_router.bind(urlOf(m_listen));
+    m_thread = std::thread([this] { run(); });
+}
+
+void PeerTransport::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    wake();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void PeerTransport::setAddresses(std::map<common::InstanceId, common::Endpoint> addresses)
+{
+    const std::lock_guard lock(m_mutex);
+    m_addresses = std::move(addresses);
+}
+
+void PeerTransport::toPeer(common::InstanceId peer, const wire::proto::PeerMessage &message)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto address = m_addresses.find(peer);
+        if (address == m_addresses.end()) {
+            m_metrics.countRefusal(common::Reason::UnknownPeer);
+            return;
+        }
+        m_queue.push_back({ address->second, message });
+        if (m_queue.size() > 1) {
+            return;
+        }
+    }
+    wake();
+}
+
+void PeerTransport::toAddress(common::Endpoint address, const wire::proto::PeerMessage &message)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_queue.push_back({ address, message });
+    }
+    wake();
+}
+
+void PeerTransport::wake() const
+{
+    const std::uint64_t one = 1;
+    // A full counter means that a wake-up is pending already.
+    [[maybe_unused]] const auto written = write(m_wakeDescriptor, &one, sizeof one);
+}
+
+void PeerTransport::run()
+{
+    std::array<zmq::pollitem_t, 2> items { {
+            { m_router.handle(), 0, ZMQ_POLLIN, 0 },
+            { nullptr, m_wakeDescriptor, ZMQ_POLLIN, 0 },
+    } };
+    auto nextCleaning = std::chrono::steady_clock::now() + PollInterval;
+    bool stopping = false;
+    while (!stopping) {
+        zmq::poll(items.data(), items.size(), PollInterval);
+        std::uint64_t pending = 0;
+        [[maybe_unused]] const auto drained = read(m_wakeDescriptor, &pending, sizeof pending);
+        {
+            const std::lock_guard lock(m_mutex);
+            stopping = m_stopping;
+        }
+        sendQueued();
+        receive();
+        if (std::chrono::steady_clock::now() >= nextCleaning) {
+            closeIdle();
+            nextCleaning = std::chrono::steady_clock::now() + PollInterval;
+        }
+    }
+    m_connections.clear();
+}
+
+void PeerTransport::sendQueued()
+{
+    std::deque<Outgoing> queue;
+    {
+        const std::lock_guard lock(m_mutex);
+        queue.swap(m_queue);
+    }
+    for (const auto &outgoing : queue) {
+        send(outgoing);
+    }
+}
+
+void PeerTransport::send(const Outgoing &outgoing)
+{
+    const auto bytes = m_codec.encode(outgoing.message);
+    auto &connection = connectionTo(outgoing.address);
+    connection.used = std::chrono::steady_clock::now();
+    if (!connection.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+        m_metrics.count(Counter::SendErrors);
+        return;
+    }
+    m_metrics.count(isData(outgoing.message) ? Counter::DataBytesSent : Counter::ControlBytesSent,
+                    bytes.size());
+}
+
+void PeerTransport::receive()
+{
+    for (std::size_t count = 0; count < MessagesPerPass; ++count) {
+        zmq::message_t part;
+        if (!m_router.recv(part, zmq::recv_flags::dontwait)) {
+            return;
+        }
+        // The first part names the connection; a well-formed message has exactly one more.
+        bool wellFormed = false;
+        for (std::size_t parts = 1; part.more(); ++parts) {
+            wellFormed = parts == 1;
+            if (!m_router.recv(part, zmq::recv_flags::dontwait)) {
+                return;
+            }
+        }
+        auto decoded = wellFormed
+                ? m_codec.decode(part.to_string_view())
+                : wire::Decoded<wire::VerifiedMessage>(common::Reason::MalformedPacket);
+        if (const auto *reason = std::get_if<common::Reason>(&decoded)) {
+            m_metrics.countRefusal(*reason);
+            continue;
+        }
+        auto &verified = std::get<wire::VerifiedMessage>(decoded);
+        m_metrics.count(isData(verified.message) ? Counter::DataBytesReceived
+                                                 : Counter::ControlBytesReceived,
+                        part.size());
+        m_handler(std::move(verified));
+    }
+}
+
+void PeerTransport::closeIdle()
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(m_connections,
+                  [&](const auto &entry) { return now - entry.second.used > IdleLimit; });
+}
+
+PeerTransport::Connection &PeerTransport::connectionTo(common::Endpoint address)
+{
+    const auto known = m_connections.find(address);
+    if (known != m_connections.end()) {
+        return known->second;
+    }
+    zmq::socket_t socket(m_context, zmq::socket_type::dealer);
+    socket.set(zmq::sockopt::linger, LingerMilliseconds);
+    socket.set(zmq::sockopt::sndhwm, QueuedMessages);
+    // A connection that turned silent is closed and dialled again by these pings.
+    socket.set(zmq::sockopt::heartbeat_ivl, KeepAliveMilliseconds);
+    socket.set(zmq::sockopt::heartbeat_timeout, static_cast<int>(SilenceLimit.count()));
+    socket.set(zmq::sockopt::connect_timeout, static_cast<int>(SilenceLimit.count()));
+    socket.connect(urlOf(address));
+    return m_connections.emplace(address, Connection { std::move(socket), {} }).first->second;
+}
+
+} // namespace banyanwall::process
