--- a/src/version/catalogue.cpp
+++ b/src/version/catalogue.cpp
@@ -30,6 +30,9 @@
 
 bool Catalogue::put(const Document &document)
 {
+    if (document.version() == 0) {
+        return false;
+    }
     auto &known = m_documents[document.key()];
     if (document.version() <= known.version()) {
         return false;
