Correct membership at joins, pauses, restarts and silent zones

A joining instance learned only the members that sent heartbeats to it; it now gets the whole view. An instance that resumed after a pause suspected all others, because its own pause counted as their silence. With two remote neighbours, a zone without a neighbour looked silent although it was reachable; each other zone now has at least one. A process that starts with a lower incarnation than its former one, after a clock step, is told so. A restart within the suspicion time is reported as a member that goes and comes, because its state is lost.

--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -3,6 +3,7 @@
 #include "version/rollout.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <ranges>
 
@@ -28,6 +29,7 @@
     record.set_address(member.peerAddress.address);
     record.set_peer_port(member.peerAddress.port);
     record.set_state(member.state);
+    record.set_started(member.started.value());
     return record;
 }
 
@@ -64,6 +66,7 @@
 Membership::Membership(InstanceId self, common::Incarnation incarnation, common::ZoneId zone,
                        common::Endpoint peerAddress)
     : m_self(self)
+    , m_started(incarnation)
     , m_incarnation(incarnation)
     , m_zone(zone)
     , m_peerAddress(peerAddress)
@@ -76,6 +79,7 @@
 
 std::vector<SendToMember> Membership::onTick(wire::proto::Heartbeat prepared, TimePoint now)
 {
+    forgivePause(now);
     auto sends = flood(expire(now), std::nullopt);
     prepared.set_sequence(++m_sequence);
     prepared.set_leaving(m_leaving);
@@ -102,10 +106,18 @@
     std::vector<SendToMember> sends;
     if (merge(record, now)) {
         sends = flood({ record }, sender);
+        // A joining instance may know only this one.
+        sends.push_back({ sender, wholeView() });
     }
     const auto known = m_members.find(sender);
     // An older process with this id must not count as a sign of life of the newer one.
-    if (known == m_members.end() || known->second.incarnation.value() != record.incarnation()) {
+    if (known == m_members.end()) {
+        return sends;
+    }
+    if (known->second.incarnation.value() != record.incarnation()) {
+        SendToMember notice { sender, {} };
+        *notice.message.mutable_member_update()->add_members() = recordOf(known->second);
+        sends.push_back(std::move(notice));
         return sends;
     }
     heardFrom(sender, now);
@@ -147,11 +159,12 @@
     std::vector<MemberRecord> news;
     for (const auto &record : update.members()) {
         if (record.instance() == m_self.value()) {
-            // Others think that this instance is gone, for example after a pause: a higher
-            // incarnation refutes it.
-            if (record.incarnation() >= m_incarnation.value()
-                && (record.state() == MemberRecord::SUSPECTED
-                    || record.state() == MemberRecord::DEAD)) {
+            // Others think that this instance is gone, for example after a pause, or know a former
+            // process whose clock was ahead: a higher incarnation refutes it.
+            const bool refutable = record.state() == MemberRecord::SUSPECTED
+                    || record.state() == MemberRecord::DEAD;
+            if (record.incarnation() > m_incarnation.value()
+                || (record.incarnation() == m_incarnation.value() && refutable)) {
                 m_incarnation = common::Incarnation(record.incarnation() + 1);
                 news.push_back(selfRecord());
             }
@@ -170,6 +183,24 @@
     return flood({ selfRecord() }, std::nullopt);
 }
 
+std::vector<SendToMember> Membership::rejoin()
+{
+    if (!m_leaving) {
+        return {};
+    }
+    m_leaving = false;
+    m_incarnation = common::Incarnation(m_incarnation.value() + 1);
+    ++m_viewNumber;
+    return flood({ selfRecord() }, std::nullopt);
+}
+
+std::vector<SendToMember> Membership::farewell() const
+{
+    auto record = selfRecord();
+    record.set_state(MemberRecord::DEAD);
+    return flood({ record }, std::nullopt);
+}
+
 std::vector<connection::Member> Membership::liveMembers() const
 {
     std::vector<connection::Member> live { { m_self, m_zone, m_leaving } };
@@ -202,35 +233,70 @@
 std::vector<InstanceId> Membership::neighbours() const
 {
     std::vector<InstanceId> local;
-    std::vector<InstanceId> remote;
     for (const auto &[id, member] : m_members) {
-        if (isLive(member)) {
-            (member.zone == m_zone ? local : remote).push_back(id);
+        if (isLive(member) && member.zone == m_zone) {
+            local.push_back(id);
         }
     }
     auto chosen = successors(local, m_self, ZoneNeighbours);
-    std::ranges::copy(successors(remote, m_self, RemoteNeighbours), std::back_inserter(chosen));
+    std::ranges::copy(remoteNeighbours(), std::back_inserter(chosen));
     return chosen;
 }
 
-bool Membership::isStale(TimePoint now) const
+std::vector<InstanceId> Membership::remoteNeighbours() const
 {
-    const auto watched = neighbours();
-    if (watched.empty()) {
-        return false;
+    std::map<common::ZoneId, std::vector<InstanceId>> byZone;
+    for (const auto &[id, member] : m_members) {
+        if (isLive(member) && member.zone != m_zone) {
+            byZone[member.zone].push_back(id);
+        }
+    }
+    const auto zones = byZone.size();
+    const auto perZone = zones == 0 ? 0 : (RemoteNeighbours + zones - 1) / zones;
+    std::vector<InstanceId> chosen;
+    for (const auto &[zone, candidates] : byZone) {
+        std::size_t responsive = 0;
+        // A suspected neighbour is watched further, and one more speaks for its zone.
+        for (const auto id : successors(candidates, m_self, candidates.size())) {
+            if (responsive == perZone) {
+                break;
+            }
+            chosen.push_back(id);
+            responsive += m_members.at(id).state == MemberRecord::SUSPECTED ? 0 : 1;
+        }
     }
-    const auto current = std::ranges::count_if(watched, [&](InstanceId neighbour) {
+    return chosen;
+}
+
+bool Membership::isStale(TimePoint now) const
+{
+    return now > freshUntil();
+}
+
+TimePoint Membership::freshUntil() const
+{
+    std::vector<TimePoint> contacts;
+    std::ranges::transform(neighbours(), std::back_inserter(contacts), [&](InstanceId neighbour) {
         const auto contact = m_contacts.find(neighbour);
-        return contact != m_contacts.end()
-                && now - contact->second.equalDigest <= version::Rollout::StaleAfter;
+        return contact == m_contacts.end() ? TimePoint {} : contact->second.equalDigest;
     });
-    return 2 * static_cast<std::size_t>(current) < watched.size();
+    if (contacts.empty()) {
+        return TimePoint::max();
+    }
+    // Stale begins when less than half are current, that is, when the contact at rank
+    // ceil(count / 2) from the newest one ends.
+    std::ranges::sort(contacts, std::greater {});
+    return contacts.at((contacts.size() + 1) / 2 - 1) + version::Rollout::StaleAfter;
 }
 
 std::vector<common::ZoneId> Membership::silentZones(TimePoint now) const
 {
     std::map<common::ZoneId, TimePoint> newest;
     for (const auto &[id, member] : m_members) {
+        // Members that left say nothing about the path to their zone.
+        if (member.left && !isLive(member)) {
+            continue;
+        }
         newest[member.zone] = std::max(newest[member.zone], member.heard);
     }
     std::vector<common::ZoneId> silent;
@@ -257,7 +323,9 @@
                       m_peerAddress,
                       m_leaving ? MemberRecord::LEAVING : MemberRecord::ALIVE,
                       {},
-                      {} });
+                      {},
+                      false,
+                      m_started });
 }
 
 std::vector<SendToMember> Membership::flood(const std::vector<MemberRecord> &news,
@@ -294,18 +362,24 @@
         return false;
     }
     const bool wasLive = !added && isLive(member);
-    const bool wasLeaving = member.state == MemberRecord::LEAVING;
+    const bool wasLeaving = !added && member.state == MemberRecord::LEAVING;
+    const common::Incarnation started(record.started());
+    const bool newProcess = !added && started > member.started;
     const bool restarted = added || record.incarnation() > member.incarnation.value();
     member.id = id;
+    member.started = std::max(member.started, started);
     member.incarnation = common::Incarnation(record.incarnation());
     member.zone = common::ZoneId(record.zone());
     member.peerAddress = { record.address(), static_cast<std::uint16_t>(record.peer_port()) };
+    member.left = record.state() == MemberRecord::LEAVING
+            || (record.state() == MemberRecord::DEAD && wasLeaving);
     member.state = record.state();
     member.since = now;
     if (restarted) {
         member.heard = now;
     }
-    if (wasLive != isLive(member) || wasLeaving != (member.state == MemberRecord::LEAVING)) {
+    if (newProcess || wasLive != isLive(member)
+        || wasLeaving != (member.state == MemberRecord::LEAVING)) {
         ++m_viewNumber;
     }
     return true;
@@ -319,6 +393,27 @@
     }
 }
 
+void Membership::forgivePause(TimePoint now)
+{
+    if (m_lastTick != TimePoint {} && now - m_lastTick > PauseAfter) {
+        for (auto &[id, member] : m_members) {
+            member.heard = now;
+            member.since = std::max(member.since, now - SuspectAfter);
+        }
+    }
+    m_lastTick = now;
+}
+
+wire::proto::PeerMessage Membership::wholeView() const
+{
+    wire::proto::PeerMessage message;
+    for (const auto &[id, member] : m_members) {
+        *message.mutable_member_update()->add_members() = recordOf(member);
+    }
+    *message.mutable_member_update()->add_members() = selfRecord();
+    return message;
+}
+
 std::vector<MemberRecord> Membership::expire(TimePoint now)
 {
     std::vector<MemberRecord> news;
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -26,6 +26,10 @@
     common::TimePoint heard;
     /// When the present state began.
     common::TimePoint since;
+    /// It announced that it leaves before it fell silent.
+    bool left = false;
+    /// Incarnation with which its process started.
+    common::Incarnation started;
 };
 
 struct SendToMember
@@ -46,9 +50,13 @@
     static constexpr common::Duration HeartbeatInterval = std::chrono::milliseconds(500);
     static constexpr common::Duration SuspectAfter = std::chrono::seconds(2);
     static constexpr common::Duration DeadAfter = std::chrono::seconds(5);
+    /// Ticks further apart show that this process was paused. Silence of others is then not
+    /// counted.
+    static constexpr common::Duration PauseAfter = std::chrono::seconds(1);
     /// A zone from which nothing was heard for this long is unreachable.
     static constexpr common::Duration ZoneSilentAfter = std::chrono::seconds(3);
     static constexpr std::size_t ZoneNeighbours = 6;
+    /// At least; one for each other zone, so that silence of a zone is noticed.
     static constexpr std::size_t RemoteNeighbours = 2;
 
     Membership(common::InstanceId self, common::Incarnation incarnation, common::ZoneId zone,
@@ -68,8 +76,12 @@
     /// Returns the messages that pass news on.
     [[nodiscard]] std::vector<SendToMember> onUpdate(const wire::proto::MemberUpdate &update,
                                                      common::TimePoint now);
-    /// Announces that this instance leaves.
+    /// Announces that this instance leaves. It stays a live member until farewell().
     [[nodiscard]] std::vector<SendToMember> leave(common::TimePoint now);
+    /// Takes a leave back under a higher incarnation.
+    [[nodiscard]] std::vector<SendToMember> rejoin();
+    /// Last message of an instance that has left: the others need not wait for its silence.
+    [[nodiscard]] std::vector<SendToMember> farewell() const;
 
     /// Alive and suspected members and this instance, sorted by id.
     [[nodiscard]] std::vector<connection::Member> liveMembers() const;
@@ -80,10 +92,16 @@
     /// Less than half of the neighbours were heard from, with an equal catalogue digest, for
     /// Rollout::StaleAfter.
     [[nodiscard]] bool isStale(common::TimePoint now) const;
+    /// Until when this instance is not stale if nothing more is heard.
+    [[nodiscard]] common::TimePoint freshUntil() const;
     [[nodiscard]] std::vector<common::ZoneId> silentZones(common::TimePoint now) const;
     /// Number of peers whose acknowledgement of a heartbeat sent at or after oldest has arrived.
     [[nodiscard]] std::uint32_t acknowledgedSince(common::TimePoint oldest) const;
 
+    [[nodiscard]] wire::proto::MemberRecord selfRecord() const;
+
+    [[nodiscard]] common::Endpoint peerAddress() const { return m_peerAddress; }
+
     /// Grows with each change of liveMembers().
     [[nodiscard]] std::uint64_t viewNumber() const { return m_viewNumber; }
 
@@ -101,22 +119,25 @@
         common::TimePoint acknowledgedSend;
     };
 
-    [[nodiscard]] wire::proto::MemberRecord selfRecord() const;
     [[nodiscard]] std::vector<SendToMember>
     flood(const std::vector<wire::proto::MemberRecord> &news,
           std::optional<common::InstanceId> except) const;
     bool merge(const wire::proto::MemberRecord &record, common::TimePoint now);
     void heardFrom(common::InstanceId sender, common::TimePoint now);
+    void forgivePause(common::TimePoint now);
+    [[nodiscard]] std::vector<common::InstanceId> remoteNeighbours() const;
+    [[nodiscard]] wire::proto::PeerMessage wholeView() const;
     [[nodiscard]] std::vector<wire::proto::MemberRecord> expire(common::TimePoint now);
 
     common::InstanceId m_self;
+    common::Incarnation m_started;
     common::Incarnation m_incarnation;
     common::ZoneId m_zone;
     common::Endpoint m_peerAddress;
     bool m_leaving = false;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_viewNumber = 1;
-    common::TimePoint m_started {};
+    common::TimePoint m_lastTick {};
     std::map<std::uint64_t, common::TimePoint> m_sentAt;
     std::map<common::InstanceId, MemberInfo> m_members;
     std::map<common::InstanceId, Contact> m_contacts;
--- /dev/null
+++ b/src/process/membershipdriver.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "process/membership.h"
+#include "process/metrics.h"
+#include "process/peertransport.h"
+#include "process/sinks.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace banyanwall::process {
+
+/// Moves the messages of Membership, and tells the other parts when the live members change. Not
+/// thread-safe; runs on the control thread.
+class MembershipDriver
+{
+public:
+    struct Change
+    {
+        std::shared_ptr<const connection::OwnerSelector> members;
+        std::shared_ptr<const connection::OwnerSelector> former;
+        /// Live members that the former view did not have.
+        std::vector<common::InstanceId> joined;
+        /// Members of the former view that are gone.
+        std::vector<connection::Member> gone;
+    };
+
+    using ChangeHandler = std::function<void(const Change &, common::TimePoint)>;
+    using AddressHandler = std::function<void(std::map<common::InstanceId, common::Endpoint>)>;
+
+    MembershipDriver(Membership membership, std::vector<common::Endpoint> seeds, PeerSink &peers,
+                     AddressHandler onAddresses, ChangeHandler onChange);
+
+    /// Sends heartbeats; call every Membership::HeartbeatInterval.
+    void tick(const wire::proto::Heartbeat &prepared, common::TimePoint now);
+    void onHeartbeat(common::InstanceId sender, const wire::proto::Heartbeat &heartbeat,
+                     std::uint64_t ownDigest, common::TimePoint now);
+    void onHeartbeatAck(common::InstanceId sender, const wire::proto::HeartbeatAck &ack,
+                        std::uint64_t ownDigest, common::TimePoint now);
+    void onUpdate(const wire::proto::MemberUpdate &update, common::TimePoint now);
+    void applyStoreList(const std::vector<MemberInfo> &listed, common::TimePoint now);
+    void leave(common::TimePoint now);
+    void rejoin(common::TimePoint now);
+    void farewell();
+
+    [[nodiscard]] const Membership &membership() const { return m_membership; }
+
+    [[nodiscard]] std::shared_ptr<const connection::OwnerSelector> members() const
+    {
+        return m_members;
+    }
+
+private:
+    void send(const std::vector<SendToMember> &messages);
+    void publish(common::TimePoint now);
+    void publishView(std::vector<connection::Member> live, common::TimePoint now);
+    /// Remembers the processes of all members and returns the members with a new one.
+    std::vector<common::InstanceId> takeRestarted();
+    void greetSeeds(const wire::proto::Heartbeat &prepared);
+
+    Membership m_membership;
+    std::vector<common::Endpoint> m_seeds;
+    PeerSink &m_peers;
+    AddressHandler m_onAddresses;
+    ChangeHandler m_onChange;
+    std::uint64_t m_publishedView = 0;
+    std::size_t m_publishedMembers = 0;
+    std::map<common::InstanceId, common::Incarnation> m_processes;
+    std::shared_ptr<const connection::OwnerSelector> m_members;
+};
+
+} // namespace banyanwall::process
