Add the daemon

It registers in the store under a lease, finds its peers, spreads documents and acknowledgements, forwards flows, runs requests, probes the upstreams that it owns, settles buckets by compare-and-swap and leaves in order on SIGTERM.

--- /dev/null
+++ b/src/process/cataloguesync.cpp
@@ -0,0 +1,91 @@
+#include "process/cataloguesync.h"
+
+#include "process/logging.h"
+
+namespace banyanwall::process {
+
+CatalogueSync::CatalogueSync(DocumentApplier &applier, const MembershipDriver &membership,
+                             PeerSink &peers)
+    : m_applier(applier)
+    , m_membership(membership)
+    , m_peers(peers)
+{ }
+
+bool CatalogueSync::onStoreValue(const std::string &key, const std::string &value,
+                                 common::TimePoint now)
+{
+    const auto document = DocumentApplier::documentOf(key, value);
+    if (!document) {
+        LogEvent(LogLevel::Error, "document_unreadable").with("key", key);
+        return false;
+    }
+    return accept(*document, std::nullopt, now);
+}
+
+bool CatalogueSync::accept(const wire::proto::Document &document,
+                           std::optional<common::InstanceId> from, common::TimePoint now)
+{
+    if (!m_catalogue.put(document)) {
+        return false;
+    }
+    wire::proto::PeerMessage message;
+    *message.mutable_catalogue_push()->add_documents() = document;
+    for (const auto neighbour : m_membership.membership().neighbours()) {
+        if (neighbour != from) {
+            m_peers.toPeer(neighbour, message);
+        }
+    }
+    m_applier.apply(document, now);
+    return true;
+}
+
+void CatalogueSync::onDigest(common::InstanceId sender, std::uint64_t digest)
+{
+    auto &differences = m_differences[sender];
+    if (digest == m_catalogue.digest()) {
+        differences = 0;
+        return;
+    }
+    if (++differences >= DifferencesBeforeRepair) {
+        differences = 0;
+        sendSummary(sender, true);
+    }
+}
+
+void CatalogueSync::sendSummary(common::InstanceId receiver, bool replyWanted)
+{
+    wire::proto::PeerMessage message;
+    auto &summary = *message.mutable_catalogue_summary();
+    for (const auto &version : m_catalogue.versions()) {
+        *summary.add_versions() = version;
+    }
+    summary.set_reply_wanted(replyWanted);
+    m_peers.toPeer(receiver, message);
+}
+
+void CatalogueSync::onSummary(common::InstanceId sender,
+                              const wire::proto::CatalogueSummary &summary)
+{
+    const std::vector<wire::proto::DocumentVersion> theirs(summary.versions().begin(),
+                                                           summary.versions().end());
+    wire::proto::PeerMessage message;
+    for (const auto &document : m_catalogue.newerThan(theirs)) {
+        *message.mutable_catalogue_push()->add_documents() = document;
+    }
+    if (message.has_catalogue_push()) {
+        m_peers.toPeer(sender, message);
+    }
+    if (summary.reply_wanted() && m_catalogue.isBehind(theirs)) {
+        sendSummary(sender, false);
+    }
+}
+
+void CatalogueSync::onPush(common::InstanceId sender, const wire::proto::CataloguePush &push,
+                           common::TimePoint now)
+{
+    for (const auto &document : push.documents()) {
+        accept(document, sender, now);
+    }
+}
+
+} // namespace banyanwall::process
--- /dev/null
+++ b/src/process/storesession.cpp
@@ -0,0 +1,234 @@
+#include "process/storesession.h"
+
+#include "process/logging.h"
+
+namespace banyanwall::process {
+
+namespace {
+
+common::TimePoint monotonicNow()
+{
+    return std::chrono::time_point_cast<common::Duration>(std::chrono::steady_clock::now());
+}
+
+std::string recordKey(const version::InstanceRecord &record)
+{
+    return std::string(version::InstanceKeyPrefix) + record.name;
+}
+
+void logFailure(std::string_view event, const common::Error &error)
+{
+    LogEvent(LogLevel::Warning, event).with("code", error.code).with("problem", error.message);
+}
+
+} // namespace
+
+StoreSession::StoreSession(boost::asio::io_context &context, StoreClient &client,
+                           request::LeaseGuard &guard, version::InstanceRecord record,
+                           EntryHandler onEntry)
+    : m_client(client)
+    , m_guard(guard)
+    , m_record(std::move(record))
+    , m_onEntry(std::move(onEntry))
+    , m_leaseTimer(context)
+    , m_readTimer(context)
+{ }
+
+void StoreSession::start()
+{
+    readAll();
+    grant();
+}
+
+void StoreSession::stop()
+{
+    m_stopped = true;
+    m_leaseTimer.cancel();
+    m_readTimer.cancel();
+    setWatching(false);
+}
+
+void StoreSession::schedule(std::chrono::milliseconds delay, void (StoreSession::*step)())
+{
+    auto &timer = step == &StoreSession::readAll ? m_readTimer : m_leaseTimer;
+    timer.expires_after(delay);
+    timer.async_wait([this, step](const boost::system::error_code &error) {
+        if (!error && !m_stopped) {
+            (this->*step)();
+        }
+    });
+}
+
+void StoreSession::readAll()
+{
+    m_client.range("", [this](const common::Result<StoreRange> &result) {
+        m_hasRead = true;
+        if (!common::isOk(result)) {
+            logFailure("store_read_failed", common::errorOf(result));
+            schedule(RetryInterval, &StoreSession::readAll);
+            return;
+        }
+        const auto &range = common::valueOf(result);
+        m_revision = range.revision;
+        for (const auto &entry : range.entries) {
+            m_onEntry(entry);
+        }
+        if (m_watching) {
+            openWatch();
+        }
+    });
+}
+
+void StoreSession::setWatching(bool watching)
+{
+    if (m_watching == watching) {
+        return;
+    }
+    m_watching = watching;
+    if (!watching && m_watch) {
+        m_client.cancelWatch(*m_watch);
+        m_watch.reset();
+    } else if (watching && m_revision > 0) {
+        // What changed since the first read arrives through the watch, unless it is compacted.
+        openWatch();
+    }
+}
+
+void StoreSession::openWatch()
+{
+    if (m_watch) {
+        m_client.cancelWatch(*m_watch);
+    }
+    m_watch = m_client.watch("", m_revision + 1, [this](const common::Result<WatchBatch> &result) {
+        if (!common::isOk(result)) {
+            logFailure("store_watch_ended", common::errorOf(result));
+            m_watch.reset();
+            schedule(RetryInterval, &StoreSession::readAll);
+            return;
+        }
+        const auto &batch = common::valueOf(result);
+        m_revision = std::max(m_revision, batch.revision);
+        for (const auto &event : batch.events) {
+            if (!event.deleted) {
+                m_onEntry(event.entry);
+            }
+        }
+    });
+}
+
+void StoreSession::grant()
+{
+    const auto sentAt = monotonicNow();
+    m_client.grantLease(LeaseSeconds, [this, sentAt](const common::Result<std::int64_t> &result) {
+        if (!common::isOk(result)) {
+            m_guard.setStoreReachable(false);
+            schedule(RetryInterval, &StoreSession::grant);
+            return;
+        }
+        m_lease = common::valueOf(result);
+        m_guard.onRenewed(sentAt);
+        registerRecord(m_recordRevision);
+        schedule(RenewInterval, &StoreSession::renew);
+    });
+}
+
+void StoreSession::registerRecord(std::int64_t expectedRevision)
+{
+    m_client.compareAndPut(
+            recordKey(m_record), expectedRevision, version::formatInstanceRecord(m_record), m_lease,
+            [this](const common::Result<PutOutcome> &result) {
+                if (!common::isOk(result)) {
+                    logFailure("registration_failed", common::errorOf(result));
+                    m_registered = false;
+                    return;
+                }
+                const auto &outcome = common::valueOf(result);
+                if (outcome.applied) {
+                    m_recordRevision = outcome.modRevision;
+                    m_registered = true;
+                    LogEvent(LogLevel::Info, "registered").with("leaving", m_record.leaving);
+                    return;
+                }
+                // A former process of this name, or a repeated registration.
+                m_recordRevision = outcome.current ? outcome.current->modRevision : 0;
+                registerRecord(m_recordRevision);
+            });
+}
+
+void StoreSession::renew()
+{
+    const auto sentAt = monotonicNow();
+    m_client.keepAlive(m_lease, [this, sentAt](const common::Result<std::chrono::seconds> &result) {
+        if (common::isOk(result)) {
+            m_guard.onRenewed(sentAt);
+            if (!m_registered) {
+                registerRecord(m_recordRevision);
+            }
+            schedule(RenewInterval, &StoreSession::renew);
+            return;
+        }
+        if (common::errorOf(result).code == "lease_expired") {
+            LogEvent(LogLevel::Warning, "lease_lost").with("lease", m_lease);
+            m_guard.onLost();
+            grant();
+            return;
+        }
+        logFailure("lease_renewal_failed", common::errorOf(result));
+        m_guard.setStoreReachable(false);
+        schedule(RetryInterval, &StoreSession::renew);
+    });
+}
+
+void StoreSession::setLeaving(bool leaving)
+{
+    m_record.leaving = leaving;
+    if (m_lease != 0) {
+        registerRecord(m_recordRevision);
+    }
+}
+
+void StoreSession::revoke(const std::function<void()> &done)
+{
+    m_stopped = true;
+    m_leaseTimer.cancel();
+    if (m_lease == 0) {
+        done();
+        return;
+    }
+    m_client.revokeLease(m_lease, [done](const common::Result<std::monostate> &) { done(); });
+}
+
+void StoreSession::replace(const std::string &key, const std::string &value,
+                           std::function<bool(const std::string &)> isExpected,
+                           std::function<void(bool)> done)
+{
+    m_client.get(key,
+                 [this, key, value, isExpected = std::move(isExpected),
+                  done = std::move(done)](const common::Result<StoreRange> &result) {
+                     if (!common::isOk(result)) {
+                         done(false);
+                         return;
+                     }
+                     const auto &entries = common::valueOf(result).entries;
+                     if (!entries.empty()) {
+                         m_onEntry(entries.front());
+                     }
+                     if (!isExpected(entries.empty() ? std::string() : entries.front().value)) {
+                         done(false);
+                         return;
+                     }
+                     m_client.compareAndPut(
+                             key, entries.empty() ? 0 : entries.front().modRevision, value, 0,
+                             [done](const common::Result<PutOutcome> &put) {
+                                 done(common::isOk(put) && common::valueOf(put).applied);
+                             });
+                 });
+}
+
+bool StoreSession::isReachable() const
+{
+    const auto contact = m_client.lastContact();
+    return contact && std::chrono::steady_clock::now() - *contact < UnreachableAfter;
+}
+
+} // namespace banyanwall::process
