Keep verdicts true after a lapse of the dispatch permit

Cause: an instance that was paused beyond its lease answered NotRun to requests that had waited in its socket, although its successor may have dispatched their other copies. With the lease back, it could have run such a request a second time.

Change: without a valid permit an unknown request gets NotRun only when it was issued before the former permit ended; a successor leaves those alone. A permit that comes back after a lapse counts as a takeover of all keys for 2.5 s. knows() tells an instance that is no longer the coordinator of a key to keep answering duplicates of what it has. The tests of lease and takeover move to takeovertest.cpp, with a shared fixture; the check after the lease end now expects NotRun only for a request from before it.

Conclusion: takeovertest covers the paused process, with and without an event between the end and the return of the permit.

--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -19,11 +19,17 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 // The longest request of a service whose roster is not known yet.
-constexpr std::chrono::milliseconds UnknownLongestRequest = std::chrono::seconds(60);
+constexpr milliseconds UnknownLongestRequest = std::chrono::seconds(60);
 // A request from further in the future would need a marker for too long.
 constexpr Duration MaxIssuedAhead = std::chrono::seconds(10);
 
+// After a lapse of the permit, other instances may act on a view without this one for as long as it
+// takes them to become stale, with reserve.
+constexpr Duration RejoinTime = milliseconds(2'500);
+
 RequestActions refusal(const RequestArrival &arrival, Verdict verdict, Reason reason)
 {
     return { RefuseRequest { arrival.requestId, verdict, reason, arrival.returnToken } };
@@ -39,6 +45,9 @@
         , runner(chooser, table, admission)
     { }
 
+    void observePermit(WallTime wall);
+    /// Why another instance may have dispatched an unknown request; empty when none can have.
+    [[nodiscard]] std::optional<Reason> foreignReason(const RequestArrival &arrival) const;
     [[nodiscard]] WallTime effectiveDeadline(const RequestArrival &arrival) const;
     [[nodiscard]] std::optional<Reason> reasonToRefuse(const RequestArrival &arrival,
                                                        Moment moment);
@@ -54,9 +63,44 @@
     Admission admission;
     RequestRunner runner;
     TakeoverFence fence;
+    DispatchPermit permit;
+    /// End of the permit that was valid at the last event.
+    std::optional<WallTime> permitEnd;
+    /// Set while there is no valid permit although there was one.
+    std::optional<WallTime> lapsedSince;
     bool shuttingDown = false;
 };
 
+void Coordinator::State::observePermit(WallTime wall)
+{
+    const bool valid = permit.fenced && wall < permit.latestDeadline;
+    // The permit may have ended and come back between two events, when the process was paused.
+    const bool ended = permitEnd && (!valid || wall >= *permitEnd);
+    if (ended && !lapsedSince) {
+        lapsedSince = std::min(wall, *permitEnd);
+    }
+    if (valid && lapsedSince) {
+        fence.add(wall, wall + std::chrono::duration_cast<milliseconds>(RejoinTime), {});
+        lapsedSince.reset();
+    }
+    permitEnd = valid ? std::optional(permit.latestDeadline) : std::nullopt;
+}
+
+std::optional<Reason> Coordinator::State::foreignReason(const RequestArrival &arrival) const
+{
+    const auto origin = fence.foreignOrigin(arrival.key, arrival.issued);
+    if (origin) {
+        return *origin == TakeoverFence::Origin::BeforeTakeover ? Reason::IssuedBeforeTakeover
+                                                                : Reason::AwaitingTakeover;
+    }
+    // A successor leaves alone what was issued before the end of the permit, but not what came
+    // after it.
+    if (lapsedSince && arrival.issued + TakeoverFence::CallerClockBound > *lapsedSince) {
+        return Reason::LeaseLost;
+    }
+    return std::nullopt;
+}
+
 WallTime Coordinator::State::effectiveDeadline(const RequestArrival &arrival) const
 {
     const auto *roster = chooser.roster(arrival.service);
@@ -67,16 +111,16 @@
 std::optional<Reason> Coordinator::State::reasonToRefuse(const RequestArrival &arrival,
                                                          Moment moment)
 {
-    const auto *roster = chooser.roster(arrival.service);
+    if (!runner.mayDispatch(arrival.repeatable, moment.wall)) {
+        return Reason::LeaseLost;
+    }
     if (shuttingDown) {
         return Reason::ShuttingDown;
     }
+    const auto *roster = chooser.roster(arrival.service);
     if (roster == nullptr) {
         return Reason::UnknownService;
     }
-    if (!runner.mayDispatch(arrival.repeatable, moment.wall)) {
-        return Reason::LeaseLost;
-    }
     if (chooser.activeCount(arrival.service) == 0) {
         return Reason::NoUpstream;
     }
@@ -155,6 +199,7 @@
 
 void Coordinator::setPermit(const DispatchPermit &permit)
 {
+    m_state->permit = permit;
     m_state->runner.setPermit(permit);
 }
 
@@ -186,21 +231,19 @@
     if (arrival.issued > moment.wall + MaxIssuedAhead) {
         return { CountDrop { Reason::MalformedPacket } };
     }
-    const auto origin = m_state->fence.foreignOrigin(arrival.key, arrival.issued);
-    if (origin && !arrival.repeatable) {
-        return refusal(arrival, Verdict::MayHaveRun,
-                       *origin == TakeoverFence::Origin::BeforeTakeover
-                               ? Reason::IssuedBeforeTakeover
-                               : Reason::AwaitingTakeover);
+    m_state->observePermit(moment.wall);
+    const auto foreign = m_state->foreignReason(arrival);
+    if (foreign && !arrival.repeatable) {
+        return refusal(arrival, Verdict::MayHaveRun, *foreign);
     }
     const auto deadline = m_state->effectiveDeadline(arrival);
     if (moment.wall >= deadline) {
         // Past ForgetAfter its marker may be gone, so that it may have run here.
-        const bool mayHaveRun = origin.has_value() || moment.wall >= deadline + ForgetAfter;
+        const bool mayHaveRun = foreign.has_value() || moment.wall >= deadline + ForgetAfter;
         return refusal(arrival, mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun,
                        Reason::DeadlineExceeded);
     }
-    return m_state->accept(std::move(arrival), deadline, origin.has_value(), moment);
+    return m_state->accept(std::move(arrival), deadline, foreign.has_value(), moment);
 }
 
 RequestActions Coordinator::onCancel(common::RequestKey key, Moment moment)
@@ -268,6 +311,7 @@
 RequestActions Coordinator::onTick(Moment moment)
 {
     // Twice the longest request covers callers whose clock is behind.
+    m_state->observePermit(moment.wall);
     m_state->fence.forget(moment.wall - 2 * UnknownLongestRequest);
     RequestActions actions;
     while (const auto key = m_state->table.takeDue(moment.now)) {
@@ -276,6 +320,11 @@
     return actions;
 }
 
+bool Coordinator::knows(common::RequestKey key) const
+{
+    return m_state->table.find(key) != nullptr;
+}
+
 std::size_t Coordinator::inProgress() const
 {
     return m_state->admission.inProgress();
--- a/src/request/coordinator.h
+++ b/src/request/coordinator.h
@@ -163,6 +163,9 @@
     /// The same for the keys that gained selects; the other keys keep their coordinator.
     void setTakeover(common::WallTime takeover, common::WallTime fenceEnd,
                      std::function<bool(common::RequestKey)> gained);
+    /// A permit that lapsed and came back acts like a takeover of all keys, because a successor may
+    /// have dispatched requests in between. Without a valid permit an unknown request gets NotRun
+    /// only when it was issued before the former permit ended.
     void setPermit(const DispatchPermit &permit);
     /// Number of live instances, which share the contract's request rates.
     void setInstances(std::uint32_t instances);
@@ -170,7 +173,8 @@
     void setInProgressBound(std::size_t bound);
     /// Requests that an upstream is running, as last heard; only compared with other upstreams.
     void setLoadHint(common::UpstreamId upstream, std::uint32_t load);
-    /// Refuses new requests with NotRun; requests in progress go on.
+    /// Refuses new requests with NotRun; requests in progress go on. An instance that has a
+    /// successor relays requests it does not know to it instead of passing them to onRequest().
     void beginShutdown();
 
     [[nodiscard]] RequestActions onRequest(RequestArrival arrival, Moment moment);
@@ -186,6 +190,9 @@
     /// Deadlines, timeouts and forgetting of finished requests; call every TickInterval.
     [[nodiscard]] RequestActions onTick(Moment moment);
 
+    /// The request has been here. The instance that knows a request answers its duplicates, also
+    /// when it is no longer the coordinator of the key.
+    [[nodiscard]] bool knows(common::RequestKey key) const;
     /// Requests that have no final verdict yet.
     [[nodiscard]] std::size_t inProgress() const;
     /// Grants that this instance holds for an upstream, for a new upstream owner.
--- /dev/null
+++ b/src/tests/takeovertest.cpp
@@ -0,0 +1,113 @@
+#include "tests/coordinatorfixture.h"
+
+using namespace banyanwall;
+using namespace banyanwall::tests;
+
+TEST_GROUP_BASE(Takeover, CoordinatorFixture) {};
+
+// Guards against a dispatch after the lease ended while the process was paused between ask and
+// grant, and against a dispatch deadline beyond the lease.
+TEST(Takeover, nonRepeatableRequestsStayWithinTheLease)
+{
+    coordinator.setPermit({ true, Start + 800ms });
+    const auto first = arrival(1, false);
+    CHECK_TRUE(dispatched(coordinator.onRequest(first, moment)).deadline == Start + 800ms);
+    const auto ask = only<AskSlot>(coordinator.onRequest(arrival(2, false), moment));
+    CHECK_TRUE(start(3, true).deadline == Start + 5s);
+    const auto issuedUnderLease = arrival(4, false);
+    pass(900ms);
+    const auto actions = coordinator.onSlotAnswer(ask.slot, true, moment);
+    checkRefused(actions, Verdict::NotRun, Reason::LeaseLost);
+    CHECK_TRUE(only<ReleaseSlot>(actions).outcome == SlotOutcome::Unused);
+    checkRefused(coordinator.onRequest(issuedUnderLease, moment), Verdict::NotRun,
+                 Reason::LeaseLost);
+    CHECK_TRUE(all<AskSlot>(coordinator.onRequest(arrival(5, true), moment)).size() == 1);
+    // The verdict stays although the lease is back: the caller may have acted on it.
+    coordinator.setPermit({ true, Never });
+    checkRefused(coordinator.onRequest(issuedUnderLease, moment), Verdict::NotRun,
+                 Reason::LeaseLost);
+}
+
+// Guards against NotRun, or a second run, of a request that a successor dispatched while this
+// process was paused beyond its lease; its copy waited in the socket meanwhile.
+TEST(Takeover, requestIssuedAfterTheLeaseEndedMayHaveRunElsewhere)
+{
+    coordinator.setPermit({ true, Start + 1s });
+    CHECK_TRUE(coordinator.onTick(moment).empty());
+    pass(2s);
+    const auto waited = arrival(1, false);
+    pass(1s);
+    checkRefused(coordinator.onRequest(waited, moment), Verdict::MayHaveRun, Reason::LeaseLost);
+    // The lease comes back before any other event.
+    coordinator.setPermit({ true, Never });
+    checkRefused(coordinator.onRequest(waited, moment), Verdict::MayHaveRun,
+                 Reason::IssuedBeforeTakeover);
+    checkRefused(coordinator.onRequest(arrival(2, false), moment), Verdict::MayHaveRun,
+                 Reason::AwaitingTakeover);
+    pass(3'100ms);
+    start(3, false);
+}
+
+// Guards against a second run by the successor, and a false NotRun, when a coordinator failed, also
+// for a duplicate that arrives during the fence and while the store is down.
+TEST(Takeover, takeoverAnswersMayHaveRunForWhatAnotherInstanceMayHaveDispatched)
+{
+    coordinator.setTakeover(Start + 1s, Start + 4s,
+                            [](RequestKey key) { return key.value() < 50; });
+    coordinator.setPermit({});
+    const auto before = arrival(1, false);
+    pass(2s);
+    checkRefused(coordinator.onRequest(before, moment), Verdict::MayHaveRun,
+                 Reason::IssuedBeforeTakeover);
+    coordinator.setPermit({ true, Never });
+    const auto during = arrival(2, false);
+    checkRefused(coordinator.onRequest(during, moment), Verdict::MayHaveRun,
+                 Reason::AwaitingTakeover);
+    start(60, false);
+    pass(2'400ms);
+    // The caller's clock may be ahead of the fence end.
+    checkRefused(coordinator.onRequest(arrival(3, false), moment), Verdict::MayHaveRun,
+                 Reason::AwaitingTakeover);
+    pass(200ms);
+    checkRefused(coordinator.onRequest(during, moment), Verdict::MayHaveRun,
+                 Reason::AwaitingTakeover);
+    start(4, false);
+}
+
+// Guards against NotRun for a repeatable request that the former coordinator may have dispatched.
+TEST(Takeover, repeatableRequestAfterTakeoverRunsButIsNeverNotRun)
+{
+    coordinator.setTakeover(Start, Start + 2s);
+    const auto request = arrival(1, true);
+    pass(100ms);
+    LONGS_EQUAL(1, all<AskSlot>(coordinator.onRequest(request, moment)).size());
+    checkRefused(coordinator.onCancel(request.key, moment), Verdict::MayHaveRun, Reason::Cancelled);
+    coordinator.beginShutdown();
+    checkRefused(coordinator.onRequest(arrival(2, true), moment), Verdict::MayHaveRun,
+                 Reason::ShuttingDown);
+}
+
+// Guards against a planned stop that cuts requests in progress (P9).
+TEST(Takeover, shutdownFinishesWhatIsInProgress)
+{
+    const auto running = start(1, false);
+    const auto waiting = only<AskSlot>(coordinator.onRequest(arrival(2, false), moment));
+    coordinator.beginShutdown();
+    checkRefused(coordinator.onRequest(arrival(3, false), moment), Verdict::NotRun,
+                 Reason::ShuttingDown);
+    LONGS_EQUAL(2, coordinator.inProgress());
+    only<DeliverAnswer>(answer(running.slot));
+    only<DispatchRequest>(coordinator.onSlotAnswer(waiting.slot, true, moment));
+    only<DeliverAnswer>(answer(waiting.slot));
+    LONGS_EQUAL(0, coordinator.inProgress());
+}
+
+// Guards against a grant of a former upstream owner that the new one does not know.
+TEST(Takeover, ownerChangeAbandonsPendingAsks)
+{
+    const auto ask = only<AskSlot>(coordinator.onRequest(arrival(1, false), moment));
+    const auto actions = coordinator.onOwnerChange(ask.upstream, moment);
+    CHECK_TRUE(only<ReleaseSlot>(actions).slot == ask.slot);
+    CHECK_TRUE(only<AskSlot>(actions).slot != ask.slot);
+    CHECK_TRUE(all<DispatchRequest>(coordinator.onSlotAnswer(ask.slot, true, moment)).empty());
+}
