Make hashPair free of collisions for ids that count up

Cause: hashPair added shifted copies of its first value to the second, which maps many first values to the same sum.

Change: the first value goes through the splitmix64 finalizer before the second is added. With one value fixed the result is a bijection of the other.

--- a/src/common/hash.h
+++ b/src/common/hash.h
@@ -10,13 +10,20 @@
 /// 64-bit XXH3 hash of a byte string; the same on all instances.
 [[nodiscard]] std::uint64_t hashBytes(std::string_view bytes, std::uint64_t seed = 0);
 
-/// Mixes two 64-bit values into one (finalizer of splitmix64); the same on all instances.
+/// Spreads the bits of a value over the whole word (finalizer of splitmix64); a bijection.
+[[nodiscard]] constexpr std::uint64_t mixBits(std::uint64_t value)
+{
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31U);
+}
+
+/// Mixes two 64-bit values into one; the same on all instances. With one value fixed, different
+/// other values never give the same result, so that ids that count up cannot collide.
 [[nodiscard]] constexpr std::uint64_t hashPair(std::uint64_t first, std::uint64_t second)
 {
-    std::uint64_t mixed = first ^ (second + 0x9e3779b97f4a7c15ULL + (first << 6U) + (first >> 2U));
-    mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-    mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
-    return mixed ^ (mixed >> 31U);
+    constexpr std::uint64_t goldenRatio = 0x9e3779b97f4a7c15ULL;
+    return mixBits(mixBits(first + goldenRatio) + second + goldenRatio);
 }
 
 template<typename Id>
