Give each coordinator its own attempt numbers and longer slot holds

Cause: a successor that dispatched a repeatable request used the attempt numbers of its predecessor, so the upstream's owner gave both the same slot.

Change: attempt numbers start at a number drawn from the coordinator's seed. The hold lasts twelve usual answer times past the deadline.

--- a/src/common/ids.h
+++ b/src/common/ids.h
@@ -25,7 +25,8 @@
 /// Hash of service, caller address and request id.
 using RequestKey = StrongType<struct RequestKeyTag, std::uint64_t>;
 using BucketIndex = StrongType<struct BucketIndexTag, std::uint32_t>;
-/// Number of a dispatch of one request, from 1.
+/// Number of a dispatch of one request; never zero, and different for each coordinator that
+/// dispatches the request.
 using AttemptNumber = StrongType<struct AttemptNumberTag, std::uint32_t>;
 
 /// Combines contract version (high 32 bits) and zone version (low 32 bits) of a customer's roster.
--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -42,7 +42,7 @@
     explicit State(std::uint64_t seed)
         : chooser(seed)
         , table(MaxStoredBytes)
-        , runner(chooser, table, admission)
+        , runner(chooser, table, admission, seed)
     { }
 
     void observePermit(WallTime wall);
--- a/src/request/coordinator.h
+++ b/src/request/coordinator.h
@@ -141,13 +141,14 @@
 ///
 /// A verdict is final: once a request has one, it is never dispatched again, and a duplicate gets
 /// the same verdict. A marker of each request stays until ForgetAfter past its deadline. A slot is
-/// held until the upstream answers or refuses, or four usual answer times past the deadline, also
+/// held until the upstream answers or refuses, or twelve usual answer times past the deadline, also
 /// when the caller has its verdict already, because the upstream may still be running the request.
 /// Not thread-safe.
 class Coordinator
 {
 public:
-    /// seed drives the choice of upstreams.
+    /// seed drives the choice of upstreams and the attempt numbers; it must differ between
+    /// instances and between starts of one instance.
     explicit Coordinator(std::uint64_t seed);
     ~Coordinator();
     Coordinator(const Coordinator &) = delete;
--- a/src/request/requestrunner.cpp
+++ b/src/request/requestrunner.cpp
@@ -1,5 +1,7 @@
 #include "request/requestrunner.h"
 
+#include "common/hash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -29,11 +31,21 @@
 // healthy upstream stays under.
 constexpr int AttemptTimeoutFactor = 8;
 constexpr Duration MinAttemptTimeout = milliseconds(200);
-// Time that an upstream may still run a request after its deadline, in usual answer times.
-constexpr int HoldMarginFactor = 4;
+// Time that an upstream may still run a request after its deadline, in usual answer times. A cold
+// upstream that has more requests than it can handle takes over ten of them.
+constexpr int HoldMarginFactor = 12;
 // Duplicated grants of a finished request are given back within this time.
 constexpr Duration LingerTime = std::chrono::seconds(1);
 
+// Bits of an attempt number that count the attempts of one coordinator.
+constexpr std::uint32_t AttemptBits = 12;
+
+std::uint32_t firstAttemptOf(std::uint64_t seed)
+{
+    const auto base = static_cast<std::uint32_t>(common::hashPair(seed, AttemptBits));
+    return (base << AttemptBits) + 1;
+}
+
 Reason reasonOf(DispatchRefusal refusal)
 {
     switch (refusal) {
@@ -53,10 +65,12 @@
 
 } // namespace
 
-RequestRunner::RequestRunner(UpstreamChooser &chooser, RequestTable &table, Admission &admission)
+RequestRunner::RequestRunner(UpstreamChooser &chooser, RequestTable &table, Admission &admission,
+                             std::uint64_t seed)
     : m_chooser(chooser)
     , m_table(table)
     , m_admission(admission)
+    , m_firstAttempt(firstAttemptOf(seed))
 { }
 
 void RequestRunner::setPermit(const DispatchPermit &permit)
@@ -92,7 +106,7 @@
 {
     const auto &progress = step.progress();
     const auto *attempt = step.progress().find(slot.attempt);
-    const auto index = slot.attempt.value() - 1;
+    const auto index = slot.attempt.value() - m_firstAttempt;
     if (!granted || index >= progress.asked.size() || (attempt != nullptr && attempt->slotHeld)) {
         return;
     }
@@ -189,8 +203,8 @@
     }
     ++progress.asksInRound;
     progress.excluded.push_back(*upstream);
+    const auto number = m_firstAttempt + static_cast<std::uint32_t>(progress.asked.size());
     progress.asked.push_back(*upstream);
-    const auto number = static_cast<std::uint32_t>(progress.asked.size());
     progress.ask = PendingAsk { common::AttemptNumber(number), *upstream, step.moment.now };
     step.actions.emplace_back(AskSlot { progress.service,
                                         *upstream,
@@ -219,6 +233,11 @@
         giveUp(step, Reason::LeaseLost);
         return;
     }
+    if (step.moment.now + m_chooser.roster(progress.service)->usualLatency >= progress.deadlineAt) {
+        // The answer would come too late and the verdict would change from not run to unknown.
+        giveUp(step, progress.isOutstanding() ? Reason::UpstreamTimeout : Reason::NoSlot);
+        return;
+    }
     if (!m_chooser.isActive(progress.service, granted.upstream)) {
         dropAsk(step);
         askNext(step);
--- a/src/request/requestrunner.h
+++ b/src/request/requestrunner.h
@@ -24,7 +24,10 @@
 class RequestRunner
 {
 public:
-    RequestRunner(UpstreamChooser &chooser, RequestTable &table, Admission &admission);
+    /// seed makes the attempt numbers of coordinators differ. A successor that reused the numbers
+    /// of its predecessor would share its slots at the owners and its dispatches at the upstreams.
+    RequestRunner(UpstreamChooser &chooser, RequestTable &table, Admission &admission,
+                  std::uint64_t seed);
 
     void setPermit(const DispatchPermit &permit);
     [[nodiscard]] bool mayDispatch(bool repeatable, common::WallTime wall) const;
@@ -63,6 +66,7 @@
     UpstreamChooser &m_chooser;
     RequestTable &m_table;
     Admission &m_admission;
+    std::uint32_t m_firstAttempt;
     RetryBudget m_budget;
     DispatchPermit m_permit;
 };
--- a/src/request/requesttable.h
+++ b/src/request/requesttable.h
@@ -65,7 +65,7 @@
     common::TimePoint lingerUntil;
     std::string payload;
     std::string returnToken;
-    /// Upstream of each attempt number, from 1.
+    /// Upstream of each attempt number, in the order of the numbers.
     std::vector<common::UpstreamId> asked;
     /// Not asked again in the present round.
     std::vector<common::UpstreamId> excluded;
--- a/src/tests/takeovertest.cpp
+++ b/src/tests/takeovertest.cpp
@@ -74,6 +74,18 @@
     start(4, false);
 }
 
+// Guards against a successor that shares the slot of its predecessor at the owner, or whose
+// dispatch the upstream takes for a copy of the predecessor's.
+TEST(Takeover, coordinatorsUseDifferentAttemptNumbers)
+{
+    Coordinator successor(43);
+    successor.applyRoster(roster(4));
+    const auto mine = only<AskSlot>(coordinator.onRequest(arrival(1, true), moment));
+    const auto other = only<AskSlot>(successor.onRequest(arrival(1, true), moment));
+    CHECK_TRUE(mine.slot.request == other.slot.request);
+    CHECK_TRUE(mine.slot.attempt != other.slot.attempt);
+}
+
 // Guards against NotRun for a repeatable request that the former coordinator may have dispatched.
 TEST(Takeover, repeatableRequestAfterTakeoverRunsButIsNeverNotRun)
 {
