List requests of unknown outcome and read the platform's instance list

The demo has to tell requests that a planned stop interrupted from others, so the caller reports each request of unknown outcome with its time of issue. The platform answers with an object around the list of instances.

--- a/src/tools/fabricrelay.cpp
+++ b/src/tools/fabricrelay.cpp
@@ -107,12 +107,14 @@
 std::vector<common::Endpoint> liveInstances(std::string_view json)
 {
     boost::system::error_code error;
-    const auto list = boost::json::parse(json, error);
+    const auto parsed = boost::json::parse(json, error);
     std::vector<common::Endpoint> live;
-    if (error || !list.is_array()) {
+    const auto *object = error ? nullptr : parsed.if_object();
+    const auto *list = object == nullptr ? nullptr : object->if_contains("instances");
+    if (list == nullptr || !list->is_array()) {
         return live;
     }
-    for (const auto &entry : list.get_array()) {
+    for (const auto &entry : list->get_array()) {
         const auto *instance = entry.if_object();
         const auto *fabric = instance == nullptr ? nullptr : instance->if_contains("fabric");
         const auto *leaving = instance == nullptr ? nullptr : instance->if_contains("leaving");
--- a/src/tools/fabricrelay.h
+++ b/src/tools/fabricrelay.h
@@ -58,8 +58,8 @@
     Counters m_counters;
 };
 
-/// Fabric endpoints of the instances in the platform's list that are not leaving. Entries that
-/// cannot be read are left out.
+/// Fabric endpoints of the instances in the platform's list ({"instances": [...]}) that are not
+/// leaving. Entries that cannot be read are left out.
 [[nodiscard]] std::vector<common::Endpoint> liveInstances(std::string_view json);
 
 } // namespace banyanwall::tools
--- a/src/tools/requestset.cpp
+++ b/src/tools/requestset.cpp
@@ -82,6 +82,7 @@
     if (now < entry.issued.now + m_settings.deadline + VerdictGrace) {
         return;
     }
+    m_unknownOutcomes.push_back({ id, entry.issued.wall, {} });
     m_counters.incompleteAnswers += entry.attempts.empty() ? 0 : 1;
     finish(id, entry, State::NoVerdict, now);
 }
@@ -142,6 +143,9 @@
         return;
     }
     ++m_refusals[refusal.reason()];
+    if (verdict == State::MayHaveRun) {
+        m_unknownOutcomes.push_back({ id, entry.issued.wall, refusal.reason() });
+    }
     finish(id, entry, verdict, now);
 }
 
@@ -172,6 +176,13 @@
     for (const auto &[reason, count] : m_refusals) {
         refusals[reason] = count;
     }
+    boost::json::array unknown;
+    for (const auto &outcome : m_unknownOutcomes) {
+        unknown.push_back(boost::json::object {
+                { "id", outcome.id },
+                { "issued_unix_ms", outcome.issued.time_since_epoch().count() },
+                { "reason", outcome.reason } });
+    }
     auto latencies = m_latenciesMs;
     std::ranges::sort(latencies);
     const auto quantile = [&](double share) {
@@ -190,6 +201,7 @@
              { "conflicting_verdicts", m_counters.conflictingVerdicts },
              { "latency_ms_p50", quantile(0.5) },
              { "latency_ms_p99", quantile(0.99) },
+             { "unknown_outcomes", std::move(unknown) },
              { "refusals", std::move(refusals) },
              { "not_run_ids", boost::json::array(m_notRunIds.begin(), m_notRunIds.end()) },
              { "completed_ids",
--- a/src/tools/requestset.h
+++ b/src/tools/requestset.h
@@ -111,6 +111,14 @@
     [[nodiscard]] bool isRightAnswer(std::uint64_t id, const Entry &entry,
                                      const Attempt &attempt) const;
 
+    struct UnknownOutcome
+    {
+        std::uint64_t id = 0;
+        common::WallTime issued;
+        /// Of the refusal; empty when there was no verdict.
+        std::string reason;
+    };
+
     RequestSettings m_settings;
     std::mt19937_64 m_random;
     std::uint64_t m_seed;
@@ -121,6 +129,7 @@
     std::unordered_map<std::uint64_t, Entry> m_requests;
     std::vector<std::uint64_t> m_notRunIds;
     std::vector<std::uint64_t> m_completedIds;
+    std::vector<UnknownOutcome> m_unknownOutcomes;
     std::map<std::string, std::uint64_t> m_refusals;
     std::vector<std::uint32_t> m_latenciesMs;
     Counters m_counters;
