--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,18 +1,21 @@
 #!/bin/sh
-# Runs all benchmark programs of a build directory (default: build), prints their key=value lines and collects them in
-# bench.txt there. Fails when a benchmark fails.
+# Runs the benchmark programs, prints their key=value lines and collects them in bench.txt of the build directory.
+# Arguments: build directory, then the groups to run (flow, request, control, relay; default: all that exist). Fails when
+# a benchmark fails.
 set -eu
 cd "$(dirname "$0")/.."
 build="${1:-build}"
+[ $# -gt 0 ] && shift
+groups="${*:-control flow request relay}"
 results="$build/bench.txt"
 failed=0
 : > "$results"
 
-# Runs one command and keeps its key=value lines.
+# Runs one command and keeps its output.
 collect()
 {
     if output=$("$@"); then
-        echo "$output" | grep -E '^[a-z_]+=' | tee -a "$results"
+        echo "$output" | tee -a "$results"
     else
         echo "$output"
         echo "benchmark failed: $*" >&2
@@ -20,11 +23,15 @@
     fi
 }
 
-# relaybenchmark needs a running daemon; relaybench.py starts it.
-for program in $(find "$build/src/benchmarks" -maxdepth 1 -type f -executable ! -name relaybenchmark | sort); do
-    collect "$program"
+for group in $groups; do
+    program="$build/src/benchmarks/${group}benchmark"
+    [ -x "$program" ] || continue
+    echo "# $group"
+    if [ "$group" = relay ]; then
+        # Needs running relays; the script starts them.
+        collect scripts/relaybench.py --build "$build"
+    else
+        collect "$program"
+    fi
 done
-if [ -n "$(find "$build/src" -type f -name banyanwalld)" ]; then
-    collect scripts/relaybench.py --build "$build"
-fi
 exit "$failed"
