--- a/src/benchmarks/controlbenchmark.cpp
+++ b/src/benchmarks/controlbenchmark.cpp
@@ -70,9 +70,12 @@
         }
         std::vector<process::MemberInfo> listed;
         std::ranges::transform(m_members, std::back_inserter(listed), [](const auto &member) {
-            return process::MemberInfo {
-                member.id, common::Incarnation(1), member.zone, member.address, {}, {}, {}
-            };
+            process::MemberInfo info;
+            info.id = member.id;
+            info.incarnation = common::Incarnation(1);
+            info.zone = member.zone;
+            info.peerAddress = member.address;
+            return info;
         });
         for (auto &member : m_members) {
             member.membership->applyStoreList(listed, m_now);
