Add GET requests and parsing of notice URLs

HttpExchange gains a GET, and the check of a notice URL becomes a function that gives its server and path. White space in the path is rejected, because it would change the request line.

--- a/src/process/httpexchange.cpp
+++ b/src/process/httpexchange.cpp
@@ -32,7 +32,16 @@
     m_timeout = timeout;
     m_handler = std::move(handler);
     m_stream.expires_after(timeout);
-    connect(target, std::move(body));
+    connect(http::verb::post, target, std::move(body));
+}
+
+void HttpExchange::startGet(const std::string &target, std::chrono::milliseconds timeout,
+                            Handler handler)
+{
+    m_timeout = timeout;
+    m_handler = std::move(handler);
+    m_stream.expires_after(timeout);
+    connect(http::verb::get, target, {});
 }
 
 void HttpExchange::startStream(const std::string &target, std::string body,
@@ -55,11 +64,13 @@
     m_stream.socket().close(ignored);
 }
 
-void HttpExchange::connect(const std::string &target, std::string body)
+void HttpExchange::connect(http::verb method, const std::string &target, std::string body)
 {
-    m_request = { http::verb::post, target, 11 };
+    m_request = { method, target, 11 };
     m_request.set(http::field::host, common::toString(m_server));
-    m_request.set(http::field::content_type, "application/json");
+    if (method == http::verb::post) {
+        m_request.set(http::field::content_type, "application/json");
+    }
     m_request.set(http::field::connection, "close");
     m_request.body() = std::move(body);
     m_request.prepare_payload();
--- a/src/process/httpexchange.h
+++ b/src/process/httpexchange.h
@@ -28,8 +28,8 @@
     std::string error;
 };
 
-/// One HTTP POST over its own connection. The handler is called once, from the io_context, unless
-/// the exchange is cancelled.
+/// One HTTP request over its own connection. The handler is called once, from the io_context,
+/// unless the exchange is cancelled.
 class HttpExchange : public std::enable_shared_from_this<HttpExchange>
 {
 public:
@@ -41,6 +41,7 @@
     /// Posts a JSON body. timeout covers the whole exchange.
     void start(const std::string &target, std::string body, std::chrono::milliseconds timeout,
                Handler handler);
+    void startGet(const std::string &target, std::chrono::milliseconds timeout, Handler handler);
     /// Posts a JSON body whose answer is a stream: each part goes to onChunk as it arrives. silence
     /// is the longest time between two parts. The handler is called when the stream ends.
     void startStream(const std::string &target, std::string body, std::chrono::milliseconds silence,
@@ -49,7 +50,7 @@
     void cancel();
 
 private:
-    void connect(const std::string &target, std::string body);
+    void connect(boost::beast::http::verb method, const std::string &target, std::string body);
     void write();
     void readAnswer();
     void readChunk();
--- a/src/version/contractparser.cpp
+++ b/src/version/contractparser.cpp
@@ -57,16 +57,6 @@
     std::map<std::uint32_t, std::string> m_ids;
 };
 
-bool isNoticeUrl(std::string_view url)
-{
-    static constexpr std::string_view scheme = "http://";
-    if (!url.starts_with(scheme)) {
-        return false;
-    }
-    const auto rest = url.substr(scheme.size());
-    return common::parseEndpoint(rest.substr(0, rest.find('/'))).has_value();
-}
-
 /// State of one parse: names and addresses that must be unique over the whole contract.
 class ContractReader
 {
@@ -195,7 +185,7 @@
         cutover.sharePercent = cutoverReader->requiredInteger("share_percent", PercentRange);
         cutover.comparePercent = cutoverReader->integer("compare_percent", PercentRange, 0);
         cutover.noticeUrl = cutoverReader->requiredText("notice_url", UrlRule);
-        if (!isNoticeUrl(cutover.noticeUrl)) {
+        if (!parseNoticeUrl(cutover.noticeUrl)) {
             cutoverReader->fail("notice_url", "must be " + std::string(UrlRule));
         }
         checkGroup(*cutoverReader, "from", cutover.fromGroup, service);
@@ -266,6 +256,24 @@
     }
 }
 
+std::optional<NoticeUrl> parseNoticeUrl(std::string_view url)
+{
+    constexpr std::string_view scheme = "http://";
+    if (!url.starts_with(scheme)) {
+        return std::nullopt;
+    }
+    const auto rest = url.substr(scheme.size());
+    const auto slash = std::min(rest.find('/'), rest.size());
+    const auto server = common::parseEndpoint(rest.substr(0, slash));
+    const auto target = rest.substr(slash);
+    // White space or control characters in the target would change the request line.
+    const bool printable = std::ranges::all_of(target, [](char c) { return c > ' ' && c < 127; });
+    if (!server || !printable) {
+        return std::nullopt;
+    }
+    return NoticeUrl { *server, target.empty() ? "/" : std::string(target) };
+}
+
 std::optional<common::Error> findConflict(const Contract &contract, const Contract &other)
 {
     const auto conflict = [&](const std::string &problem) {
--- a/src/version/contractparser.h
+++ b/src/version/contractparser.h
@@ -4,6 +4,7 @@
 #include "version/contract.h"
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace banyanwall::version {
@@ -17,6 +18,16 @@
 [[nodiscard]] common::Result<Contract> parseContract(std::string_view toml,
                                                      std::string_view sourceName);
 
+struct NoticeUrl
+{
+    common::Endpoint server;
+    /// Path and query, at least "/".
+    std::string target;
+};
+
+/// Splits "http://ip:port/path"; empty on any deviation.
+[[nodiscard]] std::optional<NoticeUrl> parseNoticeUrl(std::string_view url);
+
 /// Says why two contracts of different customers cannot both be accepted: a shared service address
 /// or upstream address, or colliding ids of customers or services.
 [[nodiscard]] std::optional<common::Error> findConflict(const Contract &contract,
