Add banyanwallctl with cutover notices and roll-back

Operators edit contracts, zones and drains through one tool. An edit names the version it is based on and is written by compare-and-swap; a conflict shows both versions and writes nothing.

A changed cutover share is announced to the contact centre first and refused when the notice is not delivered; when the write then loses a race, the notice is cancelled. A share rises by at most 1/slots_per_upstream an edit, the part that a cold upstream takes in slow start; a roll-back is one command.

--- /dev/null
+++ b/src/ctl/contractcommands.cpp
@@ -0,0 +1,207 @@
+#include "ctl/command.h"
+#include "ctl/contractedit.h"
+#include "ctl/contractfile.h"
+#include "ctl/textdiff.h"
+#include "version/contractparser.h"
+#include "version/limits.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+
+namespace banyanwall::ctl {
+
+namespace json = boost::json;
+using common::errorOf;
+using common::isOk;
+using common::valueOf;
+
+namespace {
+
+common::Error noContract(const std::string &customer)
+{
+    return { "not_found", "customer '" + customer + "' has no contract" };
+}
+
+common::Result<version::ContractVersion> findVersion(const version::ContractDocument &document,
+                                                     const std::string &customer,
+                                                     const std::string &number)
+{
+    const auto version = parseVersion(number);
+    if (!version) {
+        return common::Error { "invalid_input", "a version must be a number, is '" + number + "'" };
+    }
+    const auto found =
+            std::ranges::find(document.history, *version, &version::ContractVersion::version);
+    if (found == document.history.end()) {
+        return common::Error {
+            "not_found", "customer '" + customer + "' has no version " + number + " in its history"
+        };
+    }
+    return *found;
+}
+
+CommandResult shown(CommandContext &context, const std::string &customer,
+                    const version::ContractVersion &version)
+{
+    const json::object data { { "customer", customer },
+                              { "version", version.version },
+                              { "author", version.author },
+                              { "toml", version.toml },
+                              { "drained_upstreams",
+                                json::array(version.drainedUpstreams.begin(),
+                                            version.drainedUpstreams.end()) } };
+    auto text = withHeader(customer, version.version, version.toml);
+    if (text.ends_with('\n')) {
+        text.pop_back();
+    }
+    return { ExitCode::Ok, render(text, data, context.options.format), "" };
+}
+
+/// Document of a customer that must have a contract.
+common::Result<version::ContractDocument> existing(CommandContext &context,
+                                                   const std::string &customer)
+{
+    const auto stored = context.store.contract(customer);
+    if (!isOk(stored)) {
+        return errorOf(stored);
+    }
+    if (valueOf(stored).revision == 0) {
+        return noContract(customer);
+    }
+    return valueOf(stored).value;
+}
+
+} // namespace
+
+CommandResult checkContract(CommandContext &context, const Arguments &arguments)
+{
+    const auto file = readContractFile(arguments.at(0));
+    if (!isOk(file)) {
+        return failure(errorOf(file));
+    }
+    const auto &contract = valueOf(file).contract;
+    const auto sentence =
+            arguments.at(0) + ": the contract of customer '" + contract.customer + "' is valid";
+    return { ExitCode::Ok,
+             render(sentence, { { "result", "valid" }, { "customer", contract.customer } },
+                    context.options.format),
+             "" };
+}
+
+CommandResult applyContract(CommandContext &context, const Arguments &arguments)
+{
+    const auto file = readContractFile(arguments.at(0));
+    if (!isOk(file)) {
+        return failure(errorOf(file));
+    }
+    const auto &read = valueOf(file);
+    return editContract(context, read.contract, read.toml,
+                        context.options.base ? context.options.base : read.base);
+}
+
+CommandResult rollBackContract(CommandContext &context, const Arguments &arguments)
+{
+    const auto &customer = arguments.at(0);
+    const auto document = existing(context, customer);
+    if (!isOk(document)) {
+        return failure(errorOf(document));
+    }
+    const auto former = findVersion(valueOf(document), customer, arguments.at(1));
+    if (!isOk(former)) {
+        return failure(errorOf(former));
+    }
+    const auto &toml = valueOf(former).toml;
+    const auto contract = version::parseContract(toml, customer + " version " + arguments.at(1));
+    if (!isOk(contract)) {
+        return failure(errorOf(contract));
+    }
+    return editContract(context, valueOf(contract), toml, valueOf(document).version);
+}
+
+CommandResult showContract(CommandContext &context, const Arguments &arguments)
+{
+    const auto &customer = arguments.at(0);
+    const auto document = existing(context, customer);
+    if (!isOk(document)) {
+        return failure(errorOf(document));
+    }
+    const auto number =
+            arguments.size() > 1 ? arguments.at(1) : std::to_string(valueOf(document).version);
+    const auto version = findVersion(valueOf(document), customer, number);
+    return isOk(version) ? shown(context, customer, valueOf(version)) : failure(errorOf(version));
+}
+
+CommandResult diffContract(CommandContext &context, const Arguments &arguments)
+{
+    const auto &customer = arguments.at(0);
+    const auto document = existing(context, customer);
+    if (!isOk(document)) {
+        return failure(errorOf(document));
+    }
+    std::string former = valueOf(document).toml;
+    std::string next;
+    if (arguments.size() == 2) {
+        const auto file = readContractFile(arguments.at(1));
+        if (!isOk(file)) {
+            return failure(errorOf(file));
+        }
+        next = valueOf(file).toml;
+    } else {
+        const auto first = findVersion(valueOf(document), customer, arguments.at(1));
+        const auto second = findVersion(valueOf(document), customer, arguments.at(2));
+        if (!isOk(first) || !isOk(second)) {
+            return failure(errorOf(isOk(first) ? second : first));
+        }
+        former = valueOf(first).toml;
+        next = valueOf(second).toml;
+    }
+    auto diff = diffLines(former, next);
+    const json::object data { { "equal", diff.empty() }, { "diff", diff } };
+    if (context.options.format == Format::Json) {
+        return { ExitCode::Ok, render("", data, Format::Json), "" };
+    }
+    return { ExitCode::Ok, diff.empty() ? "no difference\n" : diff, "" };
+}
+
+CommandResult explainContract(CommandContext &context, const Arguments &arguments)
+{
+    const auto file = readContractFile(arguments.at(0));
+    if (!isOk(file)) {
+        return failure(errorOf(file));
+    }
+    Table table { { "service", "limit", "value", "clause", "explanation" }, {} };
+    for (const auto &service : version::deriveLimits(valueOf(file).contract)) {
+        for (const auto &limit : service.limits) {
+            table.rows.push_back({ json::string(service.service), json::string(limit.name),
+                                   limit.value, json::string(limit.clause),
+                                   json::string(limit.explanation) });
+        }
+    }
+    return { ExitCode::Ok, render(table, context.options.format), "" };
+}
+
+CommandResult contractHistory(CommandContext &context, const Arguments &arguments)
+{
+    const auto document = existing(context, arguments.at(0));
+    if (!isOk(document)) {
+        return failure(errorOf(document));
+    }
+    Table table { { "version", "author", "drained_upstreams", "changed_lines" }, {} };
+    std::string former;
+    for (const auto &entry : valueOf(document).history) {
+        // A change is a line that starts with its mark.
+        const auto marked = "\n" + diffLines(former, entry.toml);
+        std::uint64_t changed = 0;
+        for (auto at = marked.find('\n'); at + 1 < marked.size(); at = marked.find('\n', at + 1)) {
+            changed += marked[at + 1] == '-' || marked[at + 1] == '+' ? 1 : 0;
+        }
+        table.rows.push_back({ entry.version, json::string(entry.author),
+                               entry.drainedUpstreams.size(), changed });
+        former = entry.toml;
+    }
+    return { ExitCode::Ok, render(table, context.options.format), "" };
+}
+
+} // namespace banyanwall::ctl
--- /dev/null
+++ b/src/ctl/cutover.cpp
@@ -0,0 +1,95 @@
+#include "ctl/cutover.h"
+
+#include "version/limits.h"
+
+#include <algorithm>
+
+namespace banyanwall::ctl {
+
+using version::Contract;
+using version::CutoverSpec;
+using version::ServiceContract;
+
+namespace {
+
+const ServiceContract *findService(const Contract &contract, const std::string &name)
+{
+    const auto found = std::ranges::find(contract.services, name, &ServiceContract::name);
+    return found == contract.services.end() ? nullptr : &*found;
+}
+
+/// Share of new flows that a group gets, in percent.
+std::uint32_t shareOf(const ServiceContract &service, const std::string &group)
+{
+    if (std::ranges::find(service.groups, group, &version::UpstreamGroup::name)
+        == service.groups.end()) {
+        return 0;
+    }
+    if (!service.cutover) {
+        return 100;
+    }
+    return group == service.cutover->toGroup ? service.cutover->sharePercent
+                                             : 100 - service.cutover->sharePercent;
+}
+
+std::optional<ShareChange> changeOf(const ServiceContract &former, const ServiceContract &next)
+{
+    const auto &cutover = next.cutover ? next.cutover : former.cutover;
+    if (!cutover) {
+        return std::nullopt;
+    }
+    const ShareChange change { next.name,
+                               cutover->fromGroup,
+                               cutover->toGroup,
+                               shareOf(former, cutover->toGroup),
+                               shareOf(next, cutover->toGroup),
+                               cutover->noticeUrl };
+    return change.formerPercent == change.nextPercent ? std::nullopt : std::optional(change);
+}
+
+std::optional<common::Error> checkService(const ServiceContract &former,
+                                          const ServiceContract &next)
+{
+    const auto step = version::cutoverStepPercent(next);
+    for (const auto &group : next.groups) {
+        const auto before = shareOf(former, group.name);
+        const auto after = shareOf(next, group.name);
+        const bool rollBack = former.cutover && former.cutover->fromGroup == group.name;
+        if (!rollBack && after > before + step) {
+            return common::Error { "cutover_step",
+                                   "service '" + next.name + "': the share of group '" + group.name
+                                           + "' would rise from " + std::to_string(before) + " to "
+                                           + std::to_string(after) + " %, one edit may raise it by "
+                                           + std::to_string(step)
+                                           + " points (1/slots_per_upstream)" };
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::vector<ShareChange> shareChanges(const Contract &former, const Contract &next)
+{
+    std::vector<ShareChange> changes;
+    for (const auto &service : next.services) {
+        const auto *before = findService(former, service.name);
+        if (const auto change = before == nullptr ? std::nullopt : changeOf(*before, service)) {
+            changes.push_back(*change);
+        }
+    }
+    return changes;
+}
+
+std::optional<common::Error> checkSteps(const Contract &former, const Contract &next)
+{
+    for (const auto &service : next.services) {
+        const auto *before = findService(former, service.name);
+        if (auto error = before == nullptr ? std::nullopt : checkService(*before, service)) {
+            return error;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace banyanwall::ctl
--- /dev/null
+++ b/src/ctl/textdiff.cpp
@@ -0,0 +1,106 @@
+#include "ctl/textdiff.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+namespace banyanwall::ctl {
+
+namespace {
+
+constexpr std::size_t ContextLines = 2;
+
+struct Line
+{
+    char mark;
+    std::string_view text;
+};
+
+std::vector<std::string_view> linesOf(std::string_view text)
+{
+    std::vector<std::string_view> lines;
+    while (!text.empty()) {
+        const auto end = std::min(text.find('\n'), text.size());
+        lines.push_back(text.substr(0, end));
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return lines;
+}
+
+/// Lengths of the longest common subsequences of all pairs of suffixes.
+class CommonSuffixes
+{
+public:
+    CommonSuffixes(const std::vector<std::string_view> &former,
+                   const std::vector<std::string_view> &next)
+        : m_width(next.size() + 1)
+        , m_lengths((former.size() + 1) * m_width)
+    {
+        for (std::size_t i = former.size(); i-- > 0;) {
+            for (std::size_t j = next.size(); j-- > 0;) {
+                m_lengths[i * m_width + j] = former[i] == next[j]
+                        ? at(i + 1, j + 1) + 1
+                        : std::max(at(i + 1, j), at(i, j + 1));
+            }
+        }
+    }
+
+    [[nodiscard]] std::uint32_t at(std::size_t i, std::size_t j) const
+    {
+        return m_lengths[i * m_width + j];
+    }
+
+private:
+    std::size_t m_width;
+    std::vector<std::uint32_t> m_lengths;
+};
+
+std::vector<Line> merge(const std::vector<std::string_view> &former,
+                        const std::vector<std::string_view> &next)
+{
+    const CommonSuffixes common(former, next);
+    std::vector<Line> lines;
+    std::size_t i = 0;
+    std::size_t j = 0;
+    while (i < former.size() || j < next.size()) {
+        if (i < former.size() && j < next.size() && former[i] == next[j]) {
+            lines.push_back({ ' ', former[i] });
+            ++i;
+            ++j;
+        } else if (j == next.size()
+                   || (i < former.size() && common.at(i + 1, j) >= common.at(i, j + 1))) {
+            lines.push_back({ '-', former[i++] });
+        } else {
+            lines.push_back({ '+', next[j++] });
+        }
+    }
+    return lines;
+}
+
+} // namespace
+
+std::string diffLines(std::string_view former, std::string_view next)
+{
+    const auto lines = merge(linesOf(former), linesOf(next));
+    const auto isChange = [](const Line &line) { return line.mark != ' '; };
+    std::string text;
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+        const auto first =
+                lines.begin() + static_cast<std::ptrdiff_t>(i - std::min(i, ContextLines));
+        const auto last = lines.begin()
+                + static_cast<std::ptrdiff_t>(std::min(i + ContextLines + 1, lines.size()));
+        if (std::any_of(first, last, isChange)) {
+            const auto &[mark, content] = lines[i];
+            // No trailing blanks for empty lines.
+            if (!content.empty()) {
+                text.append({ mark, ' ' }).append(content);
+            } else if (mark != ' ') {
+                text += mark;
+            }
+            text += '\n';
+        }
+    }
+    return text;
+}
+
+} // namespace banyanwall::ctl
--- /dev/null
+++ b/src/ctl/upstreamcommands.cpp
@@ -0,0 +1,169 @@
+#include "ctl/command.h"
+
+#include "version/contractparser.h"
+
+#include <boost/json/string.hpp>
+
+#include <algorithm>
+
+namespace banyanwall::ctl {
+
+namespace json = boost::json;
+using common::errorOf;
+using common::isOk;
+using common::valueOf;
+
+namespace {
+
+// Another operator may change the contract text at the same time, which a drain does not touch.
+constexpr int MaximumAttempts = 5;
+
+struct CustomerContract
+{
+    Stored<version::ContractDocument> stored;
+    version::Contract contract;
+};
+
+common::Result<CustomerContract> load(CommandContext &context, const std::string &customer)
+{
+    const auto stored = context.store.contract(customer);
+    if (!isOk(stored)) {
+        return errorOf(stored);
+    }
+    if (valueOf(stored).revision == 0) {
+        return common::Error { "not_found", "customer '" + customer + "' has no contract" };
+    }
+    const auto contract = version::parseContract(valueOf(stored).value.toml, "store");
+    if (!isOk(contract)) {
+        return errorOf(contract);
+    }
+    return CustomerContract { valueOf(stored), valueOf(contract) };
+}
+
+/// Calls visit(service, group, upstream) for each upstream.
+template<typename Visit>
+void forEachUpstream(const version::Contract &contract, const Visit &visit)
+{
+    for (const auto &service : contract.services) {
+        for (const auto &group : service.groups) {
+            for (const auto &upstream : group.upstreams) {
+                visit(service, group, upstream);
+            }
+        }
+    }
+}
+
+bool hasUpstream(const version::Contract &contract, const std::string &name)
+{
+    bool found = false;
+    forEachUpstream(contract, [&](const auto &service, const auto &, const auto &upstream) {
+        found = found || service.name + "/" + upstream.name == name;
+    });
+    return found;
+}
+
+/// Adds or removes a name; false when the list is as wanted already.
+bool setDrained(std::vector<std::string> &drained, const std::string &name, bool wanted)
+{
+    const auto found = std::ranges::find(drained, name);
+    if ((found != drained.end()) == wanted) {
+        return false;
+    }
+    if (wanted) {
+        drained.push_back(name);
+    } else {
+        drained.erase(found);
+    }
+    return true;
+}
+
+common::Error unknownUpstream(const std::string &customer, const std::string &name)
+{
+    return { "invalid_input",
+             "customer '" + customer + "' has no upstream '" + name
+                     + "', must be SERVICE/UPSTREAM of its contract" };
+}
+
+common::Error fastChanges(const std::string &customer)
+{
+    return { "conflict",
+             "conflict: the contract of customer '" + customer
+                     + "' changes faster than this change can be made; nothing was written" };
+}
+
+CommandResult changeDrain(CommandContext &context, const Arguments &arguments, bool wanted)
+{
+    const auto &customer = arguments.at(0);
+    const auto &name = arguments.at(1);
+    const auto key = contractKey(customer);
+    const auto sentence = "upstream '" + name + "' is " + (wanted ? "draining" : "active");
+    for (int attempt = 0; attempt < MaximumAttempts; ++attempt) {
+        const auto loaded = load(context, customer);
+        if (!isOk(loaded)) {
+            return failure(errorOf(loaded));
+        }
+        const auto &[stored, contract] = valueOf(loaded);
+        if (!hasUpstream(contract, name)) {
+            return failure(unknownUpstream(customer, name));
+        }
+        auto drained = stored.value.drainedUpstreams;
+        if (!setDrained(drained, name, wanted)) {
+            return unchanged(context, key, stored.value.version, sentence);
+        }
+        const auto next = version::nextVersion(stored.value, stored.value.toml,
+                                               context.options.author, drained);
+        const auto outcome =
+                context.store.write(key, stored.revision, version::formatContractDocument(next));
+        if (!isOk(outcome)) {
+            return failure(errorOf(outcome));
+        }
+        if (valueOf(outcome).applied) {
+            return finishChange(context, key, next.version,
+                                sentence + " as of version " + std::to_string(next.version));
+        }
+    }
+    return failure(fastChanges(customer));
+}
+
+} // namespace
+
+CommandResult drainUpstream(CommandContext &context, const Arguments &arguments)
+{
+    return changeDrain(context, arguments, true);
+}
+
+CommandResult returnUpstream(CommandContext &context, const Arguments &arguments)
+{
+    return changeDrain(context, arguments, false);
+}
+
+CommandResult listUpstreams(CommandContext &context, const Arguments &arguments)
+{
+    const auto loaded = load(context, arguments.at(0));
+    const auto zones = context.store.zones();
+    if (!isOk(loaded) || !isOk(zones)) {
+        return failure(isOk(loaded) ? errorOf(zones) : errorOf(loaded));
+    }
+    const auto &drained = valueOf(loaded).stored.value.drainedUpstreams;
+    const auto isWithdrawn = [&](const std::string &zone) {
+        return std::ranges::any_of(valueOf(zones).value.zones, [&](const auto &state) {
+            return state.name == zone && state.withdrawn;
+        });
+    };
+    Table table { { "upstream", "group", "zone", "address", "state" }, {} };
+    forEachUpstream(valueOf(loaded).contract,
+                    [&](const auto &service, const auto &group, const auto &upstream) {
+                        const auto name = service.name + "/" + upstream.name;
+                        const bool draining = std::ranges::find(drained, name) != drained.end();
+                        const auto *state = isWithdrawn(upstream.zone) ? "withdrawn"
+                                : draining                             ? "draining"
+                                                                       : "active";
+                        table.rows.push_back({ json::string(name), json::string(group.name),
+                                               json::string(upstream.zone),
+                                               json::string(common::toString(upstream.address)),
+                                               state });
+                    });
+    return { ExitCode::Ok, render(table, context.options.format), "" };
+}
+
+} // namespace banyanwall::ctl
