--- a/src/tools/platformserver.cpp
+++ b/src/tools/platformserver.cpp
@@ -157,7 +157,8 @@
         m_rateWindow = now;
         m_callsInWindow = 0;
     }
-    return m_faults.rateLimit == 0 || ++m_callsInWindow <= m_faults.rateLimit;
+    ++m_callsInWindow;
+    return m_faults.rateLimit == 0 || m_callsInWindow <= m_faults.rateLimit;
 }
 
 bool PlatformServer::losesAnswer(const std::string &kind)
