Log violations at the upstreams with the packet that caused them

Counts alone do not lead to the cause of a broken promise. Upstreams now log each violation and unknown flow with sender and message, and the demo keeps their counters. Request ids of two callers collided, because the ids were hashes of seed and number; the demo then reported 364 repeated runs that were none. Ids now contain the seed itself. The demo also watches the versions that instances report.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -10,6 +10,7 @@
 from demofleet import CUSTOMER, LATE_UPSTREAM, DemoFleet
 from demoresult import Evaluation, imbalance
 from fleet import FleetError
+from statuswatch import StatusWatch
 
 DRAINED = "bancada-02"
 WITHDRAWN_ZONE = "escritorio"
@@ -28,6 +29,8 @@
         self._system = system
         self._began = time.monotonic()
         self._marks = {"killed": [], "reverted": []}
+        self._watch = StatusWatch({name: instance["admin"]
+                                   for name, instance in system.instances.items()})
 
     def run(self):
         self._start()
@@ -51,6 +54,7 @@
         self._say(f"event=started instances={len(system.instances)} "
                   f"upstreams={len(system.upstreams)}")
         system.apply_contract(False, 400)
+        self._watch.start()
         self._say(f"event=contract_in_force seconds={system.commands[-1][1]:.2f}")
 
     def _traffic(self):
@@ -72,6 +76,7 @@
         self._marks["drained_ms"] = system.ctl("upstream", "drain", CUSTOMER,
                                                f"bancada/{DRAINED}", "--wait")
         self._say_command("drained", DRAINED)
+        system.upstream_command("watch", DRAINED)
         system.upstream_command("restart", LATE_UPSTREAM)
         system.apply_contract(True, 400)
         self._say_command("added", LATE_UPSTREAM)
@@ -119,6 +124,8 @@
         system = self._system
         traffic_seconds = time.monotonic() - self._began_traffic
         reports = system.stop_callers()
+        self._watch.stop()
+        self._marks["reverted"] = self._watch.deviations()
         self._marks["commands"] = system.commands
         evaluation = Evaluation(system.upstream_counters(), system.runs(), reports, self._marks)
         for name, report in reports.items():
@@ -133,6 +140,8 @@
                       f"latency_ms_p99={requests['latency_ms_p99']} "
                       f"refusals={requests['refusals']}")
         self._report_broken_feeds(evaluation)
+        if self._marks["reverted"]:
+            self._say(f"event=versions_behind where={','.join(self._marks['reverted'])}")
         self._say(f"event=finished traffic_seconds={traffic_seconds:.1f}")
         print(evaluation.line(), flush=True)
         for promise in evaluation.broken:
@@ -143,6 +152,7 @@
         reasons = {}
         for feed in evaluation.broken_feeds:
             key = (feed["reason"], feed["unix_ms"] // 1000)
+            print(f"event=broken_feed {' '.join(f'{k}={v}' for k, v in feed.items())}")
             reasons[key] = reasons.get(key, 0) + 1
         offset = time.time() - (time.monotonic() - self._began)
         for (reason, second), count in sorted(reasons.items(), key=lambda item: item[0][1]):
--- a/scripts/demofleet.py
+++ b/scripts/demofleet.py
@@ -151,18 +151,13 @@
         http_json(self.control, f"/{command}?upstream={self.full_name(name)}")
 
     def upstream_counters(self):
-        return http_json(self.control, "/counters")
+        counters = http_json(self.control, "/counters")
+        self.fleet.write("upstreams.json", json.dumps(counters))
+        return counters
 
     def runs(self):
         return http_json(self.control, "/runs")
 
-    def status_of_all(self):
-        statuses = {}
-        for name, instance in self.instances.items():
-            body = http_get(instance["admin"], "/status")
-            statuses[name] = json.loads(body) if body else None
-        return statuses
-
     # Texts
 
     def full_name(self, name):
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -94,6 +94,9 @@
         self.folder = work_folder
         self.programs = []
         os.makedirs(work_folder, exist_ok=True)
+        for name in os.listdir(work_folder):
+            if name.endswith(".log"):
+                os.remove(os.path.join(work_folder, name))
 
     def start(self, name, program, *arguments):
         path = find_program(self.build, program)
--- a/scripts/relaybench.py
+++ b/scripts/relaybench.py
@@ -10,7 +10,7 @@
 from fleet import Fleet, FleetError, Ports, find_program, http_get, http_json, wait_until
 
 PORT_BASE = 26000
-ROUNDS = 3
+ROUNDS = 5
 START_TIMEOUT_S = 20
 
 CONTRACT = """customer = "workshop"
@@ -92,7 +92,7 @@
         contract = self.fleet.write("contract.toml", CONTRACT.format(**ports))
         subprocess.run([find_program(self._build, "banyanwallctl"), "--store", ports["store"],
                         "contract", "apply", contract, "--wait"], check=True,
-                       stdout=subprocess.DEVNULL, timeout=START_TIMEOUT_S)
+                       capture_output=True, timeout=START_TIMEOUT_S)
         http_json(ports["admin"], "/status")
         return daemon
 
@@ -113,7 +113,7 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="build", help="build directory")
-    parser.add_argument("--seconds", type=int, default=4, help="of each measurement")
+    parser.add_argument("--seconds", type=int, default=3, help="of each measurement")
     arguments = parser.parse_args()
     bench = RelayBench(arguments.build, arguments.seconds)
     try:
--- a/src/tools/requestset.cpp
+++ b/src/tools/requestset.cpp
@@ -11,6 +11,13 @@
 
 using wire::proto::CallerMessage;
 
+namespace {
+
+/// Ids of two callers must differ, because the upstreams count runs by id alone.
+constexpr unsigned SeedShift = 32;
+
+} // namespace
+
 RequestSet::RequestSet(RequestSettings settings, std::uint64_t seed)
     : m_settings(std::move(settings))
     , m_random(seed)
@@ -55,7 +62,7 @@
     entry.answerBytes = download ? m_settings.downloadBytes : m_settings.answerBytes;
     entry.issued = moment;
     entry.due = moment.now;
-    m_requests.emplace(common::hashPair(m_seed, ++m_issuedCount), std::move(entry));
+    m_requests.emplace((m_seed << SeedShift) | ++m_issuedCount, std::move(entry));
     ++m_counters.issued;
     ++m_pending;
 }
--- a/src/tools/upstreamhost.cpp
+++ b/src/tools/upstreamhost.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include <iostream>
 #include <numeric>
 #include <sstream>
 
@@ -63,6 +64,10 @@
     const auto moment = Moment::current();
     for (const auto &[name, hosted] : m_upstreams) {
         send(*hosted, hosted->model.onTick(moment));
+        for (const auto &incident : hosted->model.takeIncidents()) {
+            std::cout << "unix_ms=" << moment.wall.time_since_epoch().count() << " " << incident
+                      << std::endl;
+        }
     }
 }
 
@@ -108,6 +113,8 @@
         listen(hosted);
     } else if (command == "/drain") {
         hosted.model.setDraining(true);
+    } else if (command == "/watch") {
+        hosted.model.watchNewWork();
     } else if (command == "/silence") {
         hosted.model.silenceFlows();
     } else if (command == "/lie") {
--- a/src/tools/upstreamhost.h
+++ b/src/tools/upstreamhost.h
@@ -16,7 +16,8 @@
 /// Runs many upstreams on their UDP endpoints in one process, with one control port.
 ///
 /// Control targets: /counters, /runs, and with ?upstream=NAME: /cold, /stop, /restart, /drain,
-/// /silence, /lie (claims to be healthy), /sick (claims to be unhealthy), /truth.
+/// /watch (log new work), /silence, /lie (claims to be healthy), /sick (claims to be unhealthy),
+/// /truth.
 class UpstreamHost
 {
 public:
--- a/src/tools/upstreamledger.cpp
+++ b/src/tools/upstreamledger.cpp
@@ -4,12 +4,12 @@
 
 namespace banyanwall::tools {
 
-void RunLedger::recordRun(std::uint64_t requestId, bool repeatable)
+bool RunLedger::recordRun(std::uint64_t requestId, bool repeatable)
 {
     const auto runs = ++m_runs[requestId];
-    if (!repeatable && runs > 1) {
-        ++m_duplicates;
-    }
+    const bool duplicate = !repeatable && runs > 1;
+    m_duplicates += duplicate ? 1 : 0;
+    return duplicate;
 }
 
 std::uint32_t RunLedger::runsOf(std::uint64_t requestId) const
--- a/src/tools/upstreamledger.h
+++ b/src/tools/upstreamledger.h
@@ -15,7 +15,8 @@
 class RunLedger
 {
 public:
-    void recordRun(std::uint64_t requestId, bool repeatable);
+    /// Returns true when the run violates P7.
+    bool recordRun(std::uint64_t requestId, bool repeatable);
 
     /// Runs of non-repeatable requests beyond the first of each.
     [[nodiscard]] std::uint64_t duplicateRuns() const { return m_duplicates; }
--- a/src/tools/upstreammodel.cpp
+++ b/src/tools/upstreammodel.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <sstream>
+#include <utility>
 
 namespace banyanwall::tools {
 
@@ -12,6 +14,13 @@
 using Event = UpstreamCounters::Event;
 using Outgoing = UpstreamModel::Outgoing;
 
+namespace {
+
+/// Bounds the memory and the log when everything goes wrong between two calls of takeIncidents().
+constexpr std::size_t LargestIncidentCount = 1000;
+
+} // namespace
+
 UpstreamModel::UpstreamModel(UpstreamSettings settings, common::Incarnation incarnation,
                              RunLedger &ledger, std::uint64_t seed)
     : m_settings(std::move(settings))
@@ -32,8 +41,8 @@
         return {};
     }
     const auto &message = common::valueOf(decoded);
-    countKind(message, moment);
-    auto answer = rejectMisdirected(message);
+    countKind(message, sender, moment);
+    auto answer = rejectMisdirected(message, sender);
     if (!answer) {
         switch (message.body_case()) {
         case UpstreamMessage::kDispatch:
@@ -46,7 +55,7 @@
             answer = report(message, moment);
             break;
         default:
-            answer = answerFlowPacket(message, moment);
+            answer = answerFlowPacket(message, sender);
         }
     }
     std::vector<Outgoing> outgoing;
@@ -56,15 +65,20 @@
     return outgoing;
 }
 
-void UpstreamModel::countKind(const UpstreamMessage &message, Moment moment)
+void UpstreamModel::countKind(const UpstreamMessage &message, common::Endpoint sender,
+                              Moment moment)
 {
     m_counters.count(message.has_probe() ? Event::Probe : Event::Packet, moment.wall);
+    const bool newFlow = message.has_open() && !m_flows.contains(message.flow_key());
     if (message.has_dispatch()) {
         m_counters.count(Event::Request, moment.wall);
     }
-    if (message.has_open() && !m_flows.contains(message.flow_key())) {
+    if (newFlow) {
         m_counters.count(Event::NewFlow, moment.wall);
     }
+    if (m_watchesNewWork && (newFlow || message.has_dispatch())) {
+        recordIncident("new_work", message, sender);
+    }
 }
 
 bool UpstreamModel::isForeignPayload(const UpstreamMessage &message) const
@@ -79,10 +93,12 @@
     return false;
 }
 
-std::optional<UpstreamMessage> UpstreamModel::rejectMisdirected(const UpstreamMessage &message)
+std::optional<UpstreamMessage> UpstreamModel::rejectMisdirected(const UpstreamMessage &message,
+                                                                common::Endpoint sender)
 {
     if (message.service() != m_serviceId.value() || isForeignPayload(message)) {
         ++m_counters.wrongService;
+        recordIncident("wrong_service", message, sender);
         return message.has_dispatch() ? refusal(message, DISPATCH_REFUSAL_WRONG_SERVICE)
                                       : reset(message, RESET_WRONG_SERVICE);
     }
@@ -97,13 +113,13 @@
 }
 
 std::optional<UpstreamMessage> UpstreamModel::answerFlowPacket(const UpstreamMessage &message,
-                                                               Moment moment)
+                                                               common::Endpoint sender)
 {
     if (message.has_open()) {
-        return openFlow(message, moment);
+        return openFlow(message, sender);
     }
     if (message.has_data()) {
-        return echo(message);
+        return echo(message, sender);
     }
     if (message.has_close()) {
         m_flows.erase(message.flow_key());
@@ -111,7 +127,8 @@
     return std::nullopt;
 }
 
-std::optional<UpstreamMessage> UpstreamModel::openFlow(const UpstreamMessage &message, Moment)
+std::optional<UpstreamMessage> UpstreamModel::openFlow(const UpstreamMessage &message,
+                                                       common::Endpoint sender)
 {
     if (!m_flows.contains(message.flow_key())) {
         if (m_draining) {
@@ -125,7 +142,7 @@
         const auto coldConnections =
                 std::size_t { m_settings.connections } * m_settings.coldSlots / m_settings.slots;
         if (isCold() && m_flows.size() > coldConnections) {
-            countColdOverload();
+            countColdOverload(message, sender);
         }
     }
     auto reply = replyTo(message);
@@ -133,11 +150,13 @@
     return reply;
 }
 
-std::optional<UpstreamMessage> UpstreamModel::echo(const UpstreamMessage &message)
+std::optional<UpstreamMessage> UpstreamModel::echo(const UpstreamMessage &message,
+                                                   common::Endpoint sender)
 {
     const auto flow = m_flows.find(message.flow_key());
     if (flow == m_flows.end()) {
         ++m_counters.unknownFlow;
+        recordIncident("unknown_flow", message, sender);
         return reset(message, RESET_UNKNOWN_FLOW);
     }
     if (flow->second.silent) {
@@ -169,6 +188,7 @@
 {
     if (m_work.size() >= m_settings.slots) {
         ++m_counters.slotsOverLimit;
+        recordIncident("slots_over_limit", message, sender);
     }
     const auto reason = refusalOf(message, moment);
     if (!reason) {
@@ -185,10 +205,12 @@
                               Moment moment)
 {
     if (isCold() && m_work.size() >= m_settings.coldSlots) {
-        countColdOverload();
+        countColdOverload(message, sender);
     }
     ++m_counters.runs;
-    m_ledger.recordRun(message.dispatch().request_id(), message.dispatch().repeatable());
+    if (m_ledger.recordRun(message.dispatch().request_id(), message.dispatch().repeatable())) {
+        recordIncident("duplicate_run", message, sender);
+    }
     const auto latency =
             isCold() ? m_settings.usualLatency * m_settings.coldFactor : m_settings.usualLatency;
     m_work.push_back({ moment.now + latency, sender, message });
@@ -245,9 +267,38 @@
     std::ranges::move(fragments, std::back_inserter(outgoing));
 }
 
-void UpstreamModel::countColdOverload()
+void UpstreamModel::countColdOverload(const UpstreamMessage &message, common::Endpoint sender)
 {
     ++(m_turnedCold ? m_counters.turnedColdOverload : m_counters.coldOverload);
+    recordIncident(m_turnedCold ? "turned_cold_overload" : "cold_overload", message, sender);
+}
+
+void UpstreamModel::recordIncident(std::string_view kind, const UpstreamMessage &message,
+                                   common::Endpoint sender)
+{
+    if (m_incidents.size() >= LargestIncidentCount) {
+        return;
+    }
+    std::ostringstream line;
+    line << "event=" << kind << " upstream=" << m_settings.name
+         << " sender=" << common::toString(sender) << " body=" << message.body_case()
+         << " service=" << message.service() << " incarnation=" << message.incarnation()
+         << " own_incarnation=" << m_incarnation.value() << " flow=" << message.flow_key();
+    if (message.has_data()) {
+        line << " payload=" << message.data().payload();
+    }
+    if (message.has_dispatch()) {
+        const auto &dispatch = message.dispatch();
+        line << " request=" << dispatch.request_id() << " attempt=" << dispatch.attempt()
+             << " deadline_unix_ms=" << dispatch.deadline_unix_ms() << " busy=" << m_work.size()
+             << " runs=" << m_ledger.runsOf(dispatch.request_id());
+    }
+    m_incidents.push_back(line.str());
+}
+
+std::vector<std::string> UpstreamModel::takeIncidents()
+{
+    return std::exchange(m_incidents, {});
 }
 
 UpstreamMessage UpstreamModel::report(const UpstreamMessage &probe, Moment moment)
--- a/src/tools/upstreammodel.h
+++ b/src/tools/upstreammodel.h
@@ -65,6 +65,10 @@
     /// Answers of the work that is finished by now.
     [[nodiscard]] std::vector<Outgoing> onTick(Moment moment);
 
+    /// Violations and unknown flows since the last call, each as one line of key=value pairs with
+    /// the packet that caused it.
+    [[nodiscard]] std::vector<std::string> takeIncidents();
+
     /// Forgets all flows and work and is cold under a new incarnation; the counters stay.
     void restart(common::Incarnation incarnation);
     /// Becomes slow without notice; the incarnation stays.
@@ -74,6 +78,9 @@
 
     void setHealth(Health health) { m_health = health; }
 
+    /// Records new work as incidents from now on, while the upstream leaves the service.
+    void watchNewWork() { m_watchesNewWork = true; }
+
     /// Existing flows get no more answers; new ones do.
     void silenceFlows();
 
@@ -111,15 +118,17 @@
 
     using Message = wire::proto::UpstreamMessage;
 
-    [[nodiscard]] std::optional<Message> answerFlowPacket(const Message &message, Moment moment);
-    [[nodiscard]] std::optional<Message> openFlow(const Message &message, Moment moment);
-    [[nodiscard]] std::optional<Message> echo(const Message &message);
+    [[nodiscard]] std::optional<Message> answerFlowPacket(const Message &message,
+                                                          common::Endpoint sender);
+    [[nodiscard]] std::optional<Message> openFlow(const Message &message, common::Endpoint sender);
+    [[nodiscard]] std::optional<Message> echo(const Message &message, common::Endpoint sender);
     [[nodiscard]] std::optional<Message> dispatch(const Message &message, common::Endpoint sender,
                                                   Moment moment);
     [[nodiscard]] std::optional<wire::proto::DispatchRefusalReason>
     refusalOf(const Message &message, Moment moment) const;
     void startWork(const Message &message, common::Endpoint sender, Moment moment);
-    [[nodiscard]] std::optional<Message> rejectMisdirected(const Message &message);
+    [[nodiscard]] std::optional<Message> rejectMisdirected(const Message &message,
+                                                           common::Endpoint sender);
     void cancel(const wire::proto::DispatchCancel &cancel);
     [[nodiscard]] Message report(const Message &probe, Moment moment);
     [[nodiscard]] Message replyTo(const Message &message) const;
@@ -127,8 +136,9 @@
     [[nodiscard]] Message refusal(const Message &message,
                                   wire::proto::DispatchRefusalReason reason) const;
     void appendAnswer(const Work &work, std::vector<Outgoing> &outgoing);
-    void countColdOverload();
-    void countKind(const Message &message, Moment moment);
+    void countColdOverload(const Message &message, common::Endpoint sender);
+    void recordIncident(std::string_view kind, const Message &message, common::Endpoint sender);
+    void countKind(const Message &message, common::Endpoint sender, Moment moment);
     /// The payload names another service, so the packet was meant for another one.
     [[nodiscard]] bool isForeignPayload(const Message &message) const;
 
@@ -146,6 +156,8 @@
     bool m_draining = false;
     Health m_health = Health::Truthful;
     ReportedState m_reported;
+    bool m_watchesNewWork = false;
+    std::vector<std::string> m_incidents;
 };
 
 } // namespace banyanwall::tools
