Take the catalogue as a whole when an instance starts

A starting instance applied contracts before their settled maps, so that new upstreams became defaults and no bucket was transitional. It now applies settled maps, zone states and contracts in this order, and takes single pushed documents only after a complete read from the store or a peer.

--- a/src/process/cataloguesync.cpp
+++ b/src/process/cataloguesync.cpp
@@ -2,8 +2,24 @@
 
 #include "process/logging.h"
 
+#include <algorithm>
+
 namespace banyanwall::process {
 
+namespace {
+
+/// Settled maps come before the rosters that they belong to, and zone states before contracts, so
+/// that no roster is built from a part of what is known.
+int rankOf(const wire::proto::Document &document)
+{
+    if (document.key().starts_with(SettledKeyPrefix)) {
+        return 0;
+    }
+    return document.key() == version::ZonesKey ? 1 : 2;
+}
+
+} // namespace
+
 CatalogueSync::CatalogueSync(DocumentApplier &applier, const MembershipDriver &membership,
                              PeerSink &peers)
     : m_applier(applier)
@@ -11,6 +27,32 @@
     , m_peers(peers)
 { }
 
+bool CatalogueSync::onStoreRead(const std::map<std::string, std::string> &values,
+                                common::TimePoint now)
+{
+    std::vector<wire::proto::Document> documents;
+    for (const auto &[key, value] : values) {
+        if (auto document = DocumentApplier::documentOf(key, value)) {
+            documents.push_back(std::move(*document));
+        } else {
+            LogEvent(LogLevel::Error, "document_unreadable").with("key", key);
+        }
+    }
+    m_complete = true;
+    return acceptAll(std::move(documents), std::nullopt, now);
+}
+
+bool CatalogueSync::acceptAll(std::vector<wire::proto::Document> documents,
+                              std::optional<common::InstanceId> from, common::TimePoint now)
+{
+    std::ranges::stable_sort(documents, {}, rankOf);
+    bool news = false;
+    for (const auto &document : documents) {
+        news = accept(document, from, now) || news;
+    }
+    return news;
+}
+
 bool CatalogueSync::onStoreValue(const std::string &key, const std::string &value,
                                  common::TimePoint now)
 {
@@ -73,6 +115,7 @@
         *message.mutable_catalogue_push()->add_documents() = document;
     }
     if (message.has_catalogue_push()) {
+        message.mutable_catalogue_push()->set_repair(true);
         m_peers.toPeer(sender, message);
     }
     if (summary.reply_wanted() && m_catalogue.isBehind(theirs)) {
@@ -83,9 +126,12 @@
 void CatalogueSync::onPush(common::InstanceId sender, const wire::proto::CataloguePush &push,
                            common::TimePoint now)
 {
-    for (const auto &document : push.documents()) {
-        accept(document, sender, now);
+    if (!push.repair() && !m_complete) {
+        // The comparison of digests brings it together with the rest.
+        return;
     }
+    m_complete = true;
+    acceptAll({ push.documents().begin(), push.documents().end() }, sender, now);
 }
 
 } // namespace banyanwall::process
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -83,7 +83,9 @@
               })
     , m_catalogue(m_applier, m_membership, m_transport)
     , m_storeClient(m_context, storeSettings(m_settings), m_incarnation.value())
-    , m_store(m_context, m_storeClient, m_guard, recordOf(m_settings, m_incarnation),
+    , m_store(
+              m_context, m_storeClient, m_guard, recordOf(m_settings, m_incarnation),
+              [this](const std::vector<StoreEntry> &entries) { onStoreRead(entries); },
               [this](const StoreEntry &entry) { onStoreEntry(entry); })
     , m_admin(m_context, m_settings.adminListen,
               { [this] { return isJoined() && !m_shutdownSince; },
@@ -264,15 +266,33 @@
     m_router.acceptHandover(batch, now);
 }
 
-void Node::onStoreEntry(const StoreEntry &entry)
+void Node::onStoreRead(const std::vector<StoreEntry> &entries)
 {
     const auto now = monotonicNow();
-    if (!entry.key.starts_with(version::InstanceKeyPrefix)) {
-        if (m_catalogue.onStoreValue(entry.key, entry.value, now)) {
-            refreshOwnedUpstreams(now);
+    std::map<std::string, std::string> values;
+    for (const auto &entry : entries) {
+        if (entry.key.starts_with(version::InstanceKeyPrefix)) {
+            onInstanceRecord(entry, now);
+        } else {
+            values[entry.key] = entry.value;
         }
-        return;
     }
+    m_catalogue.onStoreRead(values, now);
+    refreshOwnedUpstreams(now);
+}
+
+void Node::onStoreEntry(const StoreEntry &entry)
+{
+    const auto now = monotonicNow();
+    if (entry.key.starts_with(version::InstanceKeyPrefix)) {
+        onInstanceRecord(entry, now);
+    } else if (m_catalogue.onStoreValue(entry.key, entry.value, now)) {
+        refreshOwnedUpstreams(now);
+    }
+}
+
+void Node::onInstanceRecord(const StoreEntry &entry, TimePoint now)
+{
     const auto parsed = version::parseInstanceRecord(entry.value);
     if (!common::isOk(parsed)) {
         LogEvent(LogLevel::Warning, "instance_record_unreadable").with("key", entry.key);
--- a/src/process/nodecontrol.cpp
+++ b/src/process/nodecontrol.cpp
@@ -69,6 +69,9 @@
 bool Node::isJoined() const
 {
     const auto &membership = m_membership.membership();
+    if (!m_catalogue.isComplete()) {
+        return false;
+    }
     const auto now = monotonicNow();
     const bool heardPeers = !membership.livePeers().empty() && !membership.isStale(now);
     return heardPeers || (membership.livePeers().empty() && now - m_started >= JoinAlone);
--- a/src/process/storesession.cpp
+++ b/src/process/storesession.cpp
@@ -25,10 +25,11 @@
 
 StoreSession::StoreSession(boost::asio::io_context &context, StoreClient &client,
                            request::LeaseGuard &guard, version::InstanceRecord record,
-                           EntryHandler onEntry)
+                           ReadHandler onRead, EntryHandler onEntry)
     : m_client(client)
     , m_guard(guard)
     , m_record(std::move(record))
+    , m_onRead(std::move(onRead))
     , m_onEntry(std::move(onEntry))
     , m_leaseTimer(context)
     , m_readTimer(context)
@@ -70,9 +71,7 @@
         }
         const auto &range = common::valueOf(result);
         m_revision = range.revision;
-        for (const auto &entry : range.entries) {
-            m_onEntry(entry);
-        }
+        m_onRead(range.entries);
         if (m_watching) {
             openWatch();
         }
--- a/src/process/storesession.h
+++ b/src/process/storesession.h
@@ -19,6 +19,8 @@
 public:
     /// Called for each entry that is read or watched; deletions are not reported.
     using EntryHandler = std::function<void(const StoreEntry &)>;
+    /// Called with all entries of one read.
+    using ReadHandler = std::function<void(const std::vector<StoreEntry> &)>;
 
     static constexpr std::chrono::seconds LeaseSeconds { 10 };
     /// Leaves time for a second attempt before the lease ends.
@@ -28,7 +30,7 @@
     static constexpr std::chrono::milliseconds UnreachableAfter { 5'000 };
 
     StoreSession(boost::asio::io_context &context, StoreClient &client, request::LeaseGuard &guard,
-                 version::InstanceRecord record, EntryHandler onEntry);
+                 version::InstanceRecord record, ReadHandler onRead, EntryHandler onEntry);
 
     /// Reads everything once, then registers and renews the lease.
     void start();
@@ -59,6 +61,7 @@
     StoreClient &m_client;
     request::LeaseGuard &m_guard;
     version::InstanceRecord m_record;
+    ReadHandler m_onRead;
     EntryHandler m_onEntry;
     boost::asio::steady_timer m_leaseTimer;
     boost::asio::steady_timer m_readTimer;
