Reduce the memory of the router

State of a bucket is now kept only by its owners and former owners, routes take 12 bytes, and the defaults, former maps and slots are not stored a second time.

--- a/src/connection/flowdecision.cpp
+++ b/src/connection/flowdecision.cpp
@@ -37,6 +37,7 @@
     , m_now(now)
     , m_key { packet.service, version::BucketMap::bucketOf(packet.flow) }
     , m_route(context.view.route(m_key.bucket))
+    , m_runtime(m_route == nullptr ? nullptr : context.view.runtime(*m_route))
 { }
 
 RouteDecision FlowDecision::decide()
@@ -64,15 +65,17 @@
     if (!m_owners || m_route == nullptr) {
         return std::nullopt;
     }
-    const auto &runtime = *m_route->runtime;
-    const auto missingFrom = holdsOverrides(runtime, m_context.view.idleLimit(), m_now)
+    const bool complete =
+            m_runtime == nullptr || holdsOverrides(*m_runtime, m_context.view.idleLimit(), m_now);
+    const auto missingFrom = complete
             ? std::nullopt
-            : std::optional(InstanceId(runtime.source.load(std::memory_order_relaxed)));
+            : std::optional(InstanceId(m_runtime->source.load(std::memory_order_relaxed)));
     if (m_owners->first == m_context.self) {
         return missingFrom;
     }
-    const bool second = m_owners->second == m_context.self;
-    if (isAsked() || (second && runtime.owesFirst.load(std::memory_order_relaxed))) {
+    const bool owesFirst = m_owners->second == m_context.self && m_runtime != nullptr
+            && m_runtime->owesFirst.load(std::memory_order_relaxed);
+    if (isAsked() || owesFirst) {
         return missingFrom == m_packet.relayedBy ? std::nullopt : missingFrom;
     }
     if (m_owners->first != m_packet.relayedBy) {
@@ -91,7 +94,7 @@
     if (m_owners->second == m_context.self) {
         return m_packet.relayedBy == m_owners->first;
     }
-    return m_route != nullptr && m_route->runtime->formerHolder.load(std::memory_order_relaxed)
+    return m_runtime != nullptr && m_runtime->formerHolder.load(std::memory_order_relaxed)
             && isOwner(*m_owners, *m_packet.relayedBy);
 }
 
@@ -189,8 +192,10 @@
     }
     // While a newer roster is in roll-out, opens at the default are recorded as well: a late
     // duplicate must not be decided again by the newer roster.
-    const bool rollout = m_route->openInForce && m_route->openNewest != *m_route->openInForce;
-    if (!hit && *upstream == m_route->defaultUpstream && !rollout) {
+    const auto entry = m_context.view.entry(m_key.bucket);
+    const auto inForce = m_context.view.openInForce(m_key.bucket);
+    const bool rollout = inForce && *inForce != entry.openUpstream;
+    if (!hit && *upstream == entry.defaultUpstream && !rollout) {
         return useDefault();
     }
     return openAt(*upstream, hit.has_value());
@@ -228,10 +233,11 @@
 
 std::chrono::seconds FlowDecision::refreshInterval() const
 {
-    if (!mayRelay() || !m_owners || !otherOwner(*m_owners, m_context.self)) {
+    if (!mayRelay() || m_runtime == nullptr || !m_owners
+        || !otherOwner(*m_owners, m_context.self)) {
         return std::chrono::seconds::max();
     }
-    const auto sinceChange = m_now - timeOf(m_route->runtime->ownersSince.load());
+    const auto sinceChange = m_now - timeOf(m_runtime->ownersSince.load(std::memory_order_relaxed));
     return std::min(m_context.view.idleLimit() / 2,
                     std::chrono::duration_cast<std::chrono::seconds>(sinceChange));
 }
@@ -247,9 +253,9 @@
 
 RouteDecision FlowDecision::useDefault()
 {
-    const auto upstream = m_context.view.map()->entry(m_key.bucket).defaultUpstream;
-    if (m_route != nullptr) {
-        auto &last = m_route->runtime->lastDefault;
+    const auto upstream = m_context.view.entry(m_key.bucket).defaultUpstream;
+    if (m_runtime != nullptr) {
+        auto &last = m_runtime->lastDefault;
         if (m_now - timeOf(last.load(std::memory_order_relaxed)) >= DefaultUseStep) {
             last.store(m_now.time_since_epoch().count(), std::memory_order_relaxed);
         }
@@ -287,8 +293,9 @@
 std::optional<UpstreamId> FlowDecision::openUpstream() const
 {
     // Before any roster is in force here, the default is the choice that every instance follows.
-    const auto regular = m_route->openInForce.value_or(m_route->defaultUpstream);
-    for (const auto candidate : { regular, m_route->openNewest }) {
+    const auto entry = m_context.view.entry(m_key.bucket);
+    const auto regular = m_context.view.openInForce(m_key.bucket).value_or(entry.defaultUpstream);
+    for (const auto candidate : { regular, entry.openUpstream }) {
         if (takesOpens(candidate)) {
             return candidate;
         }
--- a/src/connection/flowdecision.h
+++ b/src/connection/flowdecision.h
@@ -64,6 +64,7 @@
     common::TimePoint m_now;
     BucketKey m_key;
     const BucketRoute *m_route;
+    BucketRuntime *m_runtime;
 };
 
 } // namespace banyanwall::connection
--- a/src/connection/flowrouter.cpp
+++ b/src/connection/flowrouter.cpp
@@ -79,8 +79,7 @@
     void selectOwners();
     void updateOwners();
     void restartHandovers();
-    void rebuild(ServiceTable &table);
-    void rebuildAll();
+    void rebuild(ServiceTable &table, bool membersChanged = false);
     void publish();
     ServiceTable &table(ServiceId service);
 
@@ -156,19 +155,16 @@
 {
     selectOwners();
     for (auto &[service, table] : tables) {
-        table.updateOwners(ownership, clock);
-        if (table.hasRuntimes()) {
-            rebuild(table);
-        }
+        rebuild(table, true);
     }
     publish();
 }
 
-void FlowRouter::State::rebuild(ServiceTable &table)
+void FlowRouter::State::rebuild(ServiceTable &table, bool membersChanged)
 {
     if (table.roster()) {
-        working.services[table.roster()->service.value()] =
-                table.buildView(ownership, outages, clock);
+        table.buildView(ownership, outages, membersChanged, clock);
+        working.services[table.roster()->service.value()] = table.view();
     }
 }
 
@@ -181,14 +177,6 @@
     }
 }
 
-void FlowRouter::State::rebuildAll()
-{
-    for (auto &[service, table] : tables) {
-        rebuild(table);
-    }
-    publish();
-}
-
 void FlowRouter::State::publish()
 {
     working.stale = stale;
@@ -285,7 +273,6 @@
     if (unreachable != state.outages.unreachableZones) {
         state.outages.unreachableZones = std::move(unreachable);
         state.updateOwners();
-        state.rebuildAll();
     }
 }
 
@@ -356,7 +343,7 @@
         }
     }
     const auto *route = view.route(bucket);
-    const auto owners = route != nullptr ? std::optional(route->owners)
+    const auto owners = route != nullptr ? std::optional(route->owners())
                                          : snapshot.members->bucketOwners(packet.service, bucket);
     const RoutingContext context { m_state->self, snapshot.stale, view, m_state->overrides,
                                    m_state->lateRecords };
@@ -386,7 +373,7 @@
     }
     auto &search = state.searches.try_emplace(flow.value(), Search { {}, now }).first->second;
     search.rejected.push_back(rejectedBy);
-    const auto view = state.working.services.at(service.value());
+    const auto &view = table.view();
     const auto recent = table.recentUpstreams(bucket);
     const auto next = std::ranges::find_if(recent, [&](UpstreamId candidate) {
         const auto status = view->status(candidate);
--- a/src/connection/servicetable.cpp
+++ b/src/connection/servicetable.cpp
@@ -20,9 +20,6 @@
 /// A handover that has not arrived after this time is requested, again and again.
 constexpr common::Duration HandoverRetry = std::chrono::seconds(2);
 
-/// Former maps that nextCandidate may fall back to.
-constexpr std::size_t HistoryLength = 4;
-
 void waitFor(BucketRuntime &runtime, std::optional<InstanceId> source, TimePoint now)
 {
     runtime.source = source.value_or(InstanceId(0)).value();
@@ -94,10 +91,15 @@
 void ServiceTable::rebuildMap()
 {
     const auto former = m_map;
+    if (former && m_settled && m_settled->defaults.empty()) {
+        m_settled->defaults = former->settledTable().defaults;
+    }
     m_map = std::make_shared<const BucketMap>(*m_roster, m_settled, former.get());
+    if (m_settled) {
+        m_settled->defaults = std::vector<UpstreamId>();
+    }
     if (former && former->rosterVersion() != m_map->rosterVersion()) {
-        m_history.push_front(former);
-        m_history.resize(std::min(m_history.size(), HistoryLength));
+        noteFormer(*former);
     }
     m_pending[m_map->rosterVersion()] = m_map;
     setInForce(m_inForce);
@@ -105,7 +107,7 @@
 
 bool ServiceTable::setInForce(common::RosterVersion version)
 {
-    const auto *before = inForceMap();
+    const auto before = inForceMap();
     m_inForce = std::max(m_inForce, version);
     const auto next = m_pending.upper_bound(m_inForce);
     if (next != m_pending.begin()) {
@@ -114,23 +116,35 @@
     return inForceMap() != before;
 }
 
-const BucketMap *ServiceTable::inForceMap() const
+void ServiceTable::noteFormer(const BucketMap &former)
 {
-    const auto oldest = m_pending.begin();
-    return oldest != m_pending.end() && oldest->first <= m_inForce ? oldest->second.get() : nullptr;
+    for (std::uint32_t index = 0; index < version::BucketCount; ++index) {
+        const BucketIndex bucket(index);
+        const auto entry = m_map->entry(bucket);
+        const auto upstream = former.entry(bucket).openUpstream;
+        if (!entry.transitional) {
+            m_recent.erase(bucket);
+        } else if (upstream != entry.openUpstream && upstream != entry.defaultUpstream
+                   && upstream != UpstreamId(0)) {
+            auto &recent = m_recent[bucket];
+            recent.erase(std::remove(recent.begin(), recent.end(), upstream), recent.end());
+            if (recent.size() == recent.capacity()) {
+                recent.pop_back();
+            }
+            recent.insert(recent.begin(), upstream);
+        }
+    }
 }
 
-void ServiceTable::updateOwners(const OwnershipView &ownership, TimePoint now)
+std::shared_ptr<const BucketMap> ServiceTable::inForceMap() const
 {
-    for (auto &[bucket, runtime] : m_runtimes) {
-        follow(*runtime, bucket, ownership, now);
-    }
+    const auto oldest = m_pending.begin();
+    return oldest != m_pending.end() && oldest->first <= m_inForce ? oldest->second : nullptr;
 }
 
-void ServiceTable::follow(BucketRuntime &runtime, BucketIndex bucket,
+void ServiceTable::follow(BucketRuntime &runtime, BucketIndex bucket, const BucketOwners &after,
                           const OwnershipView &ownership, TimePoint now) const
 {
-    const auto after = ownership.members->bucketOwners(m_service, bucket).value_or(BucketOwners {});
     const auto before = ownership.young
             ? ownership.others->bucketOwners(m_service, bucket).value_or(BucketOwners {})
             : runtime.owners;
@@ -215,63 +229,82 @@
     m_acknowledged = std::max(m_acknowledged, revision);
 }
 
-std::shared_ptr<const ServiceView> ServiceTable::buildView(const OwnershipView &ownership,
-                                                           const Outages &outages, TimePoint now)
+void ServiceTable::buildView(const OwnershipView &ownership, const Outages &outages,
+                             bool membersChanged, TimePoint now)
 {
     auto known = statuses(outages);
-    const auto statusIn = [&](UpstreamId upstream) {
-        const auto found = known.find(upstream);
-        return found == known.end() ? UpstreamStatus::Absent : found->second;
-    };
-    const auto *inForce = inForceMap();
+    const auto routed = routedBuckets(known);
     std::vector<BucketRoute> routes;
+    routes.reserve(routed.count());
+    ServiceView::Runtimes runtimes;
     for (std::uint32_t index = 0; index < version::BucketCount; ++index) {
-        const BucketIndex bucket(index);
-        const auto entry = m_map->entry(bucket);
-        if (!entry.transitional && !isUsable(statusIn(entry.defaultUpstream))) {
+        if (!routed[index]) {
+            continue;
+        }
+        auto [owners, runtime] = routeBucket(BucketIndex(index), ownership, membersChanged, now);
+        BucketRoute route { owners.first, owners.second.value_or(InstanceId(0)),
+                            static_cast<std::uint16_t>(index) };
+        if (runtime) {
+            route.runtime = static_cast<std::uint16_t>(runtimes.size());
+            runtimes.push_back(std::move(runtime));
+        }
+        routes.push_back(route);
+    }
+    m_view = std::make_shared<const ServiceView>(m_map, inForceMap(), std::move(routes),
+                                                 std::move(runtimes), std::move(known),
+                                                 m_roster->idleLimit);
+}
+
+std::bitset<version::BucketCount> ServiceTable::routedBuckets(const ServiceView::Statuses &statuses)
+{
+    for (std::uint32_t index = 0; index < version::BucketCount; ++index) {
+        const auto entry = m_map->entry(BucketIndex(index));
+        const auto status = statuses.find(entry.defaultUpstream);
+        if (!entry.transitional && (status == statuses.end() || !isUsable(status->second))) {
             m_diverted.set(index);
         }
-        if (!entry.transitional && !m_diverted[index]) {
-            continue;
+    }
+    return m_map->transitional() | m_diverted;
+}
+
+std::pair<BucketOwners, std::shared_ptr<BucketRuntime>>
+ServiceTable::routeBucket(BucketIndex bucket, const OwnershipView &ownership, bool membersChanged,
+                          TimePoint now)
+{
+    const auto *former = m_view ? m_view->route(bucket) : nullptr;
+    const bool computes = membersChanged || former == nullptr;
+    const auto after = computes
+            ? ownership.members->bucketOwners(m_service, bucket).value_or(BucketOwners {})
+            : former->owners();
+    auto known = m_runtimes.find(bucket);
+    if (known == m_runtimes.end()) {
+        if (!isOwner(after, ownership.self)) {
+            return { after, nullptr };
         }
-        auto runtime = addRuntime(bucket, ownership, now);
-        routes.push_back({ bucket, runtime->owners, entry.defaultUpstream,
-                           inForce == nullptr ? std::nullopt
-                                              : std::optional(inForce->entry(bucket).openUpstream),
-                           entry.openUpstream, runtime });
-    }
-    return std::make_shared<const ServiceView>(m_service, m_map, std::move(routes),
-                                               std::move(known), m_roster->idleLimit);
+        known = m_runtimes.emplace(bucket, std::make_shared<BucketRuntime>()).first;
+        known->second->lastDefault = now.time_since_epoch().count();
+        known->second->owners = former == nullptr ? after : former->owners();
+        follow(*known->second, bucket, after, ownership, now);
+    } else if (computes) {
+        follow(*known->second, bucket, after, ownership, now);
+    }
+    return { after, known->second };
 }
 
-ServiceTable::Statuses ServiceTable::statuses(const Outages &outages) const
+ServiceView::Statuses ServiceTable::statuses(const Outages &outages) const
 {
-    Statuses known;
+    ServiceView::Statuses known;
     for (const auto &upstream : m_roster->upstreams) {
         known.emplace(upstream.id, statusOf(upstream, outages));
     }
     return known;
 }
 
-std::shared_ptr<BucketRuntime>
-ServiceTable::addRuntime(BucketIndex bucket, const OwnershipView &ownership, TimePoint now)
-{
-    auto &runtime = m_runtimes[bucket];
-    if (!runtime) {
-        runtime = std::make_shared<BucketRuntime>();
-        runtime->lastDefault = now.time_since_epoch().count();
-        runtime->owners =
-                ownership.members->bucketOwners(m_service, bucket).value_or(BucketOwners {});
-        follow(*runtime, bucket, ownership, now);
-    }
-    return runtime;
-}
-
 IdleBucketReport ServiceTable::idleReport(InstanceId self, const OverrideStore &overrides,
                                           TimePoint now) const
 {
     IdleBucketReport report;
-    if (!m_map || m_pending.size() != 1 || inForceMap() == nullptr) {
+    if (!m_map || m_pending.size() != 1 || !inForceMap()) {
         return report;
     }
     report.service = m_service;
@@ -392,7 +425,7 @@
     const auto found = m_runtimes.find(request.bucket);
     if (found == m_runtimes.end()) {
         // In a settled bucket there is nothing to hand over.
-        return m_map != nullptr;
+        return m_view && m_view->route(request.bucket) == nullptr;
     }
     auto &runtime = *found->second;
     const bool held = isOwner(runtime.owners, self) || runtime.formerHolder.load();
@@ -414,17 +447,11 @@
 
 std::vector<UpstreamId> ServiceTable::recentUpstreams(BucketIndex bucket) const
 {
-    std::vector<UpstreamId> recent;
-    const auto add = [&](const BucketMap &map) {
-        const auto entry = map.entry(bucket);
-        for (const auto upstream : { entry.openUpstream, entry.defaultUpstream }) {
-            if (upstream != UpstreamId(0) && std::ranges::find(recent, upstream) == recent.end()) {
-                recent.push_back(upstream);
-            }
-        }
-    };
-    add(*m_map);
-    std::ranges::for_each(m_history, [&](const auto &former) { add(*former); });
+    const auto entry = m_map->entry(bucket);
+    std::vector<UpstreamId> recent { entry.openUpstream, entry.defaultUpstream };
+    if (const auto known = m_recent.find(bucket); known != m_recent.end()) {
+        std::ranges::copy(known->second, std::back_inserter(recent));
+    }
     return recent;
 }
 
--- a/src/connection/servicetable.h
+++ b/src/connection/servicetable.h
@@ -11,7 +11,6 @@
 #include "version/roster.h"
 
 #include <bitset>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,6 +18,9 @@
 #include <set>
 #include <vector>
 
+#include <boost/container/flat_map.hpp>
+#include <boost/container/static_vector.hpp>
+
 namespace banyanwall::connection {
 
 /// Members as the router uses them: unreachable and suspected ones are left out.
@@ -53,8 +55,6 @@
     bool applySettled(const version::SettledTable &settled);
     /// False when the maps in use stay the same.
     bool setInForce(common::RosterVersion version);
-    /// Follows a change of members.
-    void updateOwners(const OwnershipView &ownership, common::TimePoint now);
     /// Makes all buckets of self wait for the overrides of the other owner.
     void restartHandovers(common::InstanceId self, common::TimePoint now);
     /// A member restarted under its id and has lost its overrides.
@@ -64,9 +64,13 @@
     /// runtimes of buckets that it settled.
     void dropNeedless(OverrideStore &overrides);
 
-    /// Builds the table of the packet path; adds runtimes of buckets that became transitional.
-    [[nodiscard]] std::shared_ptr<const ServiceView>
-    buildView(const OwnershipView &ownership, const Outages &outages, common::TimePoint now);
+    /// Builds the table of the packet path, and follows a change of members. Without such a change
+    /// owners are taken from the former table.
+    void buildView(const OwnershipView &ownership, const Outages &outages, bool membersChanged,
+                   common::TimePoint now);
+
+    /// Null before a roster is known.
+    [[nodiscard]] const std::shared_ptr<const ServiceView> &view() const { return m_view; }
 
     [[nodiscard]] IdleBucketReport idleReport(common::InstanceId self,
                                               const OverrideStore &overrides,
@@ -86,7 +90,7 @@
                                      const OverrideRequest &request, const OverrideStore &overrides,
                                      common::TimePoint now);
 
-    /// Upstreams that the bucket's recent maps named, newest first, without duplicates.
+    /// Upstreams that the bucket's recent maps named, newest first.
     [[nodiscard]] std::vector<common::UpstreamId> recentUpstreams(common::BucketIndex bucket) const;
     [[nodiscard]] const BucketRuntime *runtime(common::BucketIndex bucket) const;
 
@@ -94,37 +98,44 @@
 
     [[nodiscard]] const std::optional<version::ServiceRoster> &roster() const { return m_roster; }
 
-    /// Some bucket is in transition, so that the view depends on the members.
-    [[nodiscard]] bool hasRuntimes() const { return !m_runtimes.empty(); }
-
     void setAcknowledged(common::SettledRevision revision);
 
 private:
-    using Statuses = boost::container::flat_map<common::UpstreamId, UpstreamStatus>;
+    using RecentUpstreams = boost::container::static_vector<common::UpstreamId, 3>;
 
     void rebuildMap();
-    [[nodiscard]] Statuses statuses(const Outages &outages) const;
-    [[nodiscard]] std::shared_ptr<BucketRuntime>
-    addRuntime(common::BucketIndex bucket, const OwnershipView &ownership, common::TimePoint now);
-    void follow(BucketRuntime &runtime, common::BucketIndex bucket, const OwnershipView &ownership,
-                common::TimePoint now) const;
+    void noteFormer(const version::BucketMap &former);
+    [[nodiscard]] ServiceView::Statuses statuses(const Outages &outages) const;
+    /// Buckets whose packets cannot go to the default at once; notes diverted ones.
+    [[nodiscard]] std::bitset<version::BucketCount>
+    routedBuckets(const ServiceView::Statuses &statuses);
+    /// Owners after the change and, if self owns or has owned the bucket, its runtime.
+    [[nodiscard]] std::pair<BucketOwners, std::shared_ptr<BucketRuntime>>
+    routeBucket(common::BucketIndex bucket, const OwnershipView &ownership, bool membersChanged,
+                common::TimePoint now);
+    void follow(BucketRuntime &runtime, common::BucketIndex bucket, const BucketOwners &after,
+                const OwnershipView &ownership, common::TimePoint now) const;
     void sendBucket(common::BucketIndex bucket, BucketRuntime &runtime,
                     const OverrideStore &overrides, std::size_t &budget,
                     std::vector<OverrideBatch> &batches) const;
-    [[nodiscard]] const version::BucketMap *inForceMap() const;
+    [[nodiscard]] std::shared_ptr<const version::BucketMap> inForceMap() const;
 
     common::ServiceId m_service;
     std::optional<version::ServiceRoster> m_roster;
+    /// Without the defaults once the map holds them.
     std::optional<version::SettledTable> m_settled;
     std::shared_ptr<const version::BucketMap> m_map;
+    std::shared_ptr<const ServiceView> m_view;
     common::RosterVersion m_inForce;
     common::SettledRevision m_acknowledged;
     /// Maps by version from the one in force to the newest.
     std::map<common::RosterVersion, std::shared_ptr<const version::BucketMap>> m_pending;
-    /// Former maps, newest first.
-    std::deque<std::shared_ptr<const version::BucketMap>> m_history;
+    /// Open upstreams of former rosters, newest first, of buckets in transition. Kept instead of
+    /// the former maps, which would take 8 KB each.
+    boost::container::flat_map<common::BucketIndex, RecentUpstreams> m_recent;
     /// Settled buckets whose default was unusable here: flows may have been opened elsewhere.
     std::bitset<version::BucketCount> m_diverted;
+    /// Of transitional buckets that this instance owns or has owned.
     std::map<common::BucketIndex, std::shared_ptr<BucketRuntime>> m_runtimes;
 };
 
--- a/src/connection/serviceview.cpp
+++ b/src/connection/serviceview.cpp
@@ -8,36 +8,39 @@
 
 using common::UpstreamId;
 
-ServiceView::ServiceView(common::ServiceId service, std::shared_ptr<const version::BucketMap> map,
-                         std::vector<BucketRoute> routes,
-                         boost::container::flat_map<UpstreamId, UpstreamStatus> statuses,
-                         std::chrono::seconds idleLimit)
-    : m_service(service)
-    , m_map(std::move(map))
-    , m_slots(version::BucketCount)
+ServiceView::ServiceView(Map newest, Map inForce, std::vector<BucketRoute> routes,
+                         Runtimes runtimes, Statuses statuses, std::chrono::seconds idleLimit)
+    : m_newest(std::move(newest))
+    , m_inForce(std::move(inForce))
     , m_routes(std::move(routes))
+    , m_runtimes(std::move(runtimes))
     , m_statuses(std::move(statuses))
     , m_idleLimit(idleLimit)
 {
-    boost::container::flat_map<UpstreamId, std::uint16_t> positions;
-    for (std::uint32_t bucket = 0; bucket < version::BucketCount; ++bucket) {
-        const auto upstream = m_map->entry(common::BucketIndex(bucket)).defaultUpstream;
-        const auto position = static_cast<std::uint16_t>(m_upstreams.size());
-        const auto [known, added] = positions.emplace(upstream, position);
-        if (added) {
-            m_upstreams.push_back(upstream);
-        }
-        m_slots[bucket] = known->second;
-    }
-    for (std::size_t index = 0; index < m_routes.size(); ++index) {
-        m_slots[m_routes[index].bucket.value()] = static_cast<std::uint16_t>(RouteFlag | index);
-    }
+    std::ranges::for_each(m_routes, [this](const auto &route) { m_routed.set(route.bucket); });
 }
 
 const BucketRoute *ServiceView::route(common::BucketIndex bucket) const
 {
-    const auto slot = m_slots[bucket.value()];
-    return (slot & RouteFlag) == 0 ? nullptr : &m_routes[slot & ~RouteFlag];
+    if (!m_routed[bucket.value()]) {
+        return nullptr;
+    }
+    return &*std::ranges::lower_bound(m_routes, bucket.value(), {}, &BucketRoute::bucket);
+}
+
+BucketRuntime *ServiceView::runtime(const BucketRoute &route) const
+{
+    return route.runtime == BucketRoute::NoRuntime ? nullptr : m_runtimes[route.runtime].get();
+}
+
+version::BucketEntry ServiceView::entry(common::BucketIndex bucket) const
+{
+    return m_newest->entry(bucket);
+}
+
+std::optional<UpstreamId> ServiceView::openInForce(common::BucketIndex bucket) const
+{
+    return m_inForce ? std::optional(m_inForce->entry(bucket).openUpstream) : std::nullopt;
 }
 
 UpstreamStatus ServiceView::status(UpstreamId upstream) const
--- a/src/connection/serviceview.h
+++ b/src/connection/serviceview.h
@@ -5,6 +5,7 @@
 #include "connection/ownerselector.h"
 #include "version/bucketmap.h"
 
+#include <bitset>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -29,59 +30,68 @@
     Absent,
 };
 
-/// Route of a bucket whose packets cannot go to the default at once.
+/// A bucket whose packets cannot go to the default at once. Kept at 12 bytes: while a zone is
+/// withdrawn, each service has hundreds of them on each instance.
 struct BucketRoute
 {
-    common::BucketIndex bucket;
-    BucketOwners owners;
-    common::UpstreamId defaultUpstream;
-    /// By the roster in force; empty while none is in force.
-    std::optional<common::UpstreamId> openInForce;
-    /// By the newest known roster.
-    common::UpstreamId openNewest;
-    std::shared_ptr<BucketRuntime> runtime;
+    static constexpr std::uint16_t NoRuntime = 0xffff;
+
+    common::InstanceId first;
+    /// Id 0 when there is no second owner.
+    common::InstanceId second;
+    std::uint16_t bucket = 0;
+    /// Position in the runtimes of the view.
+    std::uint16_t runtime = NoRuntime;
+
+    [[nodiscard]] BucketOwners owners() const
+    {
+        return { first, second == common::InstanceId(0) ? std::nullopt : std::optional(second) };
+    }
 };
 
 /// Immutable routing table of one service for the packet path.
 class ServiceView
 {
 public:
-    /// Buckets without an entry in routes go to the default of the map.
-    ServiceView(common::ServiceId service, std::shared_ptr<const version::BucketMap> map,
-                std::vector<BucketRoute> routes,
-                boost::container::flat_map<common::UpstreamId, UpstreamStatus> statuses,
-                std::chrono::seconds idleLimit);
+    using Map = std::shared_ptr<const version::BucketMap>;
+    using Statuses = boost::container::flat_map<common::UpstreamId, UpstreamStatus>;
+    using Runtimes = std::vector<std::shared_ptr<BucketRuntime>>;
+
+    /// Buckets without an entry in routes go to the default of the newest map. routes is sorted by
+    /// bucket; inForce is null while no roster is in force.
+    ServiceView(Map newest, Map inForce, std::vector<BucketRoute> routes, Runtimes runtimes,
+                Statuses statuses, std::chrono::seconds idleLimit);
 
     /// Upstream of a settled bucket; id 0 when the bucket has a route.
     [[nodiscard]] common::UpstreamId direct(common::BucketIndex bucket) const
     {
-        const auto slot = m_slots[bucket.value()];
-        return (slot & RouteFlag) == 0 ? m_upstreams[slot] : common::UpstreamId(0);
+        return m_routed[bucket.value()] ? common::UpstreamId(0) : m_newest->defaultOf(bucket);
     }
 
     /// Null for a settled bucket.
     [[nodiscard]] const BucketRoute *route(common::BucketIndex bucket) const;
+    /// State of a bucket that this instance owns or has owned; null for other buckets.
+    [[nodiscard]] BucketRuntime *runtime(const BucketRoute &route) const;
+    /// Default and open upstream by the newest roster.
+    [[nodiscard]] version::BucketEntry entry(common::BucketIndex bucket) const;
+    /// By the roster in force; empty while none is in force.
+    [[nodiscard]] std::optional<common::UpstreamId> openInForce(common::BucketIndex bucket) const;
     [[nodiscard]] UpstreamStatus status(common::UpstreamId upstream) const;
     /// Active upstream for a flow whose regular upstream cannot be used; the same on all instances
     /// with equal knowledge.
     [[nodiscard]] std::optional<common::UpstreamId> alternative(common::FlowKey flow) const;
 
-    [[nodiscard]] common::ServiceId service() const { return m_service; }
-
     [[nodiscard]] std::chrono::seconds idleLimit() const { return m_idleLimit; }
 
-    [[nodiscard]] const std::shared_ptr<const version::BucketMap> &map() const { return m_map; }
+    [[nodiscard]] bool hasRoutes() const { return !m_routes.empty(); }
 
 private:
-    static constexpr std::uint16_t RouteFlag = 0x8000;
-
-    common::ServiceId m_service;
-    std::shared_ptr<const version::BucketMap> m_map;
-    /// Position in m_upstreams, or RouteFlag and a position in m_routes.
-    std::vector<std::uint16_t> m_slots;
-    std::vector<common::UpstreamId> m_upstreams;
+    Map m_newest;
+    Map m_inForce;
+    std::bitset<version::BucketCount> m_routed;
     std::vector<BucketRoute> m_routes;
-    boost::container::flat_map<common::UpstreamId, UpstreamStatus> m_statuses;
+    Runtimes m_runtimes;
+    Statuses m_statuses;
     std::chrono::seconds m_idleLimit;
 };
 
--- a/src/version/bucketmap.h
+++ b/src/version/bucketmap.h
@@ -50,6 +50,12 @@
     [[nodiscard]] static common::BucketIndex bucketOf(common::FlowKey flow);
     [[nodiscard]] BucketEntry entry(common::BucketIndex bucket) const;
 
+    /// Default of entry(); inline for the packet path.
+    [[nodiscard]] common::UpstreamId defaultOf(common::BucketIndex bucket) const
+    {
+        return m_upstreams[m_defaults[bucket.value()]];
+    }
+
     [[nodiscard]] common::RosterVersion rosterVersion() const { return m_rosterVersion; }
 
     [[nodiscard]] common::SettledRevision settledRevision() const { return m_settledRevision; }
