--- a/src/benchmarks/fleetreplay.cpp
+++ b/src/benchmarks/fleetreplay.cpp
@@ -88,6 +88,10 @@
     instance.router->applySettled(Service, m_settled, m_now);
     instance.router->applyRoster(m_roster, m_now);
     instance.viewNumber = ++m_viewNumber;
+    instance.lost = m_lost;
+    for (const auto upstream : m_lost) {
+        instance.router->setUpstreamLost(upstream, true);
+    }
 }
 
 TimePoint FleetReplay::spread(const Update &update, Duration longest)
@@ -221,6 +225,7 @@
 
 void FleetReplay::loseUpstream(common::UpstreamId upstream)
 {
+    m_lost.insert(upstream);
     spread(
             [upstream](ReplayInstance &instance) {
                 instance.lost.insert(upstream);
--- a/src/benchmarks/fleetreplay.h
+++ b/src/benchmarks/fleetreplay.h
@@ -93,6 +93,7 @@
     std::shared_ptr<const connection::OwnerSelector> m_selector;
     std::vector<common::InstanceId> m_suspected;
     std::vector<std::uint32_t> m_sprayed;
+    std::set<common::UpstreamId> m_lost;
     version::ServiceRoster m_roster;
     version::SettledTable m_settled;
     std::uint64_t m_viewNumber = 0;
--- a/src/benchmarks/flowbenchmark.cpp
+++ b/src/benchmarks/flowbenchmark.cpp
@@ -15,6 +15,7 @@
 #include <string>
 #include <thread>
 
+#include <malloc.h>
 #include <tclap/CmdLine.h>
 
 using namespace banyanwall;
@@ -38,6 +39,9 @@
 constexpr std::uint64_t BalanceRuns = 20;
 /// Services over which moved buckets are averaged.
 constexpr std::uint32_t MoveServices = 50;
+/// At the target, 6,000 upstreams serve 1,300 addresses and 520 instances run.
+constexpr std::uint32_t UpstreamsOfSmallService = 5;
+constexpr std::uint32_t TargetInstances = 520;
 /// Records of 12 bytes in 1 KB.
 constexpr std::size_t RecordsPerMessage = 85;
 const TimePoint Start { std::chrono::seconds(1'000) };
@@ -325,8 +329,57 @@
                   Milliseconds(std::chrono::steady_clock::now() - begin).count());
 }
 
+version::ServiceRoster smallRoster(std::uint32_t service, std::uint64_t version,
+                                   version::UpstreamState firstState)
+{
+    auto roster = workloadRoster(version, UpstreamsOfSmallService, 0);
+    roster.service = common::ServiceId(service);
+    roster.upstreams.front().state = firstState;
+    return roster;
+}
+
+std::size_t allocatedBytes()
+{
+    return mallinfo2().uordblks;
+}
+
+/// Memory of a router with many small services, all settled and after the withdrawal of the zone of
+/// one upstream in each, and the time to follow a change of members in the second state.
+void runServices(std::uint32_t services)
+{
+    const auto atStart = allocatedBytes();
+    FlowRouter router(InstanceId(1), common::ZoneId(2));
+    router.setMembers(membersUpTo(TargetInstances), Start);
+    for (std::uint32_t service = 1; service <= services; ++service) {
+        const auto roster = smallRoster(service, 1, version::UpstreamState::Active);
+        const version::BucketMap map(roster, std::nullopt, nullptr);
+        router.applySettled(roster.service,
+                            *version::planSettled({ map, roster, {}, {}, {} }, std::nullopt),
+                            Start);
+        router.applyRoster(roster, Start);
+        router.setInForce(roster.service, roster.version);
+    }
+    printCapacity("router_bytes_settled", services,
+                  static_cast<double>(allocatedBytes() - atStart));
+    for (std::uint32_t service = 1; service <= services; ++service) {
+        const auto roster = smallRoster(service, 2, version::UpstreamState::Withdrawn);
+        router.applyRoster(roster, Start + std::chrono::seconds(20));
+        router.setInForce(roster.service, roster.version);
+    }
+    printCapacity("router_bytes_zone_withdrawn", services,
+                  static_cast<double>(allocatedBytes() - atStart));
+    const auto begin = std::chrono::steady_clock::now();
+    router.setMembers(membersUpTo(TargetInstances + 1), Start + std::chrono::seconds(30));
+    const std::chrono::duration<double, std::milli> elapsed =
+            std::chrono::steady_clock::now() - begin;
+    printCapacity("member_change_zone_withdrawn_ms", services, elapsed.count());
+}
+
 void runCapacity()
 {
+    for (const std::uint32_t services : { 4, 130, 1'300 }) {
+        runServices(services);
+    }
     for (const std::size_t size : { 1'000, 10'000, 100'000, 1'000'000 }) {
         runOverrides(size);
     }
