Keep NotRun true for repeatable requests that a successor may run

Cause: a successor runs repeatable requests at once, without waiting for the lease of its predecessor.

Change: a pause of more than 2 s, which the coordinator notices itself, noteIsolation() and setKeysLost() mark the repeatable requests in progress; they end as MayHaveRun instead of NotRun.

While views differ for some hundred milliseconds after a join, the former coordinator cannot know of the new one; the case remains for requests whose deadline falls into this time.

--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -13,6 +13,7 @@
 
 using common::Duration;
 using common::Reason;
+using common::TimePoint;
 using common::Verdict;
 using common::WallTime;
 using connection::SlotKey;
@@ -26,6 +27,9 @@
 // A request from further in the future would need a marker for too long.
 constexpr Duration MaxIssuedAhead = std::chrono::seconds(10);
 
+// A process that saw no event, not even a tick, for this long was paused; its peers declare it dead
+// after five seconds without a sign of life.
+constexpr Duration LongestSilence = std::chrono::seconds(2);
 // After a lapse of the permit, other instances may act on a view without this one for as long as it
 // takes them to become stale, with reserve.
 constexpr Duration RejoinTime = milliseconds(2'500);
@@ -45,9 +49,14 @@
         , runner(chooser, table, admission, seed)
     { }
 
+    /// Notices a pause of the process and the end or return of the permit; called with each event.
+    void observe(Moment moment);
     void observePermit(WallTime wall);
+    void noteIsolation(WallTime wall);
+    void markForeign(const std::function<bool(common::RequestKey)> &selects);
     /// Why another instance may have dispatched an unknown request; empty when none can have.
     [[nodiscard]] std::optional<Reason> foreignReason(const RequestArrival &arrival) const;
+    [[nodiscard]] bool isForeign(const RequestArrival &arrival) const;
     [[nodiscard]] WallTime effectiveDeadline(const RequestArrival &arrival) const;
     [[nodiscard]] std::optional<Reason> reasonToRefuse(const RequestArrival &arrival,
                                                        Moment moment);
@@ -64,6 +73,9 @@
     RequestRunner runner;
     TakeoverFence fence;
     DispatchPermit permit;
+    /// Repeatable requests issued before may be run by a successor.
+    std::optional<WallTime> isolatedUntil;
+    std::optional<TimePoint> lastEvent;
     /// End of the permit that was valid at the last event.
     std::optional<WallTime> permitEnd;
     /// Set while there is no valid permit although there was one.
@@ -71,6 +83,33 @@
     bool shuttingDown = false;
 };
 
+void Coordinator::State::observe(Moment moment)
+{
+    if (lastEvent && moment.now - *lastEvent > LongestSilence) {
+        noteIsolation(moment.wall);
+    }
+    lastEvent = moment.now;
+    observePermit(moment.wall);
+}
+
+void Coordinator::State::noteIsolation(WallTime wall)
+{
+    if (!isolatedUntil || wall >= *isolatedUntil) {
+        markForeign([](common::RequestKey) { return true; });
+    }
+    isolatedUntil = wall + std::chrono::duration_cast<milliseconds>(RejoinTime);
+}
+
+void Coordinator::State::markForeign(const std::function<bool(common::RequestKey)> &selects)
+{
+    for (const auto &[key, record] : table.records()) {
+        // A successor leaves non-repeatable requests alone.
+        if (!record.verdict && record.progress->repeatable && selects(key)) {
+            record.progress->foreign = true;
+        }
+    }
+}
+
 void Coordinator::State::observePermit(WallTime wall)
 {
     const bool valid = permit.fenced && wall < permit.latestDeadline;
@@ -101,6 +140,13 @@
     return std::nullopt;
 }
 
+bool Coordinator::State::isForeign(const RequestArrival &arrival) const
+{
+    const bool isolated =
+            isolatedUntil && arrival.issued < *isolatedUntil + TakeoverFence::CallerClockBound;
+    return foreignReason(arrival) || (arrival.repeatable && isolated);
+}
+
 WallTime Coordinator::State::effectiveDeadline(const RequestArrival &arrival) const
 {
     const auto *roster = chooser.roster(arrival.service);
@@ -197,6 +243,16 @@
     m_state->fence.add(takeover, fenceEnd, std::move(gained));
 }
 
+void Coordinator::setKeysLost(const std::function<bool(common::RequestKey)> &lost)
+{
+    m_state->markForeign(lost);
+}
+
+void Coordinator::noteIsolation(WallTime now)
+{
+    m_state->noteIsolation(now);
+}
+
 void Coordinator::setPermit(const DispatchPermit &permit)
 {
     m_state->permit = permit;
@@ -225,29 +281,30 @@
 
 RequestActions Coordinator::onRequest(RequestArrival arrival, Moment moment)
 {
+    m_state->observe(moment);
     if (auto *known = m_state->table.find(arrival.key); known != nullptr) {
         return m_state->repeatStored(*known, arrival);
     }
     if (arrival.issued > moment.wall + MaxIssuedAhead) {
         return { CountDrop { Reason::MalformedPacket } };
     }
-    m_state->observePermit(moment.wall);
-    const auto foreign = m_state->foreignReason(arrival);
-    if (foreign && !arrival.repeatable) {
+    if (const auto foreign = m_state->foreignReason(arrival); foreign && !arrival.repeatable) {
         return refusal(arrival, Verdict::MayHaveRun, *foreign);
     }
+    const bool foreign = m_state->isForeign(arrival);
     const auto deadline = m_state->effectiveDeadline(arrival);
     if (moment.wall >= deadline) {
         // Past ForgetAfter its marker may be gone, so that it may have run here.
-        const bool mayHaveRun = foreign.has_value() || moment.wall >= deadline + ForgetAfter;
+        const bool mayHaveRun = foreign || moment.wall >= deadline + ForgetAfter;
         return refusal(arrival, mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun,
                        Reason::DeadlineExceeded);
     }
-    return m_state->accept(std::move(arrival), deadline, foreign.has_value(), moment);
+    return m_state->accept(std::move(arrival), deadline, foreign, moment);
 }
 
 RequestActions Coordinator::onCancel(common::RequestKey key, Moment moment)
 {
+    m_state->observe(moment);
     auto *record = m_state->table.find(key);
     if (record == nullptr || record->verdict) {
         return { CountDrop { Reason::Cancelled } };
@@ -259,6 +316,7 @@
 
 RequestActions Coordinator::onSlotAnswer(SlotKey slot, bool granted, Moment moment)
 {
+    m_state->observe(moment);
     auto *record = m_state->table.find(slot.request);
     if (record == nullptr || !record->progress) {
         return { CountDrop { Reason::StaleAttempt } };
@@ -270,6 +328,7 @@
 
 RequestActions Coordinator::onAnswer(AnswerFragment fragment, Moment moment)
 {
+    m_state->observe(moment);
     auto *record = m_state->table.find(fragment.key);
     auto *attempt = m_state->findAttempt(record, fragment.attempt);
     if (attempt == nullptr) {
@@ -283,6 +342,7 @@
 
 RequestActions Coordinator::onRefusal(SlotKey slot, DispatchRefusal refusal, Moment moment)
 {
+    m_state->observe(moment);
     auto *record = m_state->table.find(slot.request);
     auto *attempt = m_state->findAttempt(record, slot.attempt);
     if (attempt == nullptr) {
@@ -295,6 +355,7 @@
 
 RequestActions Coordinator::onOwnerChange(common::UpstreamId upstream, Moment moment)
 {
+    m_state->observe(moment);
     std::vector<common::RequestKey> asking;
     for (const auto &[key, record] : m_state->table.records()) {
         if (record.progress && record.progress->ask && record.progress->ask->upstream == upstream) {
@@ -311,7 +372,7 @@
 RequestActions Coordinator::onTick(Moment moment)
 {
     // Twice the longest request covers callers whose clock is behind.
-    m_state->observePermit(moment.wall);
+    m_state->observe(moment);
     m_state->fence.forget(moment.wall - 2 * UnknownLongestRequest);
     RequestActions actions;
     while (const auto key = m_state->table.takeDue(moment.now)) {
--- a/src/request/coordinator.h
+++ b/src/request/coordinator.h
@@ -164,6 +164,12 @@
     /// The same for the keys that gained selects; the other keys keep their coordinator.
     void setTakeover(common::WallTime takeover, common::WallTime fenceEnd,
                      std::function<bool(common::RequestKey)> gained);
+    /// Members changed: keys that lost selects have another coordinator now, which may run the
+    /// repeatable ones among the requests in progress here. They never get NotRun any more.
+    void setKeysLost(const std::function<bool(common::RequestKey)> &lost);
+    /// This instance is out of contact with its peers, so that a successor may run the repeatable
+    /// requests it has. The coordinator notices a pause of the process by itself.
+    void noteIsolation(common::WallTime now);
     /// A permit that lapsed and came back acts like a takeover of all keys, because a successor may
     /// have dispatched requests in between. Without a valid permit an unknown request gets NotRun
     /// only when it was issued before the former permit ended.
--- a/src/tests/takeovertest.cpp
+++ b/src/tests/takeovertest.cpp
@@ -99,6 +99,33 @@
                  Reason::ShuttingDown);
 }
 
+// Guards against NotRun for a repeatable request that a successor runs meanwhile: after a pause of
+// this process, without contact to the peers, and after the key moved to another instance.
+TEST(Takeover, repeatableRequestThatASuccessorMayRunIsNeverNotRun)
+{
+    only<AskSlot>(coordinator.onRequest(arrival(1, true), moment));
+    only<AskSlot>(coordinator.onRequest(arrival(2, true), moment));
+    only<AskSlot>(coordinator.onRequest(arrival(3, false), moment));
+    coordinator.setKeysLost([](RequestKey key) { return key.value() != 1; });
+    checkRefused(coordinator.onCancel(RequestKey(2), moment), Verdict::MayHaveRun,
+                 Reason::Cancelled);
+    checkRefused(coordinator.onCancel(RequestKey(3), moment), Verdict::NotRun, Reason::Cancelled);
+    pass(2'100ms);
+    checkRefused(coordinator.onCancel(RequestKey(1), moment), Verdict::MayHaveRun,
+                 Reason::Cancelled);
+    only<AskSlot>(coordinator.onRequest(arrival(4, true), moment));
+    checkRefused(coordinator.onCancel(RequestKey(4), moment), Verdict::MayHaveRun,
+                 Reason::Cancelled);
+    pass(1'600ms);
+    coordinator.noteIsolation(moment.wall);
+    CHECK_TRUE(all<AskSlot>(coordinator.onTick(moment)).empty());
+    pass(1'500ms);
+    CHECK_TRUE(coordinator.onTick(moment).empty());
+    pass(1'600ms);
+    only<AskSlot>(coordinator.onRequest(arrival(5, true), moment));
+    checkRefused(coordinator.onCancel(RequestKey(5), moment), Verdict::NotRun, Reason::Cancelled);
+}
+
 // Guards against a planned stop that cuts requests in progress (P9).
 TEST(Takeover, shutdownFinishesWhatIsInProgress)
 {
