Add a benchmark of the request path under failures

Cause: the promises on runs, verdicts, answers and slots need figures under combined failures, against a router without them.

Instances are killed and paused, also beyond their lease, packets duplicated and lost, the store goes down and upstreams turn cold while their health endpoint says that all is well.

Slow start still overloads a cold upstream for a moment each time its window grows too early.

--- /dev/null
+++ b/src/benchmarks/requestfleet.cpp
@@ -0,0 +1,228 @@
+#include "benchmarks/requestfleet.h"
+
+#include "common/result.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanwall::benchmarks {
+
+using common::Duration;
+using common::InstanceId;
+using common::UpstreamId;
+using connection::SlotOutcome;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr LinkQuality PeerLink { milliseconds(1), milliseconds(2), 20, 1'000 };
+constexpr LinkQuality UpstreamLink { milliseconds(1), milliseconds(2), 100, 10'000 };
+constexpr LinkQuality CallerLink { milliseconds(3), milliseconds(5), 200, 30'000 };
+constexpr int MaxHops = 3;
+
+} // namespace
+
+CoordinatorFleet::CoordinatorFleet(EventQueue &events, SimulatedNetwork &network,
+                                   RequestLedger &ledger, std::vector<UpstreamFake> &upstreams,
+                                   bool slowStart, std::uint64_t seed)
+    : m_events(events)
+    , m_network(network)
+    , m_ledger(ledger)
+    , m_upstreams(upstreams)
+    , m_slowStart(slowStart)
+    , m_nextSeed(seed)
+    , m_instances(Instances)
+{
+    for (std::size_t index = 0; index < Instances; ++index) {
+        m_instances[index].id = InstanceId(static_cast<std::uint32_t>(index + 1));
+        m_instances[index].leaseEnd = events.moment().wall + seconds(10);
+    }
+    pushView(std::nullopt);
+    for (std::size_t index = 0; index < Instances; ++index) {
+        startInstance(index);
+        m_instances[index].guard.onRenewed(events.now());
+        tick(index);
+        acknowledge(index);
+        scheduleRenewal(index);
+        for (std::size_t upstream = 0; upstream < upstreams.size(); ++upstream) {
+            if (ownerOf(index, upstreamId(upstream)) == index) {
+                addOwner(index, upstreamId(upstream));
+            }
+        }
+    }
+}
+
+common::ZoneId CoordinatorFleet::zoneOf(std::size_t index)
+{
+    return common::ZoneId(static_cast<std::uint32_t>(index % Zones));
+}
+
+UpstreamId CoordinatorFleet::upstreamId(std::size_t index)
+{
+    return UpstreamId(static_cast<std::uint32_t>(index + 1));
+}
+
+void CoordinatorFleet::receive(std::size_t instance, const request::RequestArrival &arrival)
+{
+    arrive(instance, [this, instance, arrival] { handleRequest(instance, arrival, 0); });
+}
+
+void CoordinatorFleet::cancel(std::size_t instance, common::RequestKey key)
+{
+    arrive(instance, [this, instance, key] { handleCancel(instance, key, 0); });
+}
+
+bool CoordinatorFleet::isListed(std::size_t instance) const
+{
+    return m_instances[instance].listed;
+}
+
+void CoordinatorFleet::toInstance(std::size_t instance, const LinkQuality &link,
+                                  const EventQueue::Event &event)
+{
+    m_network.send(link, [this, instance, event] { arrive(instance, event); });
+}
+
+void CoordinatorFleet::arrive(std::size_t instance, const EventQueue::Event &event)
+{
+    switch (m_instances[instance].condition) {
+    case Condition::Running:
+        event();
+        break;
+    case Condition::Paused:
+        m_instances[instance].waiting.push_back(event);
+        break;
+    case Condition::Down:
+        break;
+    }
+}
+
+void CoordinatorFleet::handleRequest(std::size_t instance, const request::RequestArrival &arrival,
+                                     int hops)
+{
+    auto &self = m_instances[instance];
+    const auto coordinator = viewOf(instance).coordinator(arrival.key);
+    if (self.coordinator->knows(arrival.key) || coordinator == self.id) {
+        perform(instance, self.coordinator->onRequest(arrival, m_events.moment()));
+    } else if (hops < MaxHops && coordinator) {
+        const auto next = coordinator->value() - 1;
+        toInstance(next, PeerLink,
+                   [this, next, arrival, hops] { handleRequest(next, arrival, hops + 1); });
+    }
+}
+
+void CoordinatorFleet::handleCancel(std::size_t instance, common::RequestKey key, int hops)
+{
+    auto &self = m_instances[instance];
+    const auto coordinator = viewOf(instance).coordinator(key);
+    if (self.coordinator->knows(key) || coordinator == self.id) {
+        perform(instance, self.coordinator->onCancel(key, m_events.moment()));
+    } else if (hops < MaxHops && coordinator) {
+        const auto next = coordinator->value() - 1;
+        toInstance(next, PeerLink, [this, next, key, hops] { handleCancel(next, key, hops + 1); });
+    }
+}
+
+void CoordinatorFleet::perform(std::size_t instance, const request::RequestActions &actions)
+{
+    const auto handle = common::Overloaded {
+        [](const request::CancelDispatch &) { /* This upstream finishes what it has started. */ },
+        [this](const request::CountRetry &) { ++m_retries; },
+        [this](const request::CountDrop &) { ++m_drops; },
+        [this, instance](const auto &action) { perform(instance, action); },
+    };
+    for (const auto &action : actions) {
+        std::visit(handle, action);
+    }
+}
+
+void CoordinatorFleet::perform(std::size_t instance, const request::AskSlot &ask)
+{
+    const auto owner = ownerOf(instance, ask.upstream);
+    if (!owner) {
+        return;
+    }
+    toInstance(*owner, PeerLink, [this, instance, ask, owner = *owner] {
+        const auto role = m_instances[owner].owners.find(ask.upstream);
+        if (role == m_instances[owner].owners.end()) {
+            return;
+        }
+        const bool granted = role->second.acquire(ask.slot, ask.hold, m_events.now());
+        toInstance(instance, PeerLink, [this, instance, slot = ask.slot, granted] {
+            perform(instance,
+                    m_instances[instance].coordinator->onSlotAnswer(slot, granted,
+                                                                    m_events.moment()));
+        });
+    });
+}
+
+void CoordinatorFleet::perform(std::size_t instance, const request::ReleaseSlot &release)
+{
+    const auto owner = ownerOf(instance, release.upstream);
+    if (!owner) {
+        return;
+    }
+    toInstance(*owner, PeerLink, [this, release, owner = *owner] {
+        const auto role = m_instances[owner].owners.find(release.upstream);
+        if (role == m_instances[owner].owners.end()) {
+            return;
+        }
+        const auto outcome = m_slowStart ? release.outcome : SlotOutcome::Answered;
+        const auto latency = m_slowStart ? release.latency : UpstreamFake::UsualLatency;
+        role->second.release(release.slot, outcome, latency, m_events.now());
+        // The health endpoint of this upstream always says that all is well.
+        role->second.observeHealth(true, 0, m_events.now());
+    });
+}
+
+void CoordinatorFleet::perform(std::size_t instance, const request::DispatchRequest &dispatch)
+{
+    UpstreamFake::Dispatch sent { dispatch.slot, dispatch.requestId, dispatch.deadline, {}, {} };
+    sent.refuse = [this, instance, slot = dispatch.slot](request::DispatchRefusal refusal) {
+        toInstance(instance, UpstreamLink, [this, instance, slot, refusal] {
+            perform(instance,
+                    m_instances[instance].coordinator->onRefusal(slot, refusal, m_events.moment()));
+        });
+    };
+    sent.answer = [this, instance](const request::AnswerFragment &fragment) {
+        toInstance(instance, UpstreamLink, [this, instance, fragment] {
+            perform(instance,
+                    m_instances[instance].coordinator->onAnswer(fragment, m_events.moment()));
+        });
+    };
+    auto &upstream = m_upstreams[dispatch.upstream.value() - 1];
+    m_network.send(UpstreamLink, [&upstream, sent] { upstream.onDispatch(sent); });
+}
+
+void CoordinatorFleet::perform(std::size_t /*instance*/, const request::DeliverAnswer &answer)
+{
+    m_network.send(CallerLink,
+                   [this, answer] { m_ledger.onAnswer(answer.requestId, answer.payload); });
+}
+
+void CoordinatorFleet::perform(std::size_t /*instance*/, const request::RefuseRequest &refusal)
+{
+    ++m_refusals[refusal.reason];
+    m_network.send(CallerLink,
+                   [this, refusal] { m_ledger.onVerdict(refusal.requestId, refusal.verdict); });
+}
+
+const connection::OwnerSelector &CoordinatorFleet::viewOf(std::size_t instance) const
+{
+    return *m_views[m_instances[instance].view].members;
+}
+
+std::optional<std::size_t> CoordinatorFleet::ownerOf(std::size_t instance,
+                                                     UpstreamId upstream) const
+{
+    const auto owner = viewOf(instance).upstreamOwner(upstream, zoneOf(upstream.value() - 1));
+    return owner ? std::optional<std::size_t>(owner->value() - 1) : std::nullopt;
+}
+
+std::size_t CoordinatorFleet::memberCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_instances, &Instance::member));
+}
+
+} // namespace banyanwall::benchmarks
--- /dev/null
+++ b/src/benchmarks/requestupstreamfake.cpp
@@ -0,0 +1,100 @@
+#include "benchmarks/requestupstreamfake.h"
+
+#include "common/hash.h"
+
+#include <utility>
+
+namespace banyanwall::benchmarks {
+
+using common::Duration;
+
+UpstreamFake::UpstreamFake(EventQueue &events, SimulatedNetwork &network, RequestLedger &ledger)
+    : m_events(events)
+    , m_network(network)
+    , m_ledger(ledger)
+{ }
+
+void UpstreamFake::onDispatch(const Dispatch &dispatch)
+{
+    const auto [seen, isNew] = m_seen.emplace(dispatch.slot, false);
+    if (!isNew) {
+        if (seen->second) {
+            dispatch.refuse(request::DispatchRefusal::Shed);
+        }
+        return;
+    }
+    if (m_events.moment().wall >= dispatch.deadline) {
+        seen->second = true;
+        dispatch.refuse(request::DispatchRefusal::Deadline);
+        return;
+    }
+    if (m_running.size() >= Slots) {
+        ++m_overLimit;
+        seen->second = true;
+        dispatch.refuse(request::DispatchRefusal::Shed);
+        return;
+    }
+    start(dispatch);
+}
+
+void UpstreamFake::turnCold()
+{
+    m_handles = 1;
+    m_work = 0;
+    if (m_running.size() > m_handles) {
+        slowDown();
+    }
+}
+
+void UpstreamFake::start(const Dispatch &dispatch)
+{
+    m_ledger.onRun(dispatch.requestId);
+    const auto work = m_network.random(UsualLatency * 7 / 10, UsualLatency * 13 / 10);
+    const auto job = m_nextJob++;
+    m_running.emplace(job, Job { dispatch, work, m_events.now() + work });
+    m_events.after(work, [this, job] { finish(job); });
+    if (m_running.size() > m_handles) {
+        ++m_coldOverload;
+        slowDown();
+    }
+}
+
+void UpstreamFake::slowDown()
+{
+    for (auto &[job, running] : m_running) {
+        if (!std::exchange(running.slowed, true)) {
+            running.end += running.work * (SlowFactor - 1);
+            m_events.at(running.end, [this, job = job] { finish(job); });
+        }
+    }
+}
+
+void UpstreamFake::finish(std::uint64_t job)
+{
+    const auto running = m_running.find(job);
+    if (running == m_running.end() || m_events.now() < running->second.end) {
+        return;
+    }
+    const auto dispatch = running->second.dispatch;
+    m_running.erase(running);
+    if (m_handles < Slots && ++m_work >= WorkPerStep) {
+        ++m_handles;
+        m_work = 0;
+    }
+    sendAnswer(dispatch);
+}
+
+void UpstreamFake::sendAnswer(const Dispatch &dispatch)
+{
+    const auto run = common::hashPair(dispatch.slot.request.value(), m_nextJob) % 10'000'000;
+    const auto answer = RequestLedger::answerOf(dispatch.requestId, run);
+    const auto count = static_cast<std::uint32_t>(1 + answer.size() / 500);
+    const auto part = answer.size() / count;
+    for (std::uint32_t index = 0; index < count; ++index) {
+        const auto length = index + 1 == count ? std::string::npos : part;
+        dispatch.answer({ dispatch.slot.request, dispatch.slot.attempt, index, count,
+                          common::hashBytes(answer), answer.substr(index * part, length) });
+    }
+}
+
+} // namespace banyanwall::benchmarks
