--- a/src/connection/servicetable.cpp
+++ b/src/connection/servicetable.cpp
@@ -17,13 +17,14 @@
 
 namespace {
 
-/// Former maps that nextCandidate may fall back to.
-constexpr std::size_t HistoryLength = 4;
+/// A handover that has not arrived after this time is requested, again and again.
+constexpr common::Duration HandoverRetry = std::chrono::seconds(2);
 
 void waitFor(BucketRuntime &runtime, std::optional<InstanceId> source, TimePoint now)
 {
     runtime.source = source.value_or(InstanceId(0)).value();
     runtime.sourceSince = now.time_since_epoch().count();
+    runtime.requested = now;
 }
 
 UpstreamStatus statusOf(const version::RosterUpstream &upstream, const Outages &outages)
@@ -46,6 +47,18 @@
     return status == UpstreamStatus::Active || status == UpstreamStatus::Draining;
 }
 
+/// Time from which on no packet went by default.
+TimePoint watchedSince(const BucketRuntime &runtime, std::chrono::seconds idleLimit)
+{
+    const TimePoint lastDefault { common::Duration(runtime.lastDefault.load()) };
+    if (runtime.source.load() == 0) {
+        return lastDefault;
+    }
+    // While overrides were awaited, the other owner decided.
+    const TimePoint waiting { common::Duration(runtime.sourceSince.load()) };
+    return std::max(lastDefault, waiting + 2 * idleLimit);
+}
+
 } // namespace
 
 ServiceTable::ServiceTable(common::ServiceId service)
@@ -78,10 +91,15 @@
 void ServiceTable::rebuildMap()
 {
     const auto former = m_map;
+    if (former && m_settled && m_settled->defaults.empty()) {
+        m_settled->defaults = former->settledTable().defaults;
+    }
     m_map = std::make_shared<const BucketMap>(*m_roster, m_settled, former.get());
+    if (m_settled) {
+        m_settled->defaults = std::vector<UpstreamId>();
+    }
     if (former && former->rosterVersion() != m_map->rosterVersion()) {
-        m_history.push_front(former);
-        m_history.resize(std::min(m_history.size(), HistoryLength));
+        noteFormer(*former);
     }
     m_pending[m_map->rosterVersion()] = m_map;
     setInForce(m_inForce);
@@ -89,7 +107,7 @@
 
 bool ServiceTable::setInForce(common::RosterVersion version)
 {
-    const auto *before = inForceMap();
+    const auto before = inForceMap();
     m_inForce = std::max(m_inForce, version);
     const auto next = m_pending.upper_bound(m_inForce);
     if (next != m_pending.begin()) {
@@ -98,23 +116,35 @@
     return inForceMap() != before;
 }
 
-const BucketMap *ServiceTable::inForceMap() const
+void ServiceTable::noteFormer(const BucketMap &former)
 {
-    const auto oldest = m_pending.begin();
-    return oldest != m_pending.end() && oldest->first <= m_inForce ? oldest->second.get() : nullptr;
+    for (std::uint32_t index = 0; index < version::BucketCount; ++index) {
+        const BucketIndex bucket(index);
+        const auto entry = m_map->entry(bucket);
+        const auto upstream = former.entry(bucket).openUpstream;
+        if (!entry.transitional) {
+            m_recent.erase(bucket);
+        } else if (upstream != entry.openUpstream && upstream != entry.defaultUpstream
+                   && upstream != UpstreamId(0)) {
+            auto &recent = m_recent[bucket];
+            recent.erase(std::remove(recent.begin(), recent.end(), upstream), recent.end());
+            if (recent.size() == recent.capacity()) {
+                recent.pop_back();
+            }
+            recent.insert(recent.begin(), upstream);
+        }
+    }
 }
 
-void ServiceTable::updateOwners(const OwnershipView &ownership, TimePoint now)
+std::shared_ptr<const BucketMap> ServiceTable::inForceMap() const
 {
-    for (auto &[bucket, runtime] : m_runtimes) {
-        follow(*runtime, bucket, ownership, now);
-    }
+    const auto oldest = m_pending.begin();
+    return oldest != m_pending.end() && oldest->first <= m_inForce ? oldest->second : nullptr;
 }
 
-void ServiceTable::follow(BucketRuntime &runtime, BucketIndex bucket,
+void ServiceTable::follow(BucketRuntime &runtime, BucketIndex bucket, const BucketOwners &after,
                           const OwnershipView &ownership, TimePoint now) const
 {
-    const auto after = ownership.members->bucketOwners(m_service, bucket).value_or(BucketOwners {});
     const auto before = ownership.young
             ? ownership.others->bucketOwners(m_service, bucket).value_or(BucketOwners {})
             : runtime.owners;
@@ -135,6 +165,18 @@
             runtime.owed.push_back({ receiver, std::nullopt });
         }
     }
+    if (isOwner(after, ownership.self)) {
+        runtime.formerHolder = false;
+    } else if (isOwner(runtime.owners, ownership.self)) {
+        runtime.formerHolder = runtime.source.load() == 0;
+    }
+    if (after.first != runtime.owners.first) {
+        // Others saw the packets that went by default until now.
+        runtime.lastDefault = now.time_since_epoch().count();
+    }
+    if (after.first != runtime.owners.first || after.second != runtime.owners.second) {
+        runtime.ownersSince = now.time_since_epoch().count();
+    }
     runtime.owners = after;
     runtime.owesFirst = std::ranges::any_of(
             runtime.owed, [&](const auto &owed) { return owed.receiver == after.first; });
@@ -187,63 +229,82 @@
     m_acknowledged = std::max(m_acknowledged, revision);
 }
 
-std::shared_ptr<const ServiceView> ServiceTable::buildView(const OwnershipView &ownership,
-                                                           const Outages &outages, TimePoint now)
+void ServiceTable::buildView(const OwnershipView &ownership, const Outages &outages,
+                             bool membersChanged, TimePoint now)
 {
     auto known = statuses(outages);
-    const auto statusIn = [&](UpstreamId upstream) {
-        const auto found = known.find(upstream);
-        return found == known.end() ? UpstreamStatus::Absent : found->second;
-    };
-    const auto *inForce = inForceMap();
+    const auto routed = routedBuckets(known);
     std::vector<BucketRoute> routes;
+    routes.reserve(routed.count());
+    ServiceView::Runtimes runtimes;
     for (std::uint32_t index = 0; index < version::BucketCount; ++index) {
-        const BucketIndex bucket(index);
-        const auto entry = m_map->entry(bucket);
-        if (!entry.transitional && !isUsable(statusIn(entry.defaultUpstream))) {
+        if (!routed[index]) {
+            continue;
+        }
+        auto [owners, runtime] = routeBucket(BucketIndex(index), ownership, membersChanged, now);
+        BucketRoute route { owners.first, owners.second.value_or(InstanceId(0)),
+                            static_cast<std::uint16_t>(index) };
+        if (runtime) {
+            route.runtime = static_cast<std::uint16_t>(runtimes.size());
+            runtimes.push_back(std::move(runtime));
+        }
+        routes.push_back(route);
+    }
+    m_view = std::make_shared<const ServiceView>(m_map, inForceMap(), std::move(routes),
+                                                 std::move(runtimes), std::move(known),
+                                                 m_roster->idleLimit);
+}
+
+std::bitset<version::BucketCount> ServiceTable::routedBuckets(const ServiceView::Statuses &statuses)
+{
+    for (std::uint32_t index = 0; index < version::BucketCount; ++index) {
+        const auto entry = m_map->entry(BucketIndex(index));
+        const auto status = statuses.find(entry.defaultUpstream);
+        if (!entry.transitional && (status == statuses.end() || !isUsable(status->second))) {
             m_diverted.set(index);
         }
-        if (!entry.transitional && !m_diverted[index]) {
-            continue;
+    }
+    return m_map->transitional() | m_diverted;
+}
+
+std::pair<BucketOwners, std::shared_ptr<BucketRuntime>>
+ServiceTable::routeBucket(BucketIndex bucket, const OwnershipView &ownership, bool membersChanged,
+                          TimePoint now)
+{
+    const auto *former = m_view ? m_view->route(bucket) : nullptr;
+    const bool computes = membersChanged || former == nullptr;
+    const auto after = computes
+            ? ownership.members->bucketOwners(m_service, bucket).value_or(BucketOwners {})
+            : former->owners();
+    auto known = m_runtimes.find(bucket);
+    if (known == m_runtimes.end()) {
+        if (!isOwner(after, ownership.self)) {
+            return { after, nullptr };
         }
-        auto runtime = addRuntime(bucket, ownership, now);
-        routes.push_back({ bucket, runtime->owners, entry.defaultUpstream,
-                           inForce == nullptr ? std::nullopt
-                                              : std::optional(inForce->entry(bucket).openUpstream),
-                           entry.openUpstream, runtime });
-    }
-    return std::make_shared<const ServiceView>(m_service, m_map, std::move(routes),
-                                               std::move(known), m_roster->idleLimit);
+        known = m_runtimes.emplace(bucket, std::make_shared<BucketRuntime>()).first;
+        known->second->lastDefault = now.time_since_epoch().count();
+        known->second->owners = former == nullptr ? after : former->owners();
+        follow(*known->second, bucket, after, ownership, now);
+    } else if (computes) {
+        follow(*known->second, bucket, after, ownership, now);
+    }
+    return { after, known->second };
 }
 
-ServiceTable::Statuses ServiceTable::statuses(const Outages &outages) const
+ServiceView::Statuses ServiceTable::statuses(const Outages &outages) const
 {
-    Statuses known;
+    ServiceView::Statuses known;
     for (const auto &upstream : m_roster->upstreams) {
         known.emplace(upstream.id, statusOf(upstream, outages));
     }
     return known;
 }
 
-std::shared_ptr<BucketRuntime>
-ServiceTable::addRuntime(BucketIndex bucket, const OwnershipView &ownership, TimePoint now)
-{
-    auto &runtime = m_runtimes[bucket];
-    if (!runtime) {
-        runtime = std::make_shared<BucketRuntime>();
-        runtime->lastDefault = now.time_since_epoch().count();
-        runtime->owners =
-                ownership.members->bucketOwners(m_service, bucket).value_or(BucketOwners {});
-        follow(*runtime, bucket, ownership, now);
-    }
-    return runtime;
-}
-
 IdleBucketReport ServiceTable::idleReport(InstanceId self, const OverrideStore &overrides,
-                                          TimePoint lastHandover, TimePoint now) const
+                                          TimePoint now) const
 {
     IdleBucketReport report;
-    if (!m_map || m_pending.size() != 1 || inForceMap() == nullptr) {
+    if (!m_map || m_pending.size() != 1 || !inForceMap()) {
         return report;
     }
     report.service = m_service;
@@ -252,11 +313,10 @@
     for (const auto &[bucket, runtime] : m_runtimes) {
         const auto entry = m_map->entry(bucket);
         if (!entry.transitional || runtime->owners.first != self
-            || !holdsOverrides(*runtime, lastHandover, now)) {
+            || !holdsOverrides(*runtime, m_roster->idleLimit, now)) {
             continue;
         }
-        const TimePoint lastDefault { common::Duration(runtime->lastDefault.load()) };
-        if (now - lastDefault > m_roster->idleLimit) {
+        if (now - watchedSince(*runtime, m_roster->idleLimit) > m_roster->idleLimit) {
             report.buckets.push_back(bucket);
         }
         if (!overrides.hasOther({ m_service, bucket }, entry.openUpstream)) {
@@ -266,15 +326,19 @@
     return report;
 }
 
-void ServiceTable::takeHandovers(const OverrideStore &overrides, TimePoint lastHandover,
-                                 std::size_t &budget, TimePoint now,
+void ServiceTable::takeHandovers(const OverrideStore &overrides, std::size_t &budget, TimePoint now,
                                  std::vector<OverrideBatch> &batches)
 {
     for (auto &[bucket, runtime] : m_runtimes) {
         if (budget == 0) {
             return;
         }
-        if (!runtime->owed.empty() && holdsOverrides(*runtime, lastHandover, now)) {
+        const InstanceId source(runtime->source.load());
+        // Two instances that wait for each other exchange what they have.
+        const bool mutual = std::ranges::find(runtime->owed, source, &OwedHandover::receiver)
+                != runtime->owed.end();
+        if (!runtime->owed.empty()
+            && (mutual || holdsOverrides(*runtime, m_roster->idleLimit, now))) {
             sendBucket(bucket, *runtime, overrides, budget, batches);
         }
     }
@@ -318,29 +382,76 @@
     const bool waiting = found != m_runtimes.end() && found->second->source.load() != 0;
     for (const auto &record : batch.records) {
         if (waiting) {
-            overrides.assign({ m_service, batch.bucket }, { record.flow, record.upstream }, now);
+            // The next packet of the flow tells the other owner, whose record may be about to age
+            // out.
+            overrides.assign({ m_service, batch.bucket }, { record.flow, record.upstream }, now,
+                             false);
         } else {
             overrides.insert({ m_service, batch.bucket }, { record.flow, record.upstream }, now);
         }
     }
     if (waiting && batch.complete) {
         found->second->source = 0;
+        found->second->lastDefault = now.time_since_epoch().count();
     }
 }
 
-std::vector<UpstreamId> ServiceTable::recentUpstreams(BucketIndex bucket) const
+void ServiceTable::takeRequests(InstanceId self, const OverrideStore &overrides,
+                                std::size_t maxRequests, TimePoint now,
+                                std::vector<OverrideRequest> &requests)
 {
-    std::vector<UpstreamId> recent;
-    const auto add = [&](const BucketMap &map) {
-        const auto entry = map.entry(bucket);
-        for (const auto upstream : { entry.openUpstream, entry.defaultUpstream }) {
-            if (upstream != UpstreamId(0) && std::ranges::find(recent, upstream) == recent.end()) {
-                recent.push_back(upstream);
-            }
+    for (auto &[bucket, runtime] : m_runtimes) {
+        if (requests.size() >= maxRequests) {
+            return;
         }
-    };
-    add(*m_map);
-    std::ranges::for_each(m_history, [&](const auto &former) { add(*former); });
+        const InstanceId source(runtime->source.load());
+        if (source == InstanceId(0) || !isOwner(runtime->owners, self)
+            || now - runtime->requested < HandoverRetry) {
+            continue;
+        }
+        runtime->requested = now;
+        const auto digest = overrides.digest({ m_service, bucket });
+        requests.push_back({ source, m_service, bucket, digest.count, digest.hash });
+        const auto other = otherOwner(runtime->owners, self);
+        if (other && *other != source) {
+            requests.push_back({ *other, m_service, bucket, digest.count, digest.hash });
+        }
+    }
+}
+
+bool ServiceTable::acceptRequest(InstanceId self, InstanceId sender, const OverrideRequest &request,
+                                 const OverrideStore &overrides, TimePoint now)
+{
+    const auto found = m_runtimes.find(request.bucket);
+    if (found == m_runtimes.end()) {
+        // In a settled bucket there is nothing to hand over.
+        return m_view && m_view->route(request.bucket) == nullptr;
+    }
+    auto &runtime = *found->second;
+    const bool held = isOwner(runtime.owners, self) || runtime.formerHolder.load();
+    const bool mutual = runtime.source.load() == sender.value();
+    if (!held || !(mutual || holdsOverrides(runtime, m_roster->idleLimit, now))) {
+        return false;
+    }
+    if (overrides.digest({ m_service, request.bucket })
+        == OverrideStore::Digest { request.count, request.hash }) {
+        return true;
+    }
+    const auto known = std::ranges::find(runtime.owed, sender, &OwedHandover::receiver);
+    if (known == runtime.owed.end()) {
+        runtime.owed.push_back({ sender, std::nullopt });
+        runtime.owesFirst = runtime.owesFirst || runtime.owners.first == sender;
+    }
+    return false;
+}
+
+std::vector<UpstreamId> ServiceTable::recentUpstreams(BucketIndex bucket) const
+{
+    const auto entry = m_map->entry(bucket);
+    std::vector<UpstreamId> recent { entry.openUpstream, entry.defaultUpstream };
+    if (const auto known = m_recent.find(bucket); known != m_recent.end()) {
+        std::ranges::copy(known->second, std::back_inserter(recent));
+    }
     return recent;
 }
 
