Keep markers for as long as an edited contract could revive a request

Cause: the marker of a finished request ended with the contract's longest request. When an edit allowed longer requests, a late copy of a forgotten request was within its deadline again and could run a second time.

Change: a marker lasts until the caller's deadline, at most 60 s after the issue time or the longest request if that is longer, plus the margin.

Conclusion: a test with an edit between the answer and a late copy passes; the copy gets the stored answer.

--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -22,7 +22,7 @@
 
 using std::chrono::milliseconds;
 
-// The longest request of a service whose roster is not known yet.
+// The longest request of a service whose roster is not known, now or in a later version.
 constexpr milliseconds UnknownLongestRequest = std::chrono::seconds(60);
 // A request from further in the future would need a marker for too long.
 constexpr Duration MaxIssuedAhead = std::chrono::seconds(10);
@@ -58,6 +58,9 @@
     [[nodiscard]] std::optional<Reason> foreignReason(const RequestArrival &arrival) const;
     [[nodiscard]] bool isForeign(const RequestArrival &arrival) const;
     [[nodiscard]] WallTime effectiveDeadline(const RequestArrival &arrival) const;
+    /// Until when a copy of the request could be accepted, also after an edit of the contract that
+    /// allows longer requests.
+    [[nodiscard]] WallTime lastRunTime(const RequestArrival &arrival) const;
     [[nodiscard]] std::optional<Reason> reasonToRefuse(const RequestArrival &arrival,
                                                        Moment moment);
     [[nodiscard]] RequestActions accept(RequestArrival arrival, WallTime deadline, bool foreign,
@@ -173,6 +176,15 @@
     return admission.admit(roster->customer, arrival.service, moment.now);
 }
 
+WallTime Coordinator::State::lastRunTime(const RequestArrival &arrival) const
+{
+    const auto *roster = chooser.roster(arrival.service);
+    const auto longest = roster == nullptr
+            ? UnknownLongestRequest
+            : std::max(UnknownLongestRequest, roster->longestRequest);
+    return std::min(arrival.deadline, arrival.issued + longest);
+}
+
 RequestActions Coordinator::State::repeatStored(RequestRecord &record,
                                                 const RequestArrival &arrival)
 {
@@ -199,7 +211,7 @@
     }
     const auto reason = reasonToRefuse(arrival, moment);
     auto &record = table.add(arrival.key);
-    record.forgetAt = moment.now + (deadline - moment.wall) + ForgetAfter;
+    record.forgetAt = moment.now + (lastRunTime(arrival) - moment.wall) + ForgetAfter;
     RequestActions actions;
     const RequestStep step { arrival.key, record, moment, actions };
     if (reason) {
--- a/src/request/coordinator.h
+++ b/src/request/coordinator.h
@@ -16,7 +16,8 @@
 
 namespace banyanwall::request {
 
-/// A request as it reached its coordinator.
+/// A request as it reached its coordinator. All transmissions of a request have the same key, issue
+/// time and deadline.
 struct RequestArrival
 {
     common::RequestKey key;
--- a/src/tests/coordinatorfixture.h
+++ b/src/tests/coordinatorfixture.h
@@ -3,9 +3,11 @@
 #include "common/hash.h"
 #include "request/coordinator.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include <algorithm>
+#include <map>
+
+// After the standard headers: it replaces operator new by a macro.
+#include <CppUTest/TestHarness.h>
 
 namespace banyanwall::tests {
 
--- a/src/tests/coordinatortest.cpp
+++ b/src/tests/coordinatortest.cpp
@@ -238,6 +238,37 @@
                  Reason::NoUpstream);
 }
 
+// Guards against a second run by a late copy when the contract allows longer requests by then.
+TEST(Coordinator, longerRequestsAfterAnEditDoNotReviveAFinishedOne)
+{
+    auto request = arrival(1, false);
+    request.deadline = moment.wall + 40s;
+    only<DeliverAnswer>(answer(dispatched(coordinator.onRequest(request, moment)).slot));
+    CHECK_TRUE(tickAfter(16s).empty());
+    auto edited = roster(4, 2);
+    edited.longestRequest = std::chrono::seconds(30);
+    coordinator.applyRoster(edited);
+    only<DeliverAnswer>(coordinator.onRequest(request, moment));
+}
+
+// Guards against all returning upstreams with a small share losing their load to the first one.
+TEST(Coordinator, smallSharesStillSpreadTheLoad)
+{
+    auto returning = roster(4, 2);
+    for (auto &upstream : returning.upstreams) {
+        upstream.sharePercent = 1;
+    }
+    coordinator.applyRoster(returning);
+    std::map<UpstreamId, int> dispatches;
+    for (std::uint64_t id = 1; id <= 400; ++id) {
+        ++dispatches[start(id, true).upstream];
+    }
+    LONGS_EQUAL(4, dispatches.size());
+    for (const auto &[upstream, count] : dispatches) {
+        CHECK_TRUE(count > 60);
+    }
+}
+
 // Guards against a lopsided load when the coordinator knows that upstreams are busy.
 TEST(Coordinator, prefersLessLoadedUpstreams)
 {
