Spread load over upstreams that all have a small share

Cause: when no draw met the shares, the first upstream of the roster was taken, so that a returning zone put extra load on one upstream.

Change: the fallback takes any upstream that is not excluded, at random.

--- a/src/request/upstreamchooser.cpp
+++ b/src/request/upstreamchooser.cpp
@@ -89,10 +89,7 @@
     }
     const auto first = draw(known->second, excluded);
     if (!first) {
-        const auto &active = known->second.active;
-        const auto left = std::ranges::find_if(
-                active, [&](const auto &upstream) { return !contains(excluded, upstream.id); });
-        return left == active.end() ? std::nullopt : std::optional(left->id);
+        return anyOf(known->second, excluded);
     }
     const auto second = draw(known->second, excluded);
     return second && cost(*second, now) < cost(*first, now) ? second : first;
@@ -118,6 +115,21 @@
     return std::nullopt;
 }
 
+std::optional<common::UpstreamId>
+UpstreamChooser::anyOf(const Service &service, const std::vector<common::UpstreamId> &excluded)
+{
+    std::vector<common::UpstreamId> left;
+    for (const auto &upstream : service.active) {
+        if (!contains(excluded, upstream.id)) {
+            left.push_back(upstream.id);
+        }
+    }
+    if (left.empty()) {
+        return std::nullopt;
+    }
+    return left[std::uniform_int_distribution<std::size_t>(0, left.size() - 1)(m_random)];
+}
+
 std::uint64_t UpstreamChooser::cost(common::UpstreamId upstream, common::TimePoint now) const
 {
     const auto load = m_loads.find(upstream);
--- a/src/request/upstreamchooser.h
+++ b/src/request/upstreamchooser.h
@@ -62,6 +62,9 @@
 
     [[nodiscard]] std::optional<common::UpstreamId>
     draw(const Service &service, const std::vector<common::UpstreamId> &excluded);
+    /// Any upstream that is not excluded, without regard to shares.
+    [[nodiscard]] std::optional<common::UpstreamId>
+    anyOf(const Service &service, const std::vector<common::UpstreamId> &excluded);
     [[nodiscard]] std::uint64_t cost(common::UpstreamId upstream, common::TimePoint now) const;
 
     std::mt19937_64 m_random;
