--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -13,17 +13,27 @@
 
 using common::Duration;
 using common::Reason;
+using common::TimePoint;
 using common::Verdict;
 using common::WallTime;
 using connection::SlotKey;
 
 namespace {
 
-// The longest request of a service whose roster is not known yet.
-constexpr std::chrono::milliseconds UnknownLongestRequest = std::chrono::seconds(60);
+using std::chrono::milliseconds;
+
+// The longest request of a service whose roster is not known, now or in a later version.
+constexpr milliseconds UnknownLongestRequest = std::chrono::seconds(60);
 // A request from further in the future would need a marker for too long.
 constexpr Duration MaxIssuedAhead = std::chrono::seconds(10);
 
+// A process that saw no event, not even a tick, for this long was paused; its peers declare it dead
+// after five seconds without a sign of life.
+constexpr Duration LongestSilence = std::chrono::seconds(2);
+// After a lapse of the permit, other instances may act on a view without this one for as long as it
+// takes them to become stale, with reserve.
+constexpr Duration RejoinTime = milliseconds(2'500);
+
 RequestActions refusal(const RequestArrival &arrival, Verdict verdict, Reason reason)
 {
     return { RefuseRequest { arrival.requestId, verdict, reason, arrival.returnToken } };
@@ -36,10 +46,21 @@
     explicit State(std::uint64_t seed)
         : chooser(seed)
         , table(MaxStoredBytes)
-        , runner(chooser, table, admission)
+        , runner(chooser, table, admission, seed)
     { }
 
+    /// Notices a pause of the process and the end or return of the permit; called with each event.
+    void observe(Moment moment);
+    void observePermit(WallTime wall);
+    void noteIsolation(WallTime wall);
+    void markForeign(const std::function<bool(common::RequestKey)> &selects);
+    /// Why another instance may have dispatched an unknown request; empty when none can have.
+    [[nodiscard]] std::optional<Reason> foreignReason(const RequestArrival &arrival) const;
+    [[nodiscard]] bool isForeign(const RequestArrival &arrival) const;
     [[nodiscard]] WallTime effectiveDeadline(const RequestArrival &arrival) const;
+    /// Until when a copy of the request could be accepted, also after an edit of the contract that
+    /// allows longer requests.
+    [[nodiscard]] WallTime lastRunTime(const RequestArrival &arrival) const;
     [[nodiscard]] std::optional<Reason> reasonToRefuse(const RequestArrival &arrival,
                                                        Moment moment);
     [[nodiscard]] RequestActions accept(RequestArrival arrival, WallTime deadline, bool foreign,
@@ -54,9 +75,81 @@
     Admission admission;
     RequestRunner runner;
     TakeoverFence fence;
+    DispatchPermit permit;
+    /// Repeatable requests issued before may be run by a successor.
+    std::optional<WallTime> isolatedUntil;
+    std::optional<TimePoint> lastEvent;
+    /// End of the permit that was valid at the last event.
+    std::optional<WallTime> permitEnd;
+    /// Set while there is no valid permit although there was one.
+    std::optional<WallTime> lapsedSince;
     bool shuttingDown = false;
 };
 
+void Coordinator::State::observe(Moment moment)
+{
+    if (lastEvent && moment.now - *lastEvent > LongestSilence) {
+        noteIsolation(moment.wall);
+    }
+    lastEvent = moment.now;
+    observePermit(moment.wall);
+}
+
+void Coordinator::State::noteIsolation(WallTime wall)
+{
+    if (!isolatedUntil || wall >= *isolatedUntil) {
+        markForeign([](common::RequestKey) { return true; });
+    }
+    isolatedUntil = wall + std::chrono::duration_cast<milliseconds>(RejoinTime);
+}
+
+void Coordinator::State::markForeign(const std::function<bool(common::RequestKey)> &selects)
+{
+    for (const auto &[key, record] : table.records()) {
+        // A successor leaves non-repeatable requests alone.
+        if (!record.verdict && record.progress->repeatable && selects(key)) {
+            record.progress->foreign = true;
+        }
+    }
+}
+
+void Coordinator::State::observePermit(WallTime wall)
+{
+    const bool valid = permit.fenced && wall < permit.latestDeadline;
+    // The permit may have ended and come back between two events, when the process was paused.
+    const bool ended = permitEnd && (!valid || wall >= *permitEnd);
+    if (ended && !lapsedSince) {
+        lapsedSince = std::min(wall, *permitEnd);
+    }
+    if (valid && lapsedSince) {
+        fence.add(wall, wall + std::chrono::duration_cast<milliseconds>(RejoinTime), {});
+        lapsedSince.reset();
+    }
+    permitEnd = valid ? std::optional(permit.latestDeadline) : std::nullopt;
+}
+
+std::optional<Reason> Coordinator::State::foreignReason(const RequestArrival &arrival) const
+{
+    const auto origin = fence.foreignOrigin(arrival.key, arrival.issued);
+    if (origin) {
+        return *origin == TakeoverFence::Origin::BeforeTakeover ? Reason::IssuedBeforeTakeover
+                                                                : Reason::AwaitingTakeover;
+    }
+    // A successor leaves alone what was issued before the end of the permit, but not what came
+    // after it.
+    if (lapsedSince && arrival.issued + TakeoverFence::CallerClockBound > *lapsedSince) {
+        return Reason::LeaseLost;
+    }
+    return std::nullopt;
+}
+
+bool Coordinator::State::isForeign(const RequestArrival &arrival) const
+{
+    const bool isolated =
+            isolatedUntil && arrival.issued < *isolatedUntil + TakeoverFence::CallerClockBound;
+    return foreignReason(arrival) || (arrival.repeatable && isolated);
+}
+
 WallTime Coordinator::State::effectiveDeadline(const RequestArrival &arrival) const
 {
     const auto *roster = chooser.roster(arrival.service);
@@ -67,22 +160,31 @@
 std::optional<Reason> Coordinator::State::reasonToRefuse(const RequestArrival &arrival,
                                                          Moment moment)
 {
-    const auto *roster = chooser.roster(arrival.service);
+    if (!runner.mayDispatch(arrival.repeatable, moment.wall)) {
+        return Reason::LeaseLost;
+    }
     if (shuttingDown) {
         return Reason::ShuttingDown;
     }
+    const auto *roster = chooser.roster(arrival.service);
     if (roster == nullptr) {
         return Reason::UnknownService;
     }
-    if (!runner.mayDispatch(arrival.repeatable, moment.wall)) {
-        return Reason::LeaseLost;
-    }
     if (chooser.activeCount(arrival.service) == 0) {
         return Reason::NoUpstream;
     }
     return admission.admit(roster->customer, arrival.service, moment.now);
 }
 
+WallTime Coordinator::State::lastRunTime(const RequestArrival &arrival) const
+{
+    const auto *roster = chooser.roster(arrival.service);
+    const auto longest = roster == nullptr
+            ? UnknownLongestRequest
+            : std::max(UnknownLongestRequest, roster->longestRequest);
+    return std::min(arrival.deadline, arrival.issued + longest);
+}
+
 RequestActions Coordinator::State::repeatStored(RequestRecord &record,
                                                 const RequestArrival &arrival)
 {
@@ -109,7 +211,7 @@
     }
     const auto reason = reasonToRefuse(arrival, moment);
     auto &record = table.add(arrival.key);
-    record.forgetAt = moment.now + (deadline - moment.wall) + ForgetAfter;
+    record.forgetAt = moment.now + (lastRunTime(arrival) - moment.wall) + ForgetAfter;
     RequestActions actions;
     const RequestStep step { arrival.key, record, moment, actions };
     if (reason) {
@@ -153,8 +255,19 @@
     m_state->fence.add(takeover, fenceEnd, std::move(gained));
 }
 
+void Coordinator::setKeysLost(const std::function<bool(common::RequestKey)> &lost)
+{
+    m_state->markForeign(lost);
+}
+
+void Coordinator::noteIsolation(WallTime now)
+{
+    m_state->noteIsolation(now);
+}
+
 void Coordinator::setPermit(const DispatchPermit &permit)
 {
+    m_state->permit = permit;
     m_state->runner.setPermit(permit);
 }
 
@@ -180,31 +293,30 @@
 
 RequestActions Coordinator::onRequest(RequestArrival arrival, Moment moment)
 {
+    m_state->observe(moment);
     if (auto *known = m_state->table.find(arrival.key); known != nullptr) {
         return m_state->repeatStored(*known, arrival);
     }
     if (arrival.issued > moment.wall + MaxIssuedAhead) {
         return { CountDrop { Reason::MalformedPacket } };
     }
-    const auto origin = m_state->fence.foreignOrigin(arrival.key, arrival.issued);
-    if (origin && !arrival.repeatable) {
-        return refusal(arrival, Verdict::MayHaveRun,
-                       *origin == TakeoverFence::Origin::BeforeTakeover
-                               ? Reason::IssuedBeforeTakeover
-                               : Reason::AwaitingTakeover);
+    if (const auto foreign = m_state->foreignReason(arrival); foreign && !arrival.repeatable) {
+        return refusal(arrival, Verdict::MayHaveRun, *foreign);
     }
+    const bool foreign = m_state->isForeign(arrival);
     const auto deadline = m_state->effectiveDeadline(arrival);
     if (moment.wall >= deadline) {
         // Past ForgetAfter its marker may be gone, so that it may have run here.
-        const bool mayHaveRun = origin.has_value() || moment.wall >= deadline + ForgetAfter;
+        const bool mayHaveRun = foreign || moment.wall >= deadline + ForgetAfter;
         return refusal(arrival, mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun,
                        Reason::DeadlineExceeded);
     }
-    return m_state->accept(std::move(arrival), deadline, origin.has_value(), moment);
+    return m_state->accept(std::move(arrival), deadline, foreign, moment);
 }
 
 RequestActions Coordinator::onCancel(common::RequestKey key, Moment moment)
 {
+    m_state->observe(moment);
     auto *record = m_state->table.find(key);
     if (record == nullptr || record->verdict) {
         return { CountDrop { Reason::Cancelled } };
@@ -216,6 +328,7 @@
 
 RequestActions Coordinator::onSlotAnswer(SlotKey slot, bool granted, Moment moment)
 {
+    m_state->observe(moment);
     auto *record = m_state->table.find(slot.request);
     if (record == nullptr || !record->progress) {
         return { CountDrop { Reason::StaleAttempt } };
@@ -227,6 +340,7 @@
 
 RequestActions Coordinator::onAnswer(AnswerFragment fragment, Moment moment)
 {
+    m_state->observe(moment);
     auto *record = m_state->table.find(fragment.key);
     auto *attempt = m_state->findAttempt(record, fragment.attempt);
     if (attempt == nullptr) {
@@ -240,6 +354,7 @@
 
 RequestActions Coordinator::onRefusal(SlotKey slot, DispatchRefusal refusal, Moment moment)
 {
+    m_state->observe(moment);
     auto *record = m_state->table.find(slot.request);
     auto *attempt = m_state->findAttempt(record, slot.attempt);
     if (attempt == nullptr) {
@@ -252,6 +367,7 @@
 
 RequestActions Coordinator::onOwnerChange(common::UpstreamId upstream, Moment moment)
 {
+    m_state->observe(moment);
     std::vector<common::RequestKey> asking;
     for (const auto &[key, record] : m_state->table.records()) {
         if (record.progress && record.progress->ask && record.progress->ask->upstream == upstream) {
@@ -268,6 +384,7 @@
 RequestActions Coordinator::onTick(Moment moment)
 {
     // Twice the longest request covers callers whose clock is behind.
+    m_state->observe(moment);
     m_state->fence.forget(moment.wall - 2 * UnknownLongestRequest);
     RequestActions actions;
     while (const auto key = m_state->table.takeDue(moment.now)) {
@@ -276,6 +393,11 @@
     return actions;
 }
 
+bool Coordinator::knows(common::RequestKey key) const
+{
+    return m_state->table.find(key) != nullptr;
+}
+
 std::size_t Coordinator::inProgress() const
 {
     return m_state->admission.inProgress();
--- a/src/request/coordinator.h
+++ b/src/request/coordinator.h
@@ -16,7 +16,8 @@
 
 namespace banyanwall::request {
 
-/// A request as it reached its coordinator.
+/// A request as it reached its coordinator. All transmissions of a request have the same key, issue
+/// time and deadline.
 struct RequestArrival
 {
     common::RequestKey key;
@@ -141,13 +142,14 @@
 ///
 /// A verdict is final: once a request has one, it is never dispatched again, and a duplicate gets
 /// the same verdict. A marker of each request stays until ForgetAfter past its deadline. A slot is
-/// held until the upstream answers or refuses, or four usual answer times past the deadline, also
+/// held until the upstream answers or refuses, or twelve usual answer times past the deadline, also
 /// when the caller has its verdict already, because the upstream may still be running the request.
 /// Not thread-safe.
 class Coordinator
 {
 public:
-    /// seed drives the choice of upstreams.
+    /// seed drives the choice of upstreams and the attempt numbers; it must differ between
+    /// instances and between starts of one instance.
     explicit Coordinator(std::uint64_t seed);
     ~Coordinator();
     Coordinator(const Coordinator &) = delete;
@@ -157,11 +159,21 @@
     void applyRoster(const version::ServiceRoster &roster);
     /// Members changed: keys that this instance gained from another one may be dispatched by it
     /// until fenceEnd. A non-repeatable request that is unknown here and was issued before fenceEnd
-    /// gets MayHaveRun; other requests of that age never get NotRun. Call it at start, too.
+    /// gets MayHaveRun; other requests of that age never get NotRun. Call it at start, too, and
+    /// again before fenceEnd when the other instance has renewed its lease in the meantime.
     void setTakeover(common::WallTime takeover, common::WallTime fenceEnd);
     /// The same for the keys that gained selects; the other keys keep their coordinator.
     void setTakeover(common::WallTime takeover, common::WallTime fenceEnd,
                      std::function<bool(common::RequestKey)> gained);
+    /// Members changed: keys that lost selects have another coordinator now, which may run the
+    /// repeatable ones among the requests in progress here. They never get NotRun any more.
+    void setKeysLost(const std::function<bool(common::RequestKey)> &lost);
+    /// This instance is out of contact with its peers, so that a successor may run the repeatable
+    /// requests it has. The coordinator notices a pause of the process by itself.
+    void noteIsolation(common::WallTime now);
+    /// A permit that lapsed and came back acts like a takeover of all keys, because a successor may
+    /// have dispatched requests in between. Without a valid permit an unknown request gets NotRun
+    /// only when it was issued before the former permit ended.
     void setPermit(const DispatchPermit &permit);
     /// Number of live instances, which share the contract's request rates.
     void setInstances(std::uint32_t instances);
@@ -169,7 +181,8 @@
     void setInProgressBound(std::size_t bound);
     /// Requests that an upstream is running, as last heard; only compared with other upstreams.
     void setLoadHint(common::UpstreamId upstream, std::uint32_t load);
-    /// Refuses new requests with NotRun; requests in progress go on.
+    /// Refuses new requests with NotRun; requests in progress go on. An instance that has a
+    /// successor relays requests it does not know to it instead of passing them to onRequest().
     void beginShutdown();
 
     [[nodiscard]] RequestActions onRequest(RequestArrival arrival, Moment moment);
@@ -185,6 +198,9 @@
     /// Deadlines, timeouts and forgetting of finished requests; call every TickInterval.
     [[nodiscard]] RequestActions onTick(Moment moment);
 
+    /// The request has been here. The instance that knows a request answers its duplicates, also
+    /// when it is no longer the coordinator of the key.
+    [[nodiscard]] bool knows(common::RequestKey key) const;
     /// Requests that have no final verdict yet.
     [[nodiscard]] std::size_t inProgress() const;
     /// Grants that this instance holds for an upstream, for a new upstream owner.
