Follow changes of members without hashing all of them

While a zone is withdrawn, a change of members took 1,247 ms on an instance with 1,300 services and 520 members, because the owners of each transitional bucket were chosen again among all members. Unless a former owner is affected, only new members are compared with the owners. Services without buckets in transition are left alone.

--- a/src/connection/flowrouter.cpp
+++ b/src/connection/flowrouter.cpp
@@ -77,7 +77,8 @@
     const RouterSnapshot &snapshot();
     void observe(TimePoint now);
     void selectOwners();
-    void updateOwners();
+    /// Without changed outages, services without buckets in transition stay as they are.
+    void updateOwners(bool outagesChanged = false);
     void restartHandovers();
     void rebuild(ServiceTable &table, bool membersChanged = false);
     void publish();
@@ -138,11 +139,15 @@
 
 void FlowRouter::State::selectOwners()
 {
+    const auto former = ownership.members;
     ownership.members = selectMembers(*allMembers, [this](const Member &member) {
         return member.id == self
                 || (!outages.unreachableZones.contains(member.zone)
                     && !suspected.contains(member.id));
     });
+    if (former) {
+        ownership.change = memberChange(*former, *ownership.members);
+    }
     ownership.others = selectMembers(*ownership.members,
                                      [this](const Member &member) { return member.id != self; });
     ownership.live.clear();
@@ -151,11 +156,13 @@
     working.members = ownership.members;
 }
 
-void FlowRouter::State::updateOwners()
+void FlowRouter::State::updateOwners(bool outagesChanged)
 {
     selectOwners();
     for (auto &[service, table] : tables) {
-        rebuild(table, true);
+        if (outagesChanged || (table.view() && table.view()->hasRoutes())) {
+            rebuild(table, true);
+        }
     }
     publish();
 }
@@ -272,7 +279,7 @@
     std::set<common::ZoneId> unreachable(zones.begin(), zones.end());
     if (unreachable != state.outages.unreachableZones) {
         state.outages.unreachableZones = std::move(unreachable);
-        state.updateOwners();
+        state.updateOwners(true);
     }
 }
 
--- a/src/connection/ownerchange.cpp
+++ b/src/connection/ownerchange.cpp
@@ -20,8 +20,71 @@
     return list;
 }
 
+bool isSame(const Member &left, const Member &right)
+{
+    return left.zone == right.zone && left.leaving == right.leaving;
+}
+
+std::map<InstanceId, Member> byId(const OwnerSelector &selector)
+{
+    std::map<InstanceId, Member> members;
+    std::ranges::for_each(selector.members(),
+                          [&](const auto &member) { members.emplace(member.id, member); });
+    return members;
+}
+
+/// The owners are the best staying members of two zones, so that only a new member can displace
+/// them.
+bool areUnaffected(const BucketOwners &owners, const MemberChange &change)
+{
+    if (!owners.second) {
+        return false;
+    }
+    const auto first = change.members.find(owners.first);
+    const auto second = change.members.find(*owners.second);
+    return first != change.members.end() && second != change.members.end()
+            && !change.removed.contains(owners.first) && !change.removed.contains(*owners.second)
+            && !first->second.leaving && !second->second.leaving
+            && first->second.zone != second->second.zone;
+}
+
 } // namespace
 
+MemberChange memberChange(const OwnerSelector &before, const OwnerSelector &after)
+{
+    const auto former = byId(before);
+    MemberChange change { {}, {}, byId(after) };
+    for (const auto &[id, member] : change.members) {
+        const auto known = former.find(id);
+        if (known == former.end() || !isSame(known->second, member)) {
+            change.added.push_back(member);
+        }
+    }
+    for (const auto &[id, member] : former) {
+        const auto known = change.members.find(id);
+        if (known == change.members.end() || !isSame(known->second, member)) {
+            change.removed.insert(id);
+        }
+    }
+    return change;
+}
+
+BucketOwners ownersAfter(common::ServiceId service, common::BucketIndex bucket,
+                         const BucketOwners &former, const MemberChange &change,
+                         const OwnerSelector &after)
+{
+    if (!areUnaffected(former, change)) {
+        return after.bucketOwners(service, bucket).value_or(BucketOwners {});
+    }
+    if (change.added.empty()) {
+        return former;
+    }
+    std::vector<Member> candidates { change.members.at(former.first),
+                                     change.members.at(*former.second) };
+    std::ranges::copy(change.added, std::back_inserter(candidates));
+    return *OwnerSelector(std::move(candidates)).bucketOwners(service, bucket);
+}
+
 bool isOwner(const BucketOwners &owners, InstanceId instance)
 {
     return owners.first == instance || owners.second == instance;
--- a/src/connection/ownerchange.h
+++ b/src/connection/ownerchange.h
@@ -4,11 +4,32 @@
 #include "connection/ownerselector.h"
 
 #include <functional>
+#include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace banyanwall::connection {
 
+/// Difference between two views of the members.
+struct MemberChange
+{
+    /// New members, and members whose zone or leaving flag has changed.
+    std::vector<Member> added;
+    /// Former members that are gone or have changed.
+    std::set<common::InstanceId> removed;
+    /// All members of the later view.
+    std::map<common::InstanceId, Member> members;
+};
+
+[[nodiscard]] MemberChange memberChange(const OwnerSelector &before, const OwnerSelector &after);
+
+/// Owners of a bucket in the later view. Gives the result of OwnerSelector::bucketOwners without
+/// hashing all members, unless one of the former owners is affected.
+[[nodiscard]] BucketOwners ownersAfter(common::ServiceId service, common::BucketIndex bucket,
+                                       const BucketOwners &former, const MemberChange &change,
+                                       const OwnerSelector &after);
+
 /// Consequences of a change of owners of one bucket for one instance.
 struct OwnerChange
 {
--- a/src/connection/servicetable.cpp
+++ b/src/connection/servicetable.cpp
@@ -273,9 +273,12 @@
 {
     const auto *former = m_view ? m_view->route(bucket) : nullptr;
     const bool computes = membersChanged || former == nullptr;
-    const auto after = computes
+    auto after = former == nullptr
             ? ownership.members->bucketOwners(m_service, bucket).value_or(BucketOwners {})
             : former->owners();
+    if (former != nullptr && membersChanged) {
+        after = ownersAfter(m_service, bucket, after, ownership.change, *ownership.members);
+    }
     auto known = m_runtimes.find(bucket);
     if (known == m_runtimes.end()) {
         if (!isOwner(after, ownership.self)) {
--- a/src/connection/servicetable.h
+++ b/src/connection/servicetable.h
@@ -5,6 +5,7 @@
 #include "connection/bucketruntime.h"
 #include "connection/flowrouter.h"
 #include "connection/overridestore.h"
+#include "connection/ownerchange.h"
 #include "connection/ownerselector.h"
 #include "connection/serviceview.h"
 #include "version/bucketmap.h"
@@ -28,6 +29,8 @@
 {
     common::InstanceId self;
     std::shared_ptr<const OwnerSelector> members;
+    /// Difference to the members before.
+    MemberChange change;
     /// The same without self; names the former owners while young.
     std::shared_ptr<const OwnerSelector> others;
     /// Self joined a short time ago, so that others hold all earlier overrides.
