Test a lease that returns unseen and a refusal during a retry

Cause: two faults put into the code on purpose passed all tests: a lease that ended and came back between two events, and a second retry started while the first one waits for its slot.

Change: one test for each.

--- a/src/tests/coordinatortest.cpp
+++ b/src/tests/coordinatortest.cpp
@@ -99,6 +99,20 @@
     CHECK_TRUE(all<AskSlot>(coordinator.onRequest(arrival(1, false), moment)).empty());
 }
 
+// Guards against a second ask, and a leaked slot, when a refusal arrives while the retry of the
+// same request already waits for a slot.
+TEST(Coordinator, lateRefusalDoesNotStartASecondRetry)
+{
+    earnRetries(3);
+    const auto first = start(1, true);
+    const auto ask = only<AskSlot>(tickAfter(500ms));
+    const auto late = coordinator.onRefusal(first.slot, DispatchRefusal::Shed, moment);
+    CHECK_TRUE(all<AskSlot>(late).empty());
+    CHECK_TRUE(all<CountRetry>(late).empty());
+    only<DispatchRequest>(coordinator.onSlotAnswer(ask.slot, true, moment));
+    only<DeliverAnswer>(answer(ask.slot));
+}
+
 // Guards against mixing the answers of two attempts, and against a slot leak of the one that lost.
 TEST(Coordinator, firstOfTwoAttemptsWinsAndTheOtherIsCancelled)
 {
--- a/src/tests/takeovertest.cpp
+++ b/src/tests/takeovertest.cpp
@@ -38,7 +38,6 @@
     const auto waited = arrival(1, false);
     pass(1s);
     checkRefused(coordinator.onRequest(waited, moment), Verdict::MayHaveRun, Reason::LeaseLost);
-    // The lease comes back before any other event.
     coordinator.setPermit({ true, Never });
     checkRefused(coordinator.onRequest(waited, moment), Verdict::MayHaveRun,
                  Reason::IssuedBeforeTakeover);
@@ -48,6 +47,18 @@
     start(3, false);
 }
 
+// Guards against missing the end of the lease when it is back before the first event after a pause.
+TEST(Takeover, leaseThatCameBackBetweenTwoEventsCountsAsTakeover)
+{
+    coordinator.setPermit({ true, Start + 1s });
+    CHECK_TRUE(coordinator.onTick(moment).empty());
+    pass(1'500ms);
+    const auto waited = arrival(1, false);
+    coordinator.setPermit({ true, Never });
+    checkRefused(coordinator.onRequest(waited, moment), Verdict::MayHaveRun,
+                 Reason::AwaitingTakeover);
+}
+
 // Guards against a second run by the successor, and a false NotRun, when a coordinator failed, also
 // for a duplicate that arrives during the fence and while the store is down.
 TEST(Takeover, takeoverAnswersMayHaveRunForWhatAnotherInstanceMayHaveDispatched)
