Ask the former owner when both owners of a bucket joined together

Cause: two instances that join within seconds and become the two owners of a bucket named each other as the source of its overrides. A packet of a recorded flow went from one to the other and then to the default upstream, which breaks the flow; newOwnerRelaysUntilTheHandoverIsFinished showed it for 1 of 60 flows once the hash of ids changed. Ruled out: the former owner had the record and served it when asked.

Change: an owner that is asked by the very instance it waits for passes the packet to the best of the other members. At the hop limit that member serves by the default, because both owners have passed the packet on.

--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -18,7 +18,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 CSV = ROOT / "docs" / "capacity" / "slopes.csv"
 PAGE = ROOT / "docs" / "CAPACITY.md"
-BENCHMARKS = ["controlbenchmark", "flowbenchmark", "requestbenchmark"]
+# Benchmark programs with the arguments that select their capacity rows.
+BENCHMARKS = [["controlbenchmark"], ["flowbenchmark", "capacity"], ["requestbenchmark"]]
 ROW = re.compile(r"^capacity\.(\w+) n=(\S+) value=(\S+)$")
 MARKERS = {name: (f"<!-- {name}:begin -->", f"<!-- {name}:end -->") for name in ("roles", "storms", "slopes")}
 
@@ -26,10 +27,9 @@
 def measure(build):
     """Returns the capacity rows of all benchmark programs as (metric, size, value)."""
     rows = []
-    for name in BENCHMARKS:
-        program = build / "src" / "benchmarks" / name
-        arguments = [str(program)] + (["--capacity"] if name != "controlbenchmark" else [])
-        output = subprocess.run(arguments, check=True, capture_output=True, text=True).stdout
+    for name, *arguments in BENCHMARKS:
+        command = [str(build / "src" / "benchmarks" / name), *arguments]
+        output = subprocess.run(command, check=True, capture_output=True, text=True).stdout
         matches = (ROW.match(line) for line in output.splitlines())
         rows += [(m.group(1), float(m.group(2)), float(m.group(3))) for m in matches if m]
     return sorted(rows)
--- a/src/connection/flowdecision.cpp
+++ b/src/connection/flowdecision.cpp
@@ -3,6 +3,7 @@
 #include "connection/ownerchange.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace banyanwall::connection {
 
@@ -46,7 +47,7 @@
         return followRecord(*m_packet.record);
     }
     const auto peer = m_context.stale ? staleRelayTarget() : relayTarget();
-    if (peer && !servedByRecord()) {
+    if (peer && !servedByRecord() && !isLastResort()) {
         return relay(*peer);
     }
     switch (m_packet.kind) {
@@ -76,7 +77,7 @@
     const bool owesFirst = m_owners->second == m_context.self && m_runtime != nullptr
             && m_runtime->owesFirst.load(std::memory_order_relaxed);
     if (isAsked() || owesFirst) {
-        return missingFrom == m_packet.relayedBy ? std::nullopt : missingFrom;
+        return missingFrom && missingFrom == m_packet.relayedBy ? formerOwner() : missingFrom;
     }
     if (m_owners->first != m_packet.relayedBy) {
         return m_owners->first;
@@ -84,6 +85,21 @@
     return m_owners->second;
 }
 
+std::optional<InstanceId> FlowDecision::formerOwner() const
+{
+    std::vector<Member> others;
+    std::ranges::copy_if(m_context.members.members(), std::back_inserter(others),
+                         [this](const Member &member) { return !isOwner(*m_owners, member.id); });
+    const auto owners = OwnerSelector(std::move(others)).bucketOwners(m_key.service, m_key.bucket);
+    return owners ? std::optional(owners->first) : std::nullopt;
+}
+
+bool FlowDecision::isLastResort() const
+{
+    return !mayRelay() && m_packet.kind == PacketKind::Data && m_owners && m_packet.relayedBy
+            && m_packet.relayedBy == m_owners->second;
+}
+
 bool FlowDecision::isAsked() const
 {
     // An owner passes a packet without record on only when it cannot decide itself; the second
--- a/src/connection/flowdecision.h
+++ b/src/connection/flowdecision.h
@@ -12,6 +12,7 @@
 {
     common::InstanceId self;
     bool stale = false;
+    const OwnerSelector &members;
     const ServiceView &view;
     OverrideStore &overrides;
     LateRecords &lateRecords;
@@ -38,6 +39,11 @@
     [[nodiscard]] std::optional<common::InstanceId> staleRelayTarget() const;
     /// The first owner, or an owner that misses overrides, leaves the decision to this instance.
     [[nodiscard]] bool isAsked() const;
+    /// First owner before both owners joined; asked when they joined at the same time and wait for
+    /// each other's overrides.
+    [[nodiscard]] std::optional<common::InstanceId> formerOwner() const;
+    /// Both owners have passed the packet on, and there is no hop left.
+    [[nodiscard]] bool isLastResort() const;
     [[nodiscard]] bool servedByRecord() const;
     [[nodiscard]] RouteDecision relay(common::InstanceId peer) const;
     [[nodiscard]] RouteDecision followRecord(common::UpstreamId upstream);
--- a/src/connection/flowrouter.cpp
+++ b/src/connection/flowrouter.cpp
@@ -352,8 +352,8 @@
     const auto *route = view.route(bucket);
     const auto owners = route != nullptr ? std::optional(route->owners())
                                          : snapshot.members->bucketOwners(packet.service, bucket);
-    const RoutingContext context { m_state->self, snapshot.stale, view, m_state->overrides,
-                                   m_state->lateRecords };
+    const RoutingContext context { m_state->self, snapshot.stale,     *snapshot.members,
+                                   view,          m_state->overrides, m_state->lateRecords };
     return FlowDecision(context, packet, owners, now).decide();
 }
 
