--- a/src/benchmarks/flowworkload.cpp
+++ b/src/benchmarks/flowworkload.cpp
@@ -131,7 +131,7 @@
 void FlowWorkload::openFlow()
 {
     const auto index = m_flows.size();
-    m_flows.emplace_back().key = FlowKey(common::hashPair(index, m_options.seed));
+    m_flows.emplace_back().key = FlowKey(common::hashPair(m_options.seed, index));
     m_open.push_back(index);
     transmit([this, index] { sendOpen(index); });
 }
