Claim a block of ports for each demo run

Two runs at the same time took the same ports, and a stand-in that could not bind went unnoticed. A run now claims its block by a bound port, stops when a stand-in has ended, and keeps the instances' counters.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -66,6 +66,7 @@
         system.start_caller("archive", "certidao", "--feeds", 200, "--requests", 20,
                             "--downloads", 0.3)
         time.sleep(SETTLE_S)
+        system.fleet.check_running()
         counters = system.upstream_counters()
         self._marks["imbalance"] = f"{imbalance(counters, 'bancada'):.2f}"
         self._say(f"event=traffic imbalance={self._marks['imbalance']}")
@@ -123,8 +124,10 @@
     def _evaluate(self):
         system = self._system
         traffic_seconds = time.monotonic() - self._began_traffic
+        system.fleet.check_running()
         reports = system.stop_callers()
         self._watch.stop()
+        system.save_metrics()
         self._marks["reverted"] = self._watch.deviations()
         self._marks["commands"] = system.commands
         evaluation = Evaluation(system.upstream_counters(), system.runs(), reports, self._marks)
--- a/scripts/demofleet.py
+++ b/scripts/demofleet.py
@@ -30,7 +30,7 @@
         self.seed = seed
         self.faults = faults
         self.commands = []
-        ports = Ports(PORT_BASE)
+        ports = self._ports = Ports(PORT_BASE)
         self.store = ports.take()
         self.reply = ports.take()
         self.control = ports.take()
@@ -155,6 +155,12 @@
         self.fleet.write("upstreams.json", json.dumps(counters))
         return counters
 
+    def save_metrics(self):
+        """Keeps the counters of all instances beside their logs."""
+        for name, instance in self.instances.items():
+            body = http_get(instance["admin"], "/metrics") or b""
+            self.fleet.write(f"{name}.metrics.txt", body.decode())
+
     def runs(self):
         return http_json(self.control, "/runs")
 
--- a/scripts/demoresult.py
+++ b/scripts/demoresult.py
@@ -91,7 +91,12 @@
     def _judge(self):
         figures = self.figures
         slow = [text for text, seconds, _ in self._marks["commands"] if seconds > IN_FORCE_BOUND_S]
+        # Without traffic no promise is tested.
+        idle = [name for name, report in self._reports.items()
+                if not report["feeds"]["opened"]
+                or (report["requests"]["issued"] and not report["requests"]["completed"])]
         checks = [
+            ("P1", len(idle), "callers without any opened flow or completed request"),
             ("P1", figures["broken_flows"], "broken flows"),
             ("P2", figures["wrong_service"], "packets for another service"),
             ("P3", figures["cold_overload"] + figures["slots_over_limit"],
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -26,20 +26,33 @@
 
 
 class Ports:
-    """Hands out loopback ports from a fixed base upwards and leaves out those in use."""
+    """Hands out loopback ports of one block, from a fixed base upwards, and leaves out those in
+    use. The first port of the block stays bound as a claim, so that two runs at the same time use
+    different blocks."""
+
+    BLOCK = 200
 
     def __init__(self, base):
-        self._next = base
+        self._claim = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        while True:
+            try:
+                self._claim.bind((LOOPBACK, base))
+                break
+            except OSError:
+                base += self.BLOCK
+                if base > 65535 - self.BLOCK:
+                    raise FleetError("no free block of ports left") from None
+        self._next = base + 1
+        self._end = base + self.BLOCK
 
     def take(self):
         """Returns "127.0.0.1:port" of a port that is free for TCP and UDP."""
-        while True:
+        while self._next < self._end:
             port = self._next
             self._next += 1
-            if port > 65535:
-                raise FleetError("no free port left")
             if self._is_free(port):
                 return f"{LOOPBACK}:{port}"
+        raise FleetError("no free port left in the block")
 
     @staticmethod
     def _is_free(port):
@@ -105,6 +118,12 @@
         self.programs.append(started)
         return started
 
+    def check_running(self):
+        """Raises FleetError when a program has ended that nobody stopped."""
+        for program in self.programs:
+            if not program.running():
+                raise FleetError(f"{program.name} ended by itself: {program.log_tail(1)}")
+
     def stop(self, program, timeout=STOP_TIMEOUT_S):
         program.terminate()
         status = program.wait(timeout)
--- a/scripts/relaybench.py
+++ b/scripts/relaybench.py
@@ -59,7 +59,7 @@
         self._build = build
         self._seconds = seconds
         self.fleet = Fleet(build, os.path.join(build, "relaybench"))
-        ports = Ports(PORT_BASE)
+        ports = self._claimed = Ports(PORT_BASE)
         self._names = ("store", "service", "upstream", "target", "peer", "admin", "outgoing",
                        "fabric", "bare_target", "bare_outgoing")
         self._ports = {name: ports.take() for name in self._names}
