--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -35,9 +35,11 @@
 
 /// State of a member after silence. Only neighbours suspect; every instance turns an old suspicion
 /// into a death.
-MemberRecord::State nextState(const MemberInfo &member, bool watchedHere, TimePoint now)
+MemberRecord::State nextState(const MemberInfo &member, std::optional<TimePoint> watchedSince,
+                              TimePoint now)
 {
-    const auto silence = now - member.heard;
+    const bool watchedHere = watchedSince.has_value();
+    const auto silence = now - std::max(member.heard, watchedSince.value_or(member.heard));
     const bool suspicionOld = member.state == MemberRecord::SUSPECTED
             && now - member.since > Membership::DeadAfter - Membership::SuspectAfter;
     const bool leaverGone =
@@ -418,9 +420,15 @@
 {
     std::vector<MemberRecord> news;
     const auto watched = neighbours();
+    std::erase_if(m_watchedSince, [&](const auto &entry) {
+        return std::ranges::find(watched, entry.first) == watched.end();
+    });
+    std::ranges::for_each(watched, [&](InstanceId id) { m_watchedSince.try_emplace(id, now); });
     for (auto &[id, member] : m_members) {
-        const bool watchedHere = std::ranges::find(watched, id) != watched.end();
-        const auto next = nextState(member, watchedHere, now);
+        const auto since = m_watchedSince.find(id);
+        const auto next = nextState(
+                member, since == m_watchedSince.end() ? std::nullopt : std::optional(since->second),
+                now);
         if (next == member.state) {
             continue;
         }
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -141,6 +141,8 @@
     std::map<std::uint64_t, common::TimePoint> m_sentAt;
     std::map<common::InstanceId, MemberInfo> m_members;
     std::map<common::InstanceId, Contact> m_contacts;
+    /// Since when a member is a neighbour; others are not expected to be heard from.
+    std::map<common::InstanceId, common::TimePoint> m_watchedSince;
 };
 
 } // namespace banyanwall::process
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -328,6 +328,7 @@
     }
     for (const auto &member : change.gone) {
         fenceRequestsOf(member, change.former, moment);
+        m_planner.forget(member.id);
         m_lastDeath = now;
     }
     m_router.setMembers(change.members, now);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -80,6 +80,7 @@
     void tickHeartbeats();
     void tickProbes();
     void tickSettling();
+    void reportIdleBuckets();
     void tickSilentFlows();
     void tickMembersOfZone();
     [[nodiscard]] wire::proto::Heartbeat preparedHeartbeat();
--- a/src/process/nodecontrol.cpp
+++ b/src/process/nodecontrol.cpp
@@ -213,15 +213,22 @@
 
 void Node::tickSettling()
 {
-    const auto now = monotonicNow();
-    const auto view = m_directory.view();
-    for (const auto &report : m_router.idleBuckets(now)) {
-        const auto service = view->services.find(report.service);
-        if (service == view->services.end()) {
-            continue;
-        }
-        PeerMessage message;
-        auto &idle = *message.mutable_idle_buckets();
+    reportIdleBuckets();
+    planSettledMaps();
+    sendHandovers(HandoverRecords);
+    m_placement.forget(wallNow());
+    m_metrics.sampleImbalance();
+}
+
+void Node::reportIdleBuckets()
+{
+    std::map<common::ServiceId, wire::proto::IdleBuckets> reports;
+    // A service without idle buckets gets an empty report, which replaces the former one.
+    for (const auto &[service, former] : m_sentReports) {
+        reports[service].set_service(service.value());
+    }
+    for (const auto &report : m_router.idleBuckets(monotonicNow())) {
+        auto &idle = reports[report.service];
         idle.set_service(report.service.value());
         idle.set_settled_revision(report.revision.value());
         idle.set_roster_version(report.rosterVersion.value());
@@ -231,18 +238,24 @@
         for (const auto bucket : report.clean) {
             idle.add_clean(bucket.value());
         }
-        const auto planner = m_membership.members()->planner(service->second->customer);
+    }
+    const auto view = m_directory.view();
+    for (auto &[service, idle] : reports) {
+        const auto roster = view->services.find(service);
+        auto bytes = idle.SerializeAsString();
+        if (roster == view->services.end() || m_sentReports[service] == bytes) {
+            continue;
+        }
+        m_sentReports[service] = std::move(bytes);
+        const auto planner = m_membership.members()->planner(roster->second->customer);
         if (planner == m_self) {
             m_planner.onIdleBuckets(m_self, idle);
-        } else if (planner && m_sentReports[report.service] != idle.SerializeAsString()) {
-            m_sentReports[report.service] = idle.SerializeAsString();
+        } else if (planner) {
+            PeerMessage message;
+            *message.mutable_idle_buckets() = std::move(idle);
             m_transport.toPeer(*planner, message);
         }
     }
-    planSettledMaps();
-    sendHandovers(HandoverRecords);
-    m_placement.forget(wallNow());
-    m_metrics.sampleImbalance();
 }
 
 void Node::planSettledMaps()
--- a/src/process/settledplanner.cpp
+++ b/src/process/settledplanner.cpp
@@ -35,6 +35,13 @@
     };
 }
 
+void SettledPlanner::forget(common::InstanceId sender)
+{
+    for (auto &[service, reports] : m_reports) {
+        reports.bySender.erase(sender);
+    }
+}
+
 std::optional<wire::proto::SettledMap>
 SettledPlanner::plan(const DocumentApplier::CustomerState &customer,
                      const std::vector<common::ZoneId> &silentZones) const
--- a/src/process/settledplanner.h
+++ b/src/process/settledplanner.h
@@ -21,6 +21,8 @@
 
     /// Replaces the former report of this sender about the service.
     void onIdleBuckets(common::InstanceId sender, const wire::proto::IdleBuckets &report);
+    /// Drops the reports of a member that is gone.
+    void forget(common::InstanceId sender);
     /// Next settled map; empty when there is nothing to change, or when the roster of the customer
     /// is not in force or not in the router's maps yet.
     [[nodiscard]] std::optional<wire::proto::SettledMap>
--- /dev/null
+++ b/src/tests/membershiptest.cpp
@@ -0,0 +1,246 @@
+#include "process/membership.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <deque>
+#include <memory>
+
+using namespace banyanwall;
+using namespace std::chrono_literals;
+using common::Incarnation;
+using common::InstanceId;
+using common::TimePoint;
+using common::ZoneId;
+using process::Membership;
+using wire::proto::MemberRecord;
+
+namespace {
+
+constexpr std::uint64_t Digest = 77;
+
+/// A fleet whose messages arrive at once, unless their sender or receiver is cut off.
+class Fleet
+{
+public:
+    explicit Fleet(std::uint32_t count)
+    {
+        for (std::uint32_t id = 1; id <= count; ++id) {
+            add(id, 1);
+        }
+    }
+
+    void add(std::uint32_t id, std::uint64_t incarnation)
+    {
+        const common::Endpoint address { 0x7f000001, static_cast<std::uint16_t>(9000 + id) };
+        m_members[InstanceId(id)] = std::make_unique<Membership>(
+                InstanceId(id), Incarnation(incarnation), ZoneId(id % 3), address);
+        m_cut.erase(InstanceId(id));
+    }
+
+    Membership &at(std::uint32_t id) { return *m_members.at(InstanceId(id)); }
+
+    void cut(std::uint32_t id) { m_cut.insert(InstanceId(id)); }
+
+    void heal(std::uint32_t id) { m_cut.erase(InstanceId(id)); }
+
+    void introduceAll()
+    {
+        for (auto &[id, member] : m_members) {
+            for (const auto &[other, info] : m_members) {
+                process::MemberInfo listed { other,
+                                             info->incarnation(),
+                                             ZoneId(other.value() % 3),
+                                             {},
+                                             MemberRecord::ALIVE,
+                                             now,
+                                             now,
+                                             false,
+                                             info->incarnation() };
+                member->applyStoreList({ listed }, now);
+            }
+        }
+    }
+
+    void run(common::Duration time)
+    {
+        for (const auto end = now + time; now < end; now += Membership::HeartbeatInterval) {
+            for (auto &[id, member] : m_members) {
+                if (!m_paused.contains(id)) {
+                    deliver(id, member->onTick({}, now));
+                }
+            }
+        }
+    }
+
+    void deliver(InstanceId from, std::vector<process::SendToMember> sends)
+    {
+        std::deque<std::pair<InstanceId, process::SendToMember>> queue;
+        const auto enqueue = [&](InstanceId sender, std::vector<process::SendToMember> messages) {
+            for (auto &message : messages) {
+                queue.emplace_back(sender, std::move(message));
+            }
+        };
+        enqueue(from, std::move(sends));
+        while (!queue.empty()) {
+            const auto [sender, send] = queue.front();
+            queue.pop_front();
+            const auto receiver = m_members.find(send.member);
+            if (receiver == m_members.end() || isDeaf(sender) || isDeaf(send.member)) {
+                continue;
+            }
+            auto &member = *receiver->second;
+            if (send.message.has_heartbeat()) {
+                enqueue(send.member,
+                        member.onHeartbeat(sender, send.message.heartbeat(), Digest, now));
+            } else if (send.message.has_heartbeat_ack()) {
+                member.onHeartbeatAck(sender, send.message.heartbeat_ack(), Digest, now);
+            } else {
+                enqueue(send.member, member.onUpdate(send.message.member_update(), now));
+            }
+        }
+    }
+
+    void pause(std::uint32_t id) { m_paused.insert(InstanceId(id)); }
+
+    void resume(std::uint32_t id) { m_paused.erase(InstanceId(id)); }
+
+    TimePoint now { 1000s };
+
+private:
+    bool isDeaf(InstanceId id) const { return m_cut.contains(id) || m_paused.contains(id); }
+
+    std::map<InstanceId, std::unique_ptr<Membership>> m_members;
+    std::set<InstanceId> m_cut;
+    std::set<InstanceId> m_paused;
+};
+
+MemberRecord::State stateAt(Fleet &fleet, std::uint32_t observer, std::uint32_t member)
+{
+    return fleet.at(observer).members().at(InstanceId(member)).state;
+}
+
+} // namespace
+
+TEST_GROUP(Membership)
+{
+    Fleet fleet { 9 };
+
+    void setup() override
+    {
+        fleet.introduceAll();
+        fleet.run(1s);
+    }
+};
+
+// Guards against a dead instance that keeps its roles, and against suspecting too early.
+TEST(Membership, silentMemberIsSuspectedThenDead)
+{
+    fleet.cut(5);
+    fleet.run(1500ms);
+    CHECK_TRUE(stateAt(fleet, 1, 5) == MemberRecord::ALIVE);
+    fleet.run(1500ms);
+    CHECK_TRUE(stateAt(fleet, 1, 5) == MemberRecord::SUSPECTED);
+    LONGS_EQUAL(9, fleet.at(1).liveMembers().size());
+    fleet.run(4s);
+    for (const std::uint32_t observer : { 1U, 2U, 3U, 9U }) {
+        CHECK_TRUE(stateAt(fleet, observer, 5) == MemberRecord::DEAD);
+        LONGS_EQUAL(8, fleet.at(observer).liveMembers().size());
+    }
+}
+
+// Guards against a paused instance that stays dead for others, or that takes its own pause for the
+// silence of all others.
+TEST(Membership, resumedMemberRefutesAndSuspectsNobody)
+{
+    fleet.pause(5);
+    fleet.run(10s);
+    CHECK_TRUE(stateAt(fleet, 1, 5) == MemberRecord::DEAD);
+    CHECK_TRUE(fleet.at(5).isStale(fleet.now));
+    fleet.resume(5);
+    fleet.run(2s);
+    CHECK_TRUE(stateAt(fleet, 1, 5) == MemberRecord::ALIVE);
+    CHECK_TRUE(fleet.at(5).incarnation() > Incarnation(1));
+    CHECK_FALSE(fleet.at(5).isStale(fleet.now));
+    for (std::uint32_t member = 1; member <= 9; ++member) {
+        if (member != 5) {
+            CHECK_TRUE(stateAt(fleet, 5, member) == MemberRecord::ALIVE);
+            CHECK_TRUE(fleet.at(member).incarnation() == Incarnation(1));
+        }
+    }
+}
+
+// Guards against staleness that is noticed late, and against one lost neighbour that makes stale.
+TEST(Membership, staleAfterTwoSecondsWithoutMostNeighbours)
+{
+    fleet.cut(9);
+    fleet.run(500ms);
+    CHECK_FALSE(fleet.at(1).isStale(fleet.now + 1s));
+    fleet.cut(1);
+    const auto cutAt = fleet.now;
+    fleet.run(1500ms);
+    CHECK_FALSE(fleet.at(1).isStale(cutAt + 1400ms));
+    CHECK_TRUE(fleet.at(1).isStale(cutAt + 2s));
+    CHECK_TRUE(fleet.at(1).freshUntil() < cutAt + 2s);
+}
+
+// Guards against a leaver that loses its membership before it has finished.
+TEST(Membership, leavingMemberStaysLiveUntilFarewell)
+{
+    fleet.deliver(InstanceId(5), fleet.at(5).leave(fleet.now));
+    fleet.run(3s);
+    CHECK_TRUE(stateAt(fleet, 1, 5) == MemberRecord::LEAVING);
+    LONGS_EQUAL(9, fleet.at(1).liveMembers().size());
+    fleet.deliver(InstanceId(5), fleet.at(5).farewell());
+    LONGS_EQUAL(8, fleet.at(1).liveMembers().size());
+    LONGS_EQUAL(8, fleet.at(9).liveMembers().size());
+}
+
+// Guards against a lagging store list that revives a dead member or hides a live one.
+TEST(Membership, laggingStoreListChangesNothingKnownBetter)
+{
+    fleet.cut(5);
+    fleet.run(7s);
+    fleet.introduceAll();
+    CHECK_TRUE(stateAt(fleet, 1, 5) == MemberRecord::DEAD);
+    fleet.at(1).applyStoreList({}, fleet.now);
+    LONGS_EQUAL(8, fleet.at(1).liveMembers().size());
+}
+
+// Guards against a joining instance that knows only the seed it has spoken to.
+TEST(Membership, joinerLearnsTheWholeFleetFromOneSeed)
+{
+    fleet.add(10, 1);
+    wire::proto::Heartbeat greeting;
+    *greeting.mutable_self() = fleet.at(10).selfRecord();
+    fleet.deliver(InstanceId(3),
+                  fleet.at(3).onHeartbeat(InstanceId(10), greeting, Digest, fleet.now));
+    LONGS_EQUAL(10, fleet.at(10).liveMembers().size());
+    fleet.run(500ms);
+    LONGS_EQUAL(10, fleet.at(8).liveMembers().size());
+}
+
+// Guards against a restarted process that is ignored because its clock was set back.
+TEST(Membership, restartAfterClockStepBackIsAccepted)
+{
+    fleet.add(5, 0);
+    wire::proto::Heartbeat greeting;
+    *greeting.mutable_self() = fleet.at(5).selfRecord();
+    fleet.deliver(InstanceId(3),
+                  fleet.at(3).onHeartbeat(InstanceId(5), greeting, Digest, fleet.now));
+    fleet.run(2s);
+    CHECK_TRUE(fleet.at(5).incarnation() > Incarnation(1));
+    CHECK_TRUE(stateAt(fleet, 1, 5) == MemberRecord::ALIVE);
+}
+
+// Guards against a zone that counts as unreachable because no neighbour happens to be in it.
+TEST(Membership, onlyZonesWithoutAnyContactAreSilent)
+{
+    CHECK_TRUE(fleet.at(1).silentZones(fleet.now).empty());
+    for (const std::uint32_t member : { 2U, 5U, 8U }) {
+        fleet.cut(member);
+    }
+    fleet.run(4s);
+    const auto silent = fleet.at(1).silentZones(fleet.now);
+    LONGS_EQUAL(1, silent.size());
+    CHECK_TRUE(silent.front() == ZoneId(2));
+}
