Carry the comparison share of a cutover in the roster

The coordinator sees rosters, not contracts, and needs to know which upstreams belong to the new group and which share of repeatable requests goes to both groups. Both fields are additions with defaults.

Tests: rosterbuildertest passes.

--- a/src/tests/rosterbuildertest.cpp
+++ b/src/tests/rosterbuildertest.cpp
@@ -21,7 +21,7 @@
                            { "r3", "east", { 1, 3 } },
                            { "r4", "west", { 1, 4 } } } },
                        { "new", { { "n1", "east", { 1, 5 } } } } };
-    service.cutover = version::CutoverSpec { "old", "new", sharePercent, 0, "" };
+    service.cutover = version::CutoverSpec { "old", "new", sharePercent, 5, "" };
     return { "clinic", { "east", "west" }, { service } };
 }
 
@@ -89,6 +89,10 @@
     // Half of the load on 1 new upstream, half on 2 old ones that are left.
     roster = build(50, { "records/r1", "records/r2" }, {});
     LONGS_EQUAL(50, upstream(roster, "r3").sharePercent);
+    // The coordinator needs both to compare the answers of the groups.
+    LONGS_EQUAL(5, roster.comparePercent);
+    CHECK_TRUE(upstream(roster, "n1").isCutoverTarget);
+    CHECK_FALSE(upstream(roster, "r1").isCutoverTarget);
     roster = build(100, {}, {});
     LONGS_EQUAL(0, upstream(roster, "r1").sharePercent);
     LONGS_EQUAL(100, upstream(roster, "n1").sharePercent);
--- a/src/version/roster.h
+++ b/src/version/roster.h
@@ -27,6 +27,8 @@
     /// Share of its fair part of new flows that it takes, in percent; below 100 while its zone
     /// returns or in a cutover.
     std::uint32_t sharePercent = 100;
+    /// Belongs to the group that a cutover moves to.
+    bool isCutoverTarget = false;
 };
 
 /// Upstreams of one service as derived from a contract version and a zone version; the same on all
@@ -45,6 +47,8 @@
     std::chrono::milliseconds longestRequest { 10'000 };
     std::chrono::milliseconds usualLatency { 50 };
     std::chrono::seconds idleLimit { 60 };
+    /// Share of repeatable requests that go to both groups of a cutover, in percent.
+    std::uint32_t comparePercent = 0;
 };
 
 } // namespace banyanwall::version
--- a/src/version/rosterbuilder.cpp
+++ b/src/version/rosterbuilder.cpp
@@ -40,11 +40,15 @@
         roster.longestRequest = service.longestRequest;
         roster.usualLatency = service.usualLatency;
         roster.idleLimit = service.idleLimit;
+        roster.comparePercent = service.cutover ? service.cutover->comparePercent : 0;
         const auto shares = groupShares(service);
         for (const auto &group : service.groups) {
+            const bool isTarget = service.cutover && service.cutover->toGroup == group.name;
             std::ranges::transform(group.upstreams, std::back_inserter(roster.upstreams),
                                    [&](const UpstreamSpec &spec) {
-                                       return upstream(service, spec, shares.at(group.name));
+                                       auto entry = upstream(service, spec, shares.at(group.name));
+                                       entry.isCutoverTarget = isTarget;
+                                       return entry;
                                    });
         }
         std::ranges::sort(roster.upstreams, {}, &RosterUpstream::id);
