Keep contract documents small

A history of 20 full texts made a drain as large as 20 contracts, and a contract was limited to 32 KB, about 350 upstreams, far below the target. Equal texts are now stored once, old history is dropped above 1 MB, and a contract may have 400 KB. Instances spread the document without its history (formatContractForInstances). The diff skips the common start and end and bounds its table, which would have needed hundreds of MB for such texts.

--- a/src/ctl/textdiff.cpp
+++ b/src/ctl/textdiff.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t ContextLines = 2;
+// Bounds the table of common subsequences to 16 MB; larger changes are shown as a replacement.
+constexpr std::size_t MaximumTableCells = 4'000'000;
 
 struct Line
 {
@@ -55,11 +57,17 @@
     std::vector<std::uint32_t> m_lengths;
 };
 
-std::vector<Line> merge(const std::vector<std::string_view> &former,
-                        const std::vector<std::string_view> &next)
+using LineList = std::vector<std::string_view>;
+
+/// Appends the lines of two sections that have no common first or last line.
+void mergeSections(const LineList &former, const LineList &next, std::vector<Line> &lines)
 {
+    if ((former.size() + 1) * (next.size() + 1) > MaximumTableCells) {
+        std::ranges::for_each(former, [&](auto line) { lines.push_back({ '-', line }); });
+        std::ranges::for_each(next, [&](auto line) { lines.push_back({ '+', line }); });
+        return;
+    }
     const CommonSuffixes common(former, next);
-    std::vector<Line> lines;
     std::size_t i = 0;
     std::size_t j = 0;
     while (i < former.size() || j < next.size()) {
@@ -74,6 +82,20 @@
             lines.push_back({ '+', next[j++] });
         }
     }
+}
+
+std::vector<Line> merge(const LineList &former, const LineList &next)
+{
+    // Edits change few lines, so that the common start and end need no table.
+    const auto head = std::ranges::mismatch(former, next);
+    const auto tail = std::mismatch(former.rbegin(), std::make_reverse_iterator(head.in1),
+                                    next.rbegin(), std::make_reverse_iterator(head.in2));
+    std::vector<Line> lines;
+    std::for_each(former.begin(), head.in1, [&](auto line) { lines.push_back({ ' ', line }); });
+    mergeSections({ head.in1, tail.first.base() }, { head.in2, tail.second.base() }, lines);
+    std::for_each(tail.first.base(), former.end(), [&](auto line) {
+        lines.push_back({ ' ', line });
+    });
     return lines;
 }
 
--- a/src/tests/ctltest.cpp
+++ b/src/tests/ctltest.cpp
@@ -229,4 +229,5 @@
     STRCMP_EQUAL("", ctl::diffLines("a\nb\n", "a\nb\n").c_str());
     STRCMP_EQUAL("- a\n  b\n+ c\n", ctl::diffLines("a\nb\n", "b\nc\n").c_str());
     STRCMP_EQUAL("+ a\n", ctl::diffLines("", "a").c_str());
+    STRCMP_EQUAL("  a\n- b\n  a\n", ctl::diffLines("a\nb\na\n", "a\na\n").c_str());
 }
--- a/src/version/contractparser.cpp
+++ b/src/version/contractparser.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::size_t MaximumZones = 16;
-constexpr std::size_t MaximumServices = 64;
+constexpr std::size_t MaximumServices = 1'000;
 constexpr std::size_t MaximumUpstreams = 1'000;
 constexpr IntegerRange SlotRange { 1, 1'000 };
 constexpr IntegerRange ConnectionRange { 1, 1'000'000 };
--- a/src/version/contractparser.h
+++ b/src/version/contractparser.h
@@ -9,9 +9,9 @@
 
 namespace banyanwall::version {
 
-/// Longest contract text that is accepted, in bytes. With 20 versions of history the document stays
-/// under the store's limit of 1 MB a value.
-inline constexpr std::size_t MaximumContractBytes = 32'768;
+/// Longest contract text that is accepted, in bytes. JSON at most doubles it, so that the document
+/// without history stays under the store's limit of 1 MB a value.
+inline constexpr std::size_t MaximumContractBytes = 400'000;
 
 /// Parses and checks a contract. The error is one line "source:line: key: what is wrong and what is
 /// allowed"; code "invalid_toml" or "invalid_contract".
--- a/src/version/documents.cpp
+++ b/src/version/documents.cpp
@@ -96,6 +96,11 @@
         return value->get_array();
     }
 
+    [[nodiscard]] bool has(std::string_view key) const
+    {
+        return m_object != nullptr && m_object->contains(key);
+    }
+
     void adopt(const FieldReader &element)
     {
         if (m_problem.empty()) {
@@ -151,7 +156,6 @@
 void readVersion(FieldReader &reader, T &target)
 {
     target.version = reader.number("version");
-    target.toml = reader.text("toml");
     target.author = reader.text("author");
     target.drainedUpstreams = reader.texts("drained_upstreams");
 }
@@ -160,12 +164,22 @@
 json::object versionObject(const T &source)
 {
     return { { "version", source.version },
-             { "toml", source.toml },
              { "author", source.author },
              { "drained_upstreams",
                json::array(source.drainedUpstreams.begin(), source.drainedUpstreams.end()) } };
 }
 
+/// Gives each entry without a text that of the entry after it.
+void completeTexts(ContractDocument &document, const std::vector<bool> &hasText)
+{
+    for (std::size_t i = document.history.size(); i-- > 0;) {
+        if (!hasText[i]) {
+            document.history[i].toml =
+                    i + 1 < document.history.size() ? document.history[i + 1].toml : document.toml;
+        }
+    }
+}
+
 } // namespace
 
 common::Result<ContractDocument> parseContractDocument(std::string_view json)
@@ -173,11 +187,17 @@
     return parseWith<ContractDocument>(json, [](FieldReader &reader) {
         ContractDocument document;
         readVersion(reader, document);
+        document.toml = reader.text("toml");
+        std::vector<bool> hasText;
         for (const auto &element : reader.elements("history")) {
             FieldReader entry(element);
-            readVersion(entry, document.history.emplace_back());
+            auto &version = document.history.emplace_back();
+            readVersion(entry, version);
+            hasText.push_back(entry.has("toml"));
+            version.toml = hasText.back() ? entry.text("toml") : "";
             reader.adopt(entry);
         }
+        completeTexts(document, hasText);
         return document;
     });
 }
@@ -185,13 +205,28 @@
 std::string formatContractDocument(const ContractDocument &document)
 {
     auto object = versionObject(document);
+    object["toml"] = document.toml;
     json::array history;
-    std::ranges::transform(document.history, std::back_inserter(history),
-                           [](const auto &entry) { return versionObject(entry); });
+    for (std::size_t i = 0; i < document.history.size(); ++i) {
+        const auto &entry = document.history[i];
+        const auto &following =
+                i + 1 < document.history.size() ? document.history[i + 1].toml : document.toml;
+        auto version = versionObject(entry);
+        if (entry.toml != following) {
+            version["toml"] = entry.toml;
+        }
+        history.push_back(std::move(version));
+    }
     object["history"] = std::move(history);
     return json::serialize(object);
 }
 
+std::string formatContractForInstances(ContractDocument document)
+{
+    document.history.clear();
+    return formatContractDocument(document);
+}
+
 common::Result<ZoneStates> parseZoneStates(std::string_view json)
 {
     return parseWith<ZoneStates>(json, [](FieldReader &reader) {
@@ -262,10 +297,10 @@
     std::ranges::sort(next.drainedUpstreams);
     next.history = current.history;
     next.history.push_back({ next.version, next.toml, next.author, next.drainedUpstreams });
-    if (next.history.size() > ContractDocument::HistoryLength) {
-        next.history.erase(next.history.begin(),
-                           next.history.end()
-                                   - static_cast<std::ptrdiff_t>(ContractDocument::HistoryLength));
+    while (next.history.size() > ContractDocument::HistoryLength
+           || (next.history.size() > 1
+               && formatContractDocument(next).size() > ContractDocument::MaximumBytes)) {
+        next.history.erase(next.history.begin());
     }
     return next;
 }
--- a/src/version/documents.h
+++ b/src/version/documents.h
@@ -31,6 +31,8 @@
 struct ContractDocument
 {
     static constexpr std::size_t HistoryLength = 20;
+    /// The store takes values of up to 1 MB; older history is dropped above this size.
+    static constexpr std::size_t MaximumBytes = 1'000'000;
 
     std::uint64_t version = 0;
     std::string toml;
@@ -55,7 +57,11 @@
 
 // The parse functions return the code "invalid_document" and say which field is wrong.
 [[nodiscard]] common::Result<ContractDocument> parseContractDocument(std::string_view json);
+/// A history entry without text has that of the entry after it, so that drains cost no copy of the
+/// contract.
 [[nodiscard]] std::string formatContractDocument(const ContractDocument &document);
+/// The document without its history, for spreading between instances, which never use the history.
+[[nodiscard]] std::string formatContractForInstances(ContractDocument document);
 
 [[nodiscard]] common::Result<ZoneStates> parseZoneStates(std::string_view json);
 [[nodiscard]] std::string formatZoneStates(const ZoneStates &states);
@@ -64,7 +70,7 @@
 [[nodiscard]] std::string formatInstanceRecord(const InstanceRecord &record);
 
 /// Returns the document after one accepted edit: the next version, with the new version appended to
-/// the history and the oldest dropped beyond HistoryLength.
+/// the history and the oldest dropped beyond HistoryLength or MaximumBytes.
 [[nodiscard]] ContractDocument nextVersion(const ContractDocument &current, std::string toml,
                                            std::string author,
                                            std::vector<std::string> drainedUpstreams);
