Measure the bytes that spread one contract change

The capacity page shows 53 KB/s an instance for 100 changes in a minute, computed and over the budget of 10 KB/s. The new benchmark measures it on the real classes before the way of spreading is changed.

--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -19,7 +19,7 @@
 CSV = ROOT / "docs" / "capacity" / "slopes.csv"
 PAGE = ROOT / "docs" / "CAPACITY.md"
 # Benchmark programs with the arguments that select their capacity rows.
-BENCHMARKS = [["controlbenchmark"], ["flowbenchmark", "capacity"], ["requestbenchmark"]]
+BENCHMARKS = [["controlbenchmark"], ["spreadbenchmark"], ["flowbenchmark", "capacity"], ["requestbenchmark"]]
 ROW = re.compile(r"^capacity\.(\w+) n=(\S+) value=(\S+)$")
 MARKERS = {name: (f"<!-- {name}:begin -->", f"<!-- {name}:end -->") for name in ("roles", "storms", "slopes")}
 
