Open no flows on a leaving default before the first roll-out

A restarted instance that owns a bucket has no roster in force for its first 2.5 s and opened flows on the bucket's default, even when that upstream was draining. Before any roster is in force, the default is now used only while it takes new work, otherwise the open upstream of the newest roster.

--- a/src/connection/flowdecision.cpp
+++ b/src/connection/flowdecision.cpp
@@ -308,9 +308,14 @@
 
 std::optional<UpstreamId> FlowDecision::openUpstream() const
 {
-    // Before any roster is in force here, the default is the choice that every instance follows.
-    const auto entry = m_context.view.entry(m_key.bucket);
-    const auto regular = m_context.view.openInForce(m_key.bucket).value_or(entry.defaultUpstream);
+    const auto &view = m_context.view;
+    const auto entry = view.entry(m_key.bucket);
+    // Before any roster is in force here, the default is the choice that every instance follows,
+    // unless it is leaving: a restarted instance would give it new flows until its roll-out ends.
+    const bool defaultStays = view.status(entry.defaultUpstream) == UpstreamStatus::Active;
+    const auto regular =
+            view.openInForce(m_key.bucket)
+                    .value_or(defaultStays ? entry.defaultUpstream : entry.openUpstream);
     for (const auto candidate : { regular, entry.openUpstream }) {
         if (takesOpens(candidate)) {
             return candidate;
