Publish members of a starting instance at once and keep zones heard

A starting instance published a view for each member that it read from the store, so that it took every one for a change of owners; it also registered before it knew the catalogue. It now reads first, then publishes once, then registers. A zone looked silent for up to 500 ms after its only neighbour had left, because the next one had not been heard from yet; a leaving neighbour is now replaced before it is gone.

--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -258,13 +258,14 @@
     std::vector<InstanceId> chosen;
     for (const auto &[zone, candidates] : byZone) {
         std::size_t responsive = 0;
-        // A suspected neighbour is watched further, and one more speaks for its zone.
+        // A suspected or leaving neighbour is watched further, and one more speaks for its zone,
+        // which would look silent when the leaver is gone.
         for (const auto id : successors(candidates, m_self, candidates.size())) {
             if (responsive == perZone) {
                 break;
             }
             chosen.push_back(id);
-            responsive += m_members.at(id).state == MemberRecord::SUSPECTED ? 0 : 1;
+            responsive += m_members.at(id).state == MemberRecord::ALIVE ? 1 : 0;
         }
     }
     return chosen;
--- a/src/process/membershipdriver.cpp
+++ b/src/process/membershipdriver.cpp
@@ -85,6 +85,12 @@
     publish(now);
 }
 
+void MembershipDriver::release(TimePoint now)
+{
+    m_released = true;
+    publish(now);
+}
+
 void MembershipDriver::leave(TimePoint now)
 {
     const auto messages = m_membership.leave(now);
@@ -117,14 +123,16 @@
     if (m_publishedView == m_membership.viewNumber() && m_publishedMembers == known.size()) {
         return;
     }
-    m_publishedView = m_membership.viewNumber();
-    m_publishedMembers = known.size();
     std::map<InstanceId, common::Endpoint> addresses;
     for (const auto &[id, member] : known) {
         addresses[id] = member.peerAddress;
     }
     m_onAddresses(std::move(addresses));
-
+    if (!m_released) {
+        return;
+    }
+    m_publishedView = m_membership.viewNumber();
+    m_publishedMembers = known.size();
     const auto live = m_membership.liveMembers();
     const auto restarted = takeRestarted();
     if (!restarted.empty()) {
--- a/src/process/membershipdriver.h
+++ b/src/process/membershipdriver.h
@@ -40,6 +40,9 @@
                         std::uint64_t ownDigest, common::TimePoint now);
     void onUpdate(const wire::proto::MemberUpdate &update, common::TimePoint now);
     void applyStoreList(const std::vector<MemberInfo> &listed, common::TimePoint now);
+    /// Tells the other parts of the members from now on. Before, an instance that starts learns of
+    /// them one by one, and would take each for a change.
+    void release(common::TimePoint now);
     void leave(common::TimePoint now);
     void rejoin(common::TimePoint now);
     void farewell();
@@ -64,6 +67,7 @@
     PeerSink &m_peers;
     AddressHandler m_onAddresses;
     ChangeHandler m_onChange;
+    bool m_released = false;
     std::uint64_t m_publishedView = 0;
     std::size_t m_publishedMembers = 0;
     std::map<common::InstanceId, common::Incarnation> m_processes;
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -85,7 +85,7 @@
     , m_storeClient(m_context, storeSettings(m_settings), m_incarnation.value())
     , m_store(
               m_context, m_storeClient, m_guard, recordOf(m_settings, m_incarnation),
-              [this](const std::vector<StoreEntry> &entries) { onStoreRead(entries); },
+              [this](const auto &entries) { onStoreRead(entries); },
               [this](const StoreEntry &entry) { onStoreEntry(entry); })
     , m_admin(m_context, m_settings.adminListen,
               { [this] { return isJoined() && !m_shutdownSince; },
@@ -110,7 +110,6 @@
             beginShutdown();
         }
     });
-    m_membership.applyStoreList({}, m_started);
     m_store.start();
     startTimers();
     LogEvent(LogLevel::Info, "started")
@@ -266,18 +265,21 @@
     m_router.acceptHandover(batch, now);
 }
 
-void Node::onStoreRead(const std::vector<StoreEntry> &entries)
+void Node::onStoreRead(const std::optional<std::vector<StoreEntry>> &entries)
 {
     const auto now = monotonicNow();
     std::map<std::string, std::string> values;
-    for (const auto &entry : entries) {
+    for (const auto &entry : entries.value_or(std::vector<StoreEntry>())) {
         if (entry.key.starts_with(version::InstanceKeyPrefix)) {
             onInstanceRecord(entry, now);
         } else {
             values[entry.key] = entry.value;
         }
     }
-    m_catalogue.onStoreRead(values, now);
+    if (entries) {
+        m_catalogue.onStoreRead(values, now);
+    }
+    m_membership.release(now);
     refreshOwnedUpstreams(now);
 }
 
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -63,7 +63,7 @@
     void dispatchControl(const wire::VerifiedMessage &verified, request::Moment moment);
     void onHeartbeat(const wire::VerifiedMessage &verified, common::TimePoint now);
     void onHandover(const wire::proto::OverrideHandover &handover, common::TimePoint now);
-    void onStoreRead(const std::vector<StoreEntry> &entries);
+    void onStoreRead(const std::optional<std::vector<StoreEntry>> &entries);
     void onStoreEntry(const StoreEntry &entry);
     void onInstanceRecord(const StoreEntry &entry, common::TimePoint now);
     void onMembersChanged(const MembershipDriver::Change &change, common::TimePoint now);
--- a/src/process/nodecontrol.cpp
+++ b/src/process/nodecontrol.cpp
@@ -107,6 +107,8 @@
     }
     if (membership.incarnation() != m_seenIncarnation) {
         m_seenIncarnation = membership.incarnation();
+        LogEvent(LogLevel::Warning, "suspicion_refuted")
+                .with("incarnation", m_seenIncarnation.value());
         m_router.onRejoined(now);
     }
     m_applier.advance(membership.livePeers(), now);
@@ -208,6 +210,8 @@
         m_membership.leave(monotonicNow());
     } else {
         m_membership.rejoin(monotonicNow());
+        // The return is a change of members, not a gap that the others do not know of.
+        m_seenIncarnation = m_membership.membership().incarnation();
     }
 }
 
--- a/src/process/packethandler.cpp
+++ b/src/process/packethandler.cpp
@@ -185,7 +185,9 @@
 void PacketHandler::reject(const FlowContext &flow, Reason reason)
 {
     m_parts.metrics.countRefusal(reason);
-    if (!isTransient(reason) && !flow.message.has_close()) {
+    // An instance that has not joined yet may refuse what the others accept.
+    const bool joined = m_freshUntil.load() != 0;
+    if (joined && !isTransient(reason) && !flow.message.has_close()) {
         resetFlow(returnToken(flow.frame, flow.message.flow_id()), reason);
     }
 }
--- a/src/process/storesession.cpp
+++ b/src/process/storesession.cpp
@@ -37,8 +37,8 @@
 
 void StoreSession::start()
 {
+    // The fabric sends packets to a registered instance, which then has to know the catalogue.
     readAll();
-    grant();
 }
 
 void StoreSession::stop()
@@ -67,11 +67,15 @@
         if (!common::isOk(result)) {
             logFailure("store_read_failed", common::errorOf(result));
             schedule(RetryInterval, &StoreSession::readAll);
+            m_onRead(std::nullopt);
             return;
         }
         const auto &range = common::valueOf(result);
         m_revision = range.revision;
         m_onRead(range.entries);
+        if (m_lease == 0) {
+            grant();
+        }
         if (m_watching) {
             openWatch();
         }
--- a/src/process/storesession.h
+++ b/src/process/storesession.h
@@ -19,8 +19,8 @@
 public:
     /// Called for each entry that is read or watched; deletions are not reported.
     using EntryHandler = std::function<void(const StoreEntry &)>;
-    /// Called with all entries of one read.
-    using ReadHandler = std::function<void(const std::vector<StoreEntry> &)>;
+    /// Called with all entries of one read, or with nothing when the read failed.
+    using ReadHandler = std::function<void(const std::optional<std::vector<StoreEntry>> &)>;
 
     static constexpr std::chrono::seconds LeaseSeconds { 10 };
     /// Leaves time for a second attempt before the lease ends.
--- a/src/tests/nodetest.cpp
+++ b/src/tests/nodetest.cpp
@@ -223,6 +223,7 @@
             const std::vector<std::uint32_t> &ids)
     {
         std::vector<connection::Member> members;
+        members.reserve(ids.size());
         for (const auto id : ids) {
             members.push_back({ InstanceId(id), common::ZoneId(1) });
         }
