--- /dev/null
+++ b/src/tests/handovertest.cpp
@@ -0,0 +1,206 @@
+#include "routergroup.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanwall;
+using namespace banyanwall::tests;
+
+TEST_GROUP_BASE(Handover, RouterGroup) {};
+
+// Guards against a lost override when the first owner dies between an open and the first data.
+TEST(Handover, secondOwnerAnswersWhenTheFirstDies)
+{
+    drain();
+    const auto flow = flowAtDrained();
+    const auto owners = ownersOf(flow);
+    const auto chosen = open(flow);
+    kill(owners.first);
+    checkData(flow, chosen);
+    LONGS_EQUAL(chosen.value(), open(flow, owners.second->value()).value());
+}
+
+// Guards against silent loss when both owners die: the flow falls back to the default, and the
+// upstream's answer starts a search that finds it again.
+TEST(Handover, bothOwnersDieAndTheFlowIsFoundAgain)
+{
+    drain();
+    const auto flow = flowAtDrained();
+    const auto chosen = open(flow);
+    const auto owners = ownersOf(flow);
+    kill(owners.first);
+    kill(*owners.second);
+    fleet.now += std::chrono::seconds(1);
+    const auto outcome = fleet.deliver(fleet.routers.begin()->first, PacketKind::Data, flow);
+    CHECK_TRUE(reaches(outcome, drained));
+    auto &forwarder = *fleet.routers.at(fleet.lastInstance);
+    auto next = forwarder.nextCandidate(RouterFleet::Service, flow, drained, fleet.now);
+    CHECK_TRUE(next == chosen);
+    checkData(flow, chosen);
+    // An upstream that does not know the flow either ends the search.
+    next = forwarder.nextCandidate(RouterFleet::Service, flow, chosen, fleet.now);
+    CHECK_FALSE(next.has_value());
+    CHECK_FALSE(forwarder.nextCandidate(RouterFleet::Service, FlowKey(3), drained, fleet.now));
+}
+
+// Guards against a new owner that decides before it has the overrides, during a roll-out.
+TEST(Handover, newOwnerRelaysUntilTheHandoverIsFinished)
+{
+    drain();
+    std::map<FlowKey, UpstreamId> flows;
+    for (int count = 0; count < 60; ++count) {
+        const auto flow = flowAtDrained();
+        flows[flow] = open(flow, 1 + count % 6);
+    }
+    auto &joiner = join(7);
+    join(8);
+    fleet.announceMembers();
+    std::size_t relayed = 0;
+    for (const auto &[flow, upstream] : flows) {
+        if (ownersOf(flow).first == common::InstanceId(7)) {
+            const auto decision = joiner.route(
+                    { RouterFleet::Service, flow, PacketKind::Data, 0, std::nullopt, std::nullopt },
+                    fleet.now);
+            CHECK_TRUE(std::holds_alternative<connection::RelayToPeer>(decision));
+            ++relayed;
+        }
+    }
+    CHECK_TRUE(relayed > 0);
+    for (const auto &[flow, upstream] : flows) {
+        checkData(flow, upstream);
+    }
+    // Opens in this phase are decided by the former owner and known to both.
+    for (int count = 0; count < 30; ++count) {
+        const auto flow = flowAtDrained();
+        flows[flow] = open(flow, 7);
+    }
+    fleet.handOver();
+    CHECK_TRUE(joiner.overrideCount() > 0);
+    // The handover is complete: the former instances can go.
+    for (const std::uint32_t former : { 1U, 2U, 3U }) {
+        kill(common::InstanceId(former));
+        fleet.handOver();
+    }
+    for (const auto &[flow, upstream] : flows) {
+        checkData(flow, upstream);
+    }
+}
+
+// Guards against a decision of an instance with an older view of the members that the new owner
+// never learns of, because its handover was finished before.
+TEST(Handover, recordOfAnOlderViewReachesTheNewOwner)
+{
+    drain();
+    const auto former = fleet.selector;
+    auto &joiner = join(7);
+    std::vector<connection::Member> members = former->members();
+    members.push_back({ common::InstanceId(7), RouterFleet::zoneOf(7), false });
+    const auto current = std::make_shared<const connection::OwnerSelector>(members);
+    fleet.selector = current;
+    auto flow = flowAtDrained();
+    const auto formerFirst = [&] {
+        return former->bucketOwners(RouterFleet::Service, BucketMap::bucketOf(flow))->first;
+    };
+    while (ownersOf(flow).first != common::InstanceId(7)
+           || ownersOf(flow).second == formerFirst()) {
+        flow = flowAtDrained();
+    }
+    for (const auto id : { ownersOf(flow).first, *ownersOf(flow).second }) {
+        fleet.routers.at(id.value())->setMembers(current, fleet.now);
+    }
+    fleet.handOver();
+    const auto chosen = open(flow, formerFirst().value());
+    LONGS_EQUAL(1, joiner.overrideCount());
+    CHECK_TRUE(reaches(fleet.deliver(7, PacketKind::Data, flow), chosen));
+}
+
+// Guards against an owner that waits for ever for a handover message that was lost.
+TEST(Handover, overdueHandoverIsRequested)
+{
+    drain();
+    std::vector<FlowKey> flows;
+    for (int count = 0; count < 40; ++count) {
+        flows.push_back(flowAtDrained());
+        open(flows.back());
+    }
+    auto &joiner = join(7);
+    fleet.announceMembers();
+    fleet.each([&](auto &router) { std::ignore = router.takeHandovers(100'000, fleet.now); });
+    CHECK_TRUE(joiner.takeRequests(100'000, fleet.now).empty());
+    fleet.now += std::chrono::seconds(3);
+    for (const auto &request : joiner.takeRequests(100'000, fleet.now)) {
+        fleet.routers.at(request.receiver.value())
+                ->acceptRequest(common::InstanceId(7), request, fleet.now);
+    }
+    fleet.handOver();
+    const auto owned = std::ranges::count_if(flows, [&](FlowKey flow) {
+        return ownersOf(flow).first == common::InstanceId(7)
+                || ownersOf(flow).second == common::InstanceId(7);
+    });
+    CHECK_TRUE(owned > 0);
+    LONGS_EQUAL(owned, joiner.overrideCount());
+    fleet.now += std::chrono::seconds(3);
+    CHECK_TRUE(joiner.takeRequests(100'000, fleet.now).empty());
+}
+
+// Guards against gaps after a member was passed over or has restarted under its id.
+TEST(Handover, returningMembersWaitForTheirOverrides)
+{
+    drain();
+    const auto flow = flowAtDrained();
+    const auto first = ownersOf(flow).first;
+    fleet.each([&](auto &router) { router.setSuspected({ first }); });
+    const auto chosen = open(flow, ownersOf(flow).second->value());
+    fleet.each([&](auto &router) { router.setSuspected({}); });
+    fleet.routers.at(first.value())->onRejoined(fleet.now);
+    checkData(flow, chosen);
+    fleet.handOver();
+    checkData(flow, chosen);
+
+    auto &restarted = join(first.value());
+    restarted.setMembers(fleet.selector, fleet.now);
+    fleet.each([&](auto &router) { router.onMemberRestarted(first, fleet.now); });
+    fleet.handOver();
+    LONGS_EQUAL(1, restarted.overrideCount());
+}
+
+// Guards against buckets that stay in transition for ever and against overrides that leak.
+TEST(Handover, idleBucketsAreReportedAndOverridesAgeOut)
+{
+    drain();
+    const auto flow = flowAtDrained();
+    const auto bucket = BucketMap::bucketOf(flow);
+    const auto chosen = open(flow);
+    auto &owner = *fleet.routers.at(ownersOf(flow).first.value());
+    CHECK_TRUE(owner.idleBuckets(fleet.now).front().buckets.empty());
+    // The flow stays in use: neither the first nor the second owner may forget it.
+    for (int step = 0; step < 10; ++step) {
+        fleet.now += std::chrono::seconds(20);
+        fleet.each([&](auto &router) { CHECK_TRUE(router.idleBuckets(fleet.now).size() <= 1); });
+        CHECK_TRUE(reaches(fleet.deliver(1, PacketKind::Data, flow), chosen));
+    }
+    LONGS_EQUAL(2, replicas());
+
+    const auto report = owner.idleBuckets(fleet.now).front();
+    CHECK_TRUE(std::ranges::find(report.buckets, bucket) != report.buckets.end());
+    CHECK_TRUE(std::ranges::find(report.clean, bucket) != report.clean.end());
+    auto settled = owner.map(RouterFleet::Service)->settledTable();
+    settled.revision = SettledRevision(2);
+    settled.defaults[bucket.value()] = chosen;
+    settled.transitional.reset(bucket.value());
+    settle(settled);
+    checkData(flow, chosen);
+    LONGS_EQUAL(0, owner.overrideCount());
+
+    const auto second = flowAtDrained();
+    open(second);
+    fleet.deliver(1, PacketKind::Close, second);
+    LONGS_EQUAL(0, replicas());
+    open(flowAtDrained());
+    fleet.now += std::chrono::seconds(62);
+    fleet.each([&](auto &router) {
+        CHECK_TRUE(router.idleBuckets(fleet.now).size() <= 1);
+        LONGS_EQUAL(0, router.overrideCount());
+    });
+}
--- a/src/tests/routerfleet.h
+++ b/src/tests/routerfleet.h
@@ -2,12 +2,11 @@
 
 #include "connection/flowrouter.h"
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
-#include <set>
 #include <vector>
 
 namespace banyanwall::tests {
@@ -22,8 +21,8 @@
 
     explicit RouterFleet(std::uint32_t instances)
     {
-        for (std::uint32_t id = 1; id <= instances; ++id) {
-            add(id);
+        while (routers.size() < instances) {
+            add(static_cast<std::uint32_t>(routers.size()) + 1);
         }
         announceMembers();
         now += std::chrono::seconds(10);
@@ -49,21 +48,15 @@
 
     void each(const std::function<void(connection::FlowRouter &)> &visit)
     {
-        for (const auto &[id, router] : routers) {
-            visit(*router);
-        }
+        std::ranges::for_each(routers, [&](const auto &entry) { visit(*entry.second); });
     }
 
     void roll(const version::ServiceRoster &roster)
     {
-        each([&](auto &router) { router.applyRoster(roster, now); });
-        each([&](auto &router) { router.setInForce(Service, roster.version); });
-    }
-
-    void settle(const version::SettledTable &settled)
-    {
-        each([&](auto &router) { router.applySettled(Service, settled, now); });
-        each([&](auto &router) { router.setSettledAcknowledged(Service, settled.revision); });
+        each([&](auto &router) {
+            router.applyRoster(roster, now);
+            router.setInForce(Service, roster.version);
+        });
     }
 
     /// Follows a packet from the instance that gets it from the fabric.
@@ -72,8 +65,8 @@
         connection::FlowPacket packet { Service, flow, kind, 0, std::nullopt, std::nullopt };
         while (routers.contains(instance)) {
             const auto decision = routers.at(instance)->route(packet, now);
+            lastInstance = instance;
             if (const auto *forward = std::get_if<connection::ForwardToUpstream>(&decision)) {
-                lastInstance = instance;
                 return forward->upstream;
             }
             if (const auto *reject = std::get_if<connection::RejectPacket>(&decision)) {
@@ -90,19 +83,17 @@
     /// Moves all handovers to their receivers.
     void handOver()
     {
-        for (const auto &[id, router] : routers) {
-            for (const auto &batch : router->takeHandovers(100'000, now)) {
-                if (routers.contains(batch.receiver.value())) {
-                    routers.at(batch.receiver.value())->acceptHandover(batch, now);
-                }
+        each([&](auto &router) {
+            for (const auto &batch : router.takeHandovers(100'000, now)) {
+                routers.at(batch.receiver.value())->acceptHandover(batch, now);
             }
-        }
+        });
     }
 
     std::map<std::uint32_t, std::unique_ptr<connection::FlowRouter>> routers;
     std::shared_ptr<const connection::OwnerSelector> selector;
     common::TimePoint now { std::chrono::seconds(1'000) };
-    /// Instance that forwarded the last delivered packet.
+    /// Instance that decided on the last delivered packet.
     std::uint32_t lastInstance = 0;
 };
 
--- /dev/null
+++ b/src/tests/routergroup.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "connection/ownerchange.h"
+#include "routerfleet.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+namespace banyanwall::tests {
+
+using common::FlowKey;
+using common::Reason;
+using common::RosterVersion;
+using common::SettledRevision;
+using common::UpstreamId;
+using connection::PacketKind;
+using version::BucketMap;
+using version::ServiceRoster;
+using version::UpstreamState;
+
+inline ServiceRoster rosterOf(std::uint64_t version, std::uint32_t upstreams = 14)
+{
+    ServiceRoster roster;
+    roster.service = RouterFleet::Service;
+    roster.version = RosterVersion(version);
+    for (std::uint32_t id = 1; id <= upstreams; ++id) {
+        roster.upstreams.push_back({ UpstreamId(id * 7919), RouterFleet::zoneOf(id), {} });
+    }
+    return roster;
+}
+
+inline ServiceRoster withState(ServiceRoster roster, std::size_t position, UpstreamState state)
+{
+    roster.upstreams[position].state = state;
+    return roster;
+}
+
+inline bool reaches(const RouterFleet::Outcome &outcome, UpstreamId upstream)
+{
+    return outcome == RouterFleet::Outcome(upstream);
+}
+
+inline bool rejectedFor(const RouterFleet::Outcome &outcome, Reason reason)
+{
+    return outcome == RouterFleet::Outcome(reason);
+}
+
+/// Six instances and 14 upstreams with a settled map; the first upstream is drained in most tests.
+TEST_BASE(RouterGroup)
+{
+    RouterFleet fleet { 6 };
+    const UpstreamId drained = rosterOf(1).upstreams[0].id;
+    std::uint64_t nextFlow = 1;
+
+    void setup() override
+    {
+        fleet.roll(rosterOf(1));
+        auto settled = fleet.routers.at(1)->map(RouterFleet::Service)->settledTable();
+        settled.revision = SettledRevision(1);
+        settle(settled);
+    }
+
+    void settle(const version::SettledTable &settled)
+    {
+        fleet.each([&](auto &router) {
+            router.applySettled(RouterFleet::Service, settled, fleet.now);
+        });
+        fleet.each([&](auto &router) {
+            router.setSettledAcknowledged(RouterFleet::Service, settled.revision);
+        });
+    }
+
+    void drain(std::uint64_t version = 2)
+    {
+        fleet.roll(withState(rosterOf(version), 0, UpstreamState::Draining));
+    }
+
+    connection::BucketOwners ownersOf(FlowKey flow) const
+    {
+        return *fleet.selector->bucketOwners(RouterFleet::Service, BucketMap::bucketOf(flow));
+    }
+
+    version::BucketEntry entryOf(FlowKey flow) const
+    {
+        const auto map = fleet.routers.begin()->second->map(RouterFleet::Service);
+        return map->entry(BucketMap::bucketOf(flow));
+    }
+
+    /// A new flow whose bucket's default is the drained upstream.
+    FlowKey flowAtDrained()
+    {
+        while (entryOf(FlowKey(nextFlow)).defaultUpstream != drained) {
+            ++nextFlow;
+        }
+        return FlowKey(nextFlow++);
+    }
+
+    UpstreamId open(FlowKey flow, std::uint32_t instance = 1)
+    {
+        const auto outcome = fleet.deliver(instance, PacketKind::Open, flow);
+        CHECK_TRUE(std::holds_alternative<UpstreamId>(outcome));
+        return std::get<UpstreamId>(outcome);
+    }
+
+    void checkData(FlowKey flow, UpstreamId upstream)
+    {
+        for (const auto &[id, router] : fleet.routers) {
+            CHECK_TRUE(reaches(fleet.deliver(id, PacketKind::Data, flow), upstream));
+        }
+    }
+
+    std::size_t replicas()
+    {
+        std::size_t count = 0;
+        fleet.each([&](auto &router) { count += router.overrideCount(); });
+        return count;
+    }
+
+    /// An instance that does not own the flow's bucket.
+    std::uint32_t outsiderOf(FlowKey flow) const
+    {
+        return std::ranges::find_if(fleet.routers,
+                                    [&](const auto &entry) {
+                                        return !connection::isOwner(
+                                                ownersOf(flow), common::InstanceId(entry.first));
+                                    })
+                ->first;
+    }
+
+    /// Starts an instance that knows the drain; the others do not know of it yet.
+    connection::FlowRouter &join(std::uint32_t id)
+    {
+        const auto settled = fleet.routers.at(2)->map(RouterFleet::Service)->settledTable();
+        fleet.add(id);
+        auto &joiner = *fleet.routers.at(id);
+        joiner.applySettled(RouterFleet::Service, settled, fleet.now);
+        joiner.applyRoster(withState(rosterOf(2), 0, UpstreamState::Draining), fleet.now);
+        joiner.setInForce(RouterFleet::Service, RosterVersion(2));
+        return joiner;
+    }
+
+    void kill(common::InstanceId instance)
+    {
+        fleet.routers.erase(instance.value());
+        fleet.announceMembers();
+    }
+};
+
+} // namespace banyanwall::tests
