--- a/src/connection/flowrouter.h
+++ b/src/connection/flowrouter.h
@@ -28,7 +28,9 @@
     common::FlowKey flow;
     PacketKind kind = PacketKind::Data;
     std::uint32_t hops = 0;
-    /// Set on an open that the first bucket owner has decided; the receiver records it.
+    /// Set when an owner has decided: the receiver records the upstream, or on a close removes its
+    /// record, and forwards the packet there. When the sender is not the other owner in the
+    /// receiver's view, the receiver passes the packet on to that owner with the record.
     std::optional<common::UpstreamId> record;
     /// Peer that relayed the packet. The second owner decides a packet without record that the
     /// first owner has passed on, because the first owner is then not able to decide.
@@ -121,7 +123,8 @@
     void setInForce(common::ServiceId service, common::RosterVersion version);
     /// All live members know this settled revision; overrides that it made needless are dropped.
     void setSettledAcknowledged(common::ServiceId service, common::SettledRevision revision);
-    /// A stale instance relays instead of deciding.
+    /// A stale instance relays instead of deciding. Only flows that it has a record of as first
+    /// owner are still served, because records do not depend on the roster.
     void setStale(bool stale);
     void setUnreachableZones(std::vector<common::ZoneId> zones);
     /// Suspected members are passed over as owners until they are heard from again.
