--- a/src/benchmarks/flowbenchmark.cpp
+++ b/src/benchmarks/flowbenchmark.cpp
@@ -123,15 +123,16 @@
 
 // Broken flows
 
-void runReplay(const std::string &name, bool faults)
+void runReplay(const std::string &name, bool faults, std::uint64_t seed)
 {
     const auto begin = std::chrono::steady_clock::now();
     benchmarks::WorkloadOptions options;
     options.faults = faults;
-    options.seed = Seed;
+    options.seed = seed;
     FlowWorkload workload(options);
     const auto result = workload.run();
     const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - begin;
+    print(name + ".seed", seed);
     print(name + ".flows", result.flows);
     print(name + ".packets", result.packets);
     print(name + ".broken.core", result.broken);
@@ -388,13 +389,14 @@
     }
 }
 
-const std::map<std::string, std::function<void()>> Parts {
-    { "balance", runBalance },
-    { "capacity", runCapacity },
-    { "faults", [] { runReplay("faults", true); } },
-    { "moves", runMoves },
-    { "replay", [] { runReplay("replay", false); } },
-    { "speed", runSpeed },
+/// Parts take the seed of the replays; the others keep their own.
+const std::map<std::string, std::function<void(std::uint64_t)>> Parts {
+    { "balance", [](std::uint64_t) { runBalance(); } },
+    { "capacity", [](std::uint64_t) { runCapacity(); } },
+    { "faults", [](std::uint64_t seed) { runReplay("faults", true, seed); } },
+    { "moves", [](std::uint64_t) { runMoves(); } },
+    { "replay", [](std::uint64_t seed) { runReplay("replay", false, seed); } },
+    { "speed", [](std::uint64_t) { runSpeed(); } },
 };
 
 } // namespace
@@ -410,9 +412,11 @@
         TCLAP::UnlabeledMultiArg<std::string> selected("part", "parts to run; default all", false,
                                                        &known);
         commandLine.add(selected);
+        TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of the parts faults and replay",
+                                            false, Seed, "number", commandLine);
         commandLine.parse(argc, argv);
         for (const auto &name : selected.getValue().empty() ? names : selected.getValue()) {
-            Parts.at(name)();
+            Parts.at(name)(seed.getValue());
         }
     } catch (const std::exception &error) {
         std::cerr << "flowbenchmark: " << error.what() << '\n';
