Ask the other former owner when the sender of a handover dies

Owners were instances 16 and 6, and both held the overrides. 6 left at 1134 s, so that the owners became 16 and 9, and 9 waited for the handover of 16. 16 was killed at 1135 s. 9 then waited for nobody, although 6 held all overrides until its exit at 1144 s, and handed an empty bucket to the next owner. Packets went to the default. nextCandidate was tried: on instance 7 it found the upstream, while on instance 22, which started at 1150 s, the list of recent upstreams lacked the open upstream of a roster before its start.

Change: a new owner remembers the other former owner and asks it at once when the source dies, for at most 10 s, because that instance may lack overrides and packets are relayed there meanwhile. The leaving instance already answers such requests.

The first new test fails without the change.

Conclusion: the flows broke because a second replica was ignored, not because both replicas were gone. Gaps of the search after a real loss of both replicas are a separate cause.

--- a/src/connection/bucketruntime.h
+++ b/src/connection/bucketruntime.h
@@ -39,6 +39,11 @@
     BucketOwners owners;
     /// Last request for the missing overrides.
     common::TimePoint requested;
+    /// Former owner that is asked for the missing overrides when the source dies.
+    std::optional<common::InstanceId> fallback;
+    /// The source is such a former owner. It is asked for a limited time, because it may lack
+    /// overrides itself.
+    bool awaitsFallback = false;
     std::vector<OwedHandover> owed;
 };
 
--- a/src/connection/ownerchange.cpp
+++ b/src/connection/ownerchange.cpp
@@ -114,6 +114,8 @@
                              [&](InstanceId owner) { return !isOwner(before, owner); });
     } else if (isOwner(after, self) && !isOwner(before, self)) {
         change.source = *sender;
+        const auto other = otherOwner(before, *sender);
+        change.fallback = other && isLive(*other) ? other : std::nullopt;
     }
     return change;
 }
--- a/src/connection/ownerchange.h
+++ b/src/connection/ownerchange.h
@@ -35,6 +35,8 @@
 {
     /// Instance that holds the overrides when self has become an owner.
     std::optional<common::InstanceId> source;
+    /// The other live former owner, which holds the same overrides.
+    std::optional<common::InstanceId> fallback;
     /// New owners that self has to send its overrides to.
     std::vector<common::InstanceId> receivers;
 };
--- a/src/connection/servicetable.cpp
+++ b/src/connection/servicetable.cpp
@@ -19,12 +19,28 @@
 
 /// A handover that has not arrived after this time is requested, again and again.
 constexpr common::Duration HandoverRetry = std::chrono::seconds(2);
+/// Requests to a former owner end after this time; while they last, packets are relayed there.
+constexpr common::Duration FallbackLimit = std::chrono::seconds(10);
 
 void waitFor(BucketRuntime &runtime, std::optional<InstanceId> source, TimePoint now)
 {
     runtime.source = source.value_or(InstanceId(0)).value();
     runtime.sourceSince = now.time_since_epoch().count();
     runtime.requested = now;
+    runtime.fallback.reset();
+    runtime.awaitsFallback = false;
+}
+
+/// The source died before its handover.
+void replaceSource(BucketRuntime &runtime, std::optional<InstanceId> fallback,
+                   std::optional<InstanceId> other, TimePoint now)
+{
+    waitFor(runtime, fallback ? fallback : other, now);
+    if (fallback) {
+        // It owes nothing by itself, so that the request is due at once.
+        runtime.awaitsFallback = true;
+        runtime.requested = now - HandoverRetry;
+    }
 }
 
 UpstreamStatus statusOf(const version::RosterUpstream &upstream, const Outages &outages)
@@ -154,9 +170,12 @@
     const InstanceId source(runtime.source.load());
     if (gained && (change.source != source || source == InstanceId(0))) {
         waitFor(runtime, change.source, now);
+        runtime.fallback = change.fallback;
     } else if (source != InstanceId(0) && !isLive(source)) {
         const auto other = otherOwner(after, ownership.self);
-        waitFor(runtime, other && isOwner(before, *other) ? other : std::nullopt, now);
+        const bool holds = runtime.fallback && isLive(*runtime.fallback);
+        replaceSource(runtime, holds ? runtime.fallback : std::nullopt,
+                      other && isOwner(before, *other) ? other : std::nullopt, now);
     }
     std::erase_if(runtime.owed, [&](const auto &owed) { return !isOwner(after, owed.receiver); });
     for (const auto receiver : change.receivers) {
@@ -412,6 +431,12 @@
             || now - runtime->requested < HandoverRetry) {
             continue;
         }
+        const TimePoint since { common::Duration(runtime->sourceSince.load()) };
+        if (runtime->awaitsFallback && now - since > FallbackLimit) {
+            waitFor(*runtime, std::nullopt, now);
+            runtime->lastDefault = now.time_since_epoch().count();
+            continue;
+        }
         runtime->requested = now;
         const auto digest = overrides.digest({ m_service, bucket });
         requests.push_back({ source, m_service, bucket, digest.count, digest.hash });
--- a/src/tests/handovertest.cpp
+++ b/src/tests/handovertest.cpp
@@ -87,6 +87,67 @@
     }
 }
 
+// Guards against lost overrides when the sender of a handover dies while the owner that left in
+// favour of the receiver is still there and holds them.
+TEST(Handover, leavingOwnerReplacesASenderThatDies)
+{
+    drain();
+    const auto flow = flowAtDrained();
+    const auto chosen = open(flow);
+    const auto owners = ownersOf(flow);
+    auto members = fleet.selector->members();
+    std::ranges::find(members, *owners.second, &connection::Member::id)->leaving = true;
+    const auto announce = [&] {
+        fleet.selector = std::make_shared<const connection::OwnerSelector>(members);
+        fleet.each([&](auto &router) { router.setMembers(fleet.selector, fleet.now); });
+    };
+    announce();
+    fleet.routers.erase(owners.first.value());
+    std::erase_if(members, [&](const auto &member) { return member.id == owners.first; });
+    announce();
+    checkData(flow, chosen);
+    // The receiver asks for the handover, because the leaving owner does not owe it.
+    for (int step = 0; step < 2; ++step) {
+        for (const auto &[id, router] : fleet.routers) {
+            for (const auto &request : router->takeRequests(100'000, fleet.now)) {
+                fleet.routers.at(request.receiver.value())
+                        ->acceptRequest(common::InstanceId(id), request, fleet.now);
+            }
+        }
+        fleet.handOver();
+    }
+    kill(*owners.second);
+    checkData(flow, chosen);
+}
+
+// Guards against packets that are relayed for long to a former owner that cannot hand over.
+TEST(Handover, silentFormerOwnerIsAskedForALimitedTime)
+{
+    drain();
+    const auto flow = flowAtDrained();
+    open(flow);
+    const auto owners = ownersOf(flow);
+    auto members = fleet.selector->members();
+    std::ranges::find(members, *owners.second, &connection::Member::id)->leaving = true;
+    for (const auto dead : { common::InstanceId(0), owners.first }) {
+        std::erase_if(members, [&](const auto &member) { return member.id == dead; });
+        fleet.selector = std::make_shared<const connection::OwnerSelector>(members);
+        fleet.each([&](auto &router) { router.setMembers(fleet.selector, fleet.now); });
+    }
+    const auto relays = [&](common::InstanceId owner) {
+        const auto decision = fleet.routers.at(owner.value())
+                                      ->route({ RouterFleet::Service, flow, PacketKind::Data, 0,
+                                                std::nullopt, std::nullopt },
+                                              fleet.now);
+        return std::holds_alternative<connection::RelayToPeer>(decision);
+    };
+    CHECK_TRUE(relays(ownersOf(flow).first));
+    fleet.now += std::chrono::seconds(11);
+    fleet.each([&](auto &router) { std::ignore = router.takeRequests(100'000, fleet.now); });
+    fleet.handOver();
+    CHECK_FALSE(relays(ownersOf(flow).first));
+}
+
 // Guards against a decision of an instance with an older view of the members that the new owner
 // never learns of, because its handover was finished before.
 TEST(Handover, recordOfAnOlderViewReachesTheNewOwner)
