Request overdue handovers of overrides

Cause: during restarts in quick succession, feeds of the drained upstream fell silent for 10 s and more. A trace of the packets dropped at the hop limit shows one pattern: the first owner waits for a former owner, the second owner waits for the first, and nobody hands over, because the router's requests for overdue handovers were never sent. Each packet went first owner, former owner, second owner and was dropped there. Ruled out: stale instances (none in the trace), wrong views of the owners (all three agreed), and opens (the dropped packets were data of flows without an override).

Change: once a second the node sends the router's requests as OverrideDigest and answers those of others.

Tried and dropped: a former owner that lost the bucket before it was complete releases those that wait for it; the test written for it passed without it, because the new second owner answers the request.

--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -229,6 +229,9 @@
     case PeerMessage::kHandover:
         onHandover(message.handover(), moment.now);
         break;
+    case PeerMessage::kDigest:
+        onHandoverRequest(verified.sender, message.digest(), moment.now);
+        break;
     case PeerMessage::kIdleBuckets:
         m_planner.onIdleBuckets(verified.sender, message.idle_buckets());
         break;
@@ -252,6 +255,19 @@
     m_catalogue.onDigest(verified.sender, heartbeat.catalogue_digest());
 }
 
+void Node::onHandoverRequest(common::InstanceId sender, const wire::proto::OverrideDigest &digest,
+                             TimePoint now)
+{
+    if (digest.bucket() >= version::BucketCount) {
+        m_metrics.countRefusal(common::Reason::MalformedPacket);
+        return;
+    }
+    m_router.acceptRequest(sender,
+                           { m_self, common::ServiceId(digest.service()),
+                             common::BucketIndex(digest.bucket()), digest.count(), digest.hash() },
+                           now);
+}
+
 void Node::onHandover(const wire::proto::OverrideHandover &handover, TimePoint now)
 {
     if (handover.flows_size() != handover.upstreams_size()
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -62,6 +62,8 @@
     void dispatch(const wire::VerifiedMessage &verified);
     void dispatchControl(const wire::VerifiedMessage &verified, request::Moment moment);
     void onHeartbeat(const wire::VerifiedMessage &verified, common::TimePoint now);
+    void onHandoverRequest(common::InstanceId sender, const wire::proto::OverrideDigest &digest,
+                           common::TimePoint now);
     void onHandover(const wire::proto::OverrideHandover &handover, common::TimePoint now);
     void onStoreRead(const std::optional<std::vector<StoreEntry>> &entries);
     void onStoreEntry(const StoreEntry &entry);
@@ -85,6 +87,8 @@
     void tickMembersOfZone();
     [[nodiscard]] wire::proto::Heartbeat preparedHeartbeat();
     void planSettledMaps();
+    /// Asks for handovers that are overdue.
+    void sendHandoverRequests();
     std::size_t sendHandovers(std::size_t maxRecords);
 
     void beginShutdown();
--- a/src/process/nodecontrol.cpp
+++ b/src/process/nodecontrol.cpp
@@ -22,6 +22,8 @@
 constexpr common::Duration JoinAlone = std::chrono::seconds(3);
 // 12 bytes a record: background handover stays under 1 KB/s.
 constexpr std::size_t HandoverRecords = 64;
+// A request is about 60 bytes; requests for overdue handovers stay under 4 KB/s.
+constexpr std::size_t HandoverRequests = 64;
 // A leaving instance hands over faster, because nothing else waits for its bandwidth.
 constexpr std::size_t LeavingHandoverRecords = 1'024;
 // Age of the heartbeats whose acknowledgements count as present.
@@ -220,6 +222,7 @@
     reportIdleBuckets();
     planSettledMaps();
     sendHandovers(HandoverRecords);
+    sendHandoverRequests();
     m_placement.forget(wallNow());
     m_metrics.sampleImbalance();
 }
@@ -295,6 +298,19 @@
     }
 }
 
+void Node::sendHandoverRequests()
+{
+    for (const auto &request : m_router.takeRequests(HandoverRequests, monotonicNow())) {
+        PeerMessage message;
+        auto &digest = *message.mutable_digest();
+        digest.set_service(request.service.value());
+        digest.set_bucket(request.bucket.value());
+        digest.set_count(request.count);
+        digest.set_hash(request.hash);
+        m_transport.toPeer(request.receiver, message);
+    }
+}
+
 std::size_t Node::sendHandovers(std::size_t maxRecords)
 {
     const auto batches = m_router.takeHandovers(maxRecords, monotonicNow());
