Add a benchmark of faults in the running system

The promises on edits and faults were measured only by the planned changes of the demo. scripts/faultbench.py runs 12 instances over three zones with the stand-ins and shares DemoFleet with the demo; it runs as group fault of bench.sh. Caller seeds now count over the whole run, because request ids follow from them.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,12 +1,12 @@
 #!/bin/sh
 # Runs the benchmark programs, prints their key=value lines and collects them in bench.txt of the build directory.
-# Arguments: build directory, then the groups to run (flow, request, control, spread, relay; default: all that exist). Fails when
-# a benchmark fails.
+# Arguments: build directory, then the groups to run (flow, request, control, spread, relay, fault; default: all that
+# exist). Fails when a benchmark fails.
 set -eu
 cd "$(dirname "$0")/.."
 build="${1:-build}"
 [ $# -gt 0 ] && shift
-groups="${*:-control spread flow request relay}"
+groups="${*:-control spread flow request relay fault}"
 results="$build/bench.txt"
 failed=0
 : > "$results"
@@ -24,6 +24,12 @@
 }
 
 for group in $groups; do
+    if [ "$group" = fault ]; then
+        echo "# $group"
+        # Needs a whole system; the script starts it.
+        collect scripts/faultbench.py --build "$build"
+        continue
+    fi
     program="$build/src/benchmarks/${group}benchmark"
     [ -x "$program" ] || continue
     echo "# $group"
--- a/scripts/demofleet.py
+++ b/scripts/demofleet.py
@@ -1,11 +1,14 @@
-"""The workshop's system for the demo: contract, instances, stand-ins, callers and operator commands."""
+"""The workshop's system for the demo and the fault benchmark: contract, instances,
+stand-ins, callers and operator commands."""
 
 import json
 import os
+import signal
 import subprocess
 import time
 
-from fleet import Fleet, FleetError, Ports, find_program, http_get, http_json, wait_until
+from fleet import (Fleet, FleetError, Ports, find_program, http_get, http_json, http_post_json,
+                   wait_until)
 
 CUSTOMER = "workshop"
 ZONES = ["galpao-a", "galpao-b", "escritorio"]
@@ -25,12 +28,12 @@
 class DemoFleet:
     """Starts everything on loopback and runs operator commands against it."""
 
-    def __init__(self, build, faults, seed):
-        self.fleet = Fleet(build, os.path.join(build, "demo"))
+    def __init__(self, build, faults, seed, folder="demo", port_base=PORT_BASE):
+        self.fleet = Fleet(build, os.path.join(build, folder))
         self.seed = seed
         self.faults = faults
         self.commands = []
-        ports = self._ports = Ports(PORT_BASE)
+        ports = self._ports = Ports(port_base)
         self.store = ports.take()
         self.reply = ports.take()
         self.control = ports.take()
@@ -48,6 +51,7 @@
                 "zone": zone, "fabric": ports.take(), "peer": ports.take(), "admin": ports.take(),
                 "upstream": ports.take(), "program": None}
         self.callers = {}
+        self._callers_started = 0
 
     # Processes
 
@@ -99,13 +103,30 @@
         self.wait_healthy([name])
         return status, stopped
 
+    def kill_instance(self, name):
+        """Ends an instance without notice."""
+        program = self.instances[name]["program"]
+        program.process.kill()
+        self.fleet.stop(program)
+
+    def pause_instance(self, name):
+        self.instances[name]["program"].process.send_signal(signal.SIGSTOP)
+
+    def resume_instance(self, name):
+        self.instances[name]["program"].process.send_signal(signal.SIGCONT)
+
+    def set_store_faults(self, **faults):
+        http_post_json(self.store, "/faults", faults)
+
     def start_caller(self, name, service, *arguments):
         output = os.path.join(self.fleet.folder, f"{name}.json")
         if os.path.exists(output):
             os.remove(output)
+        # Ids of requests follow from the seed and must be unique over the whole run.
+        self._callers_started += 1
         program = self.fleet.start(name, "caller", "--service", f"{CUSTOMER}/{service}",
                                    "--address", self.services[service], "--output", output,
-                                   "--seed", self.seed * 100 + len(self.callers) + 1, *arguments)
+                                   "--seed", self.seed * 100 + self._callers_started, *arguments)
         self.callers[name] = {"program": program, "output": output}
 
     def stop_callers(self):
@@ -118,6 +139,7 @@
                 raise FleetError(f"caller {name} failed: {caller['program'].log_tail()}")
             with open(caller["output"], encoding="utf-8") as file:
                 reports[name] = json.load(file)
+        self.callers = {}
         return reports
 
     # Operator commands
@@ -126,25 +148,37 @@
         """Runs banyanwallctl and records how long the command took. Returns the moment, in Unix
         milliseconds, at which it was given."""
         given = int(time.time() * 1000)
-        began = time.monotonic()
+        status, output = self.run_ctl(*arguments)
+        if status != 0:
+            raise FleetError(f"command {' '.join(arguments)} failed with {status}: {output}")
+        return given
+
+    def start_ctl(self, *arguments):
         command = [find_program(self.fleet.build, "banyanwallctl"), "--store", self.store,
                    *arguments]
+        return subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+
+    def run_ctl(self, *arguments):
+        """Like ctl(), but returns the exit status and the output whatever the status is."""
+        began = time.monotonic()
+        command = self.start_ctl(*arguments)
         try:
-            done = subprocess.run(command, capture_output=True, text=True, check=False,
-                                  timeout=COMMAND_TIMEOUT_S)
+            output, _ = command.communicate(timeout=COMMAND_TIMEOUT_S)
         except subprocess.TimeoutExpired as expired:
+            command.kill()
+            command.communicate()
             raise FleetError(f"command {' '.join(arguments)}: no end within "
                              f"{COMMAND_TIMEOUT_S} s: {expired.stdout}") from expired
         seconds = time.monotonic() - began
-        self.commands.append((" ".join(arguments), seconds, done.returncode))
-        if done.returncode != 0:
-            raise FleetError(f"command {' '.join(arguments)} failed with {done.returncode}: "
-                             f"{done.stdout}{done.stderr}")
-        return given
+        self.commands.append((" ".join(arguments), seconds, command.returncode))
+        return command.returncode, output
+
+    def write_contract(self, file_name, with_late_upstream, requests_per_second):
+        """Returns the path of the contract file."""
+        return self.fleet.write(file_name, self._contract(with_late_upstream, requests_per_second))
 
     def apply_contract(self, with_late_upstream, requests_per_second):
-        path = self.fleet.write("workshop.toml",
-                                self._contract(with_late_upstream, requests_per_second))
+        path = self.write_contract("workshop.toml", with_late_upstream, requests_per_second)
         return self.ctl("contract", "apply", path, "--wait")
 
     def upstream_command(self, command, name):
--- a/scripts/demoresult.py
+++ b/scripts/demoresult.py
@@ -6,7 +6,7 @@
 PACKETS, PROBES, FLOWS, REQUESTS = 1, 2, 3, 4
 
 
-def _sum_between(timeline, columns, begin, end):
+def sum_between(timeline, columns, begin, end):
     return sum(sum(entry[column] for column in columns) for entry in timeline
                if begin <= entry[0] and (end is None or entry[0] + 100 <= end))
 
@@ -79,10 +79,10 @@
         marks = self._marks
         zone = [self._upstreams[name]["timeline"] for name in marks["zone_upstreams"]]
         self.figures["packets_to_withdrawn_zone_after_5s"] = sum(
-            _sum_between(timeline, (PACKETS, PROBES), marks["withdrawn_ms"] + BOUND_MS,
+            sum_between(timeline, (PACKETS, PROBES), marks["withdrawn_ms"] + BOUND_MS,
                          marks["returned_ms"]) for timeline in zone)
         drained = self._upstreams[marks["drained"]]["timeline"]
-        self.figures["new_work_on_draining_after_5s"] = _sum_between(
+        self.figures["new_work_on_draining_after_5s"] = sum_between(
             drained, (FLOWS, REQUESTS), marks["drained_ms"] + BOUND_MS, None)
         for key in ("cold_overload", "slots_over_limit"):
             self.figures[key] = sum(entry[key] for entry in self._upstreams.values())
--- /dev/null
+++ b/scripts/faultbench.py
@@ -0,0 +1,301 @@
+#!/usr/bin/env python3
+"""Measures how the whole system on loopback addresses bears faults: how fast edits come into force,
+also when the store goes down, and what crashes, pauses and a store outage cost callers. Prints each
+figure with its target and exits with 1 when a target is missed."""
+
+import argparse
+import signal
+import statistics
+import sys
+import time
+
+from demofleet import CUSTOMER, DemoFleet
+from demoresult import BOUND_MS, PACKETS, PROBES, sum_between
+from faultprobe import Probe, broken_between, false_not_run, refusals, total
+from fleet import FleetError, wait_until
+
+PORT_BASE = 41000
+EDITS = 30
+EDIT_BUDGET_S = 20.0
+EDIT_TARGET_S = 3.0
+EDIT_LIMIT_S = 10.0
+STORE_DOWN_EDITS = 3
+STORE_DOWN_TARGET_S = 6.0
+WITHDRAWN_ZONE = "escritorio"
+# Longer than the bound of P4, so that the silence after it is measured.
+ZONE_OUT_S = 7.5
+DRAINED = "bancada-02"
+SETTLE_S = 3.0
+# A feed counts as broken after 8 packets, 0.5 s apart, without an echo.
+DETECTION_S = 5.0
+PAUSE_S = 15.0
+STORE_OUTAGE_S = 20.0
+USAGE_S = 4.0
+# What docs/design.md allows an instance for control traffic today, and for CPU and memory of
+# control at the target.
+CONTROL_BYTES_LIMIT = 4096
+CPU_PERCENT_LIMIT = 2.5
+RESIDENT_MIB_LIMIT = 32
+EXIT_CONFLICT = 3
+EXIT_STORE_UNREACHABLE = 5
+
+
+class FaultBench:
+    """The parts of the run, in order."""
+
+    def __init__(self, system):
+        self.system = system
+        self.probe = Probe(system)
+        self.missed = 0
+        self.duplicates = 0
+        self.began = time.monotonic()
+        self.requests_per_second = 400
+
+    def run(self, parts):
+        try:
+            self._start()
+            for part in parts:
+                getattr(self, f"_part_{part}")()
+        finally:
+            self.probe.close()
+        self._print("run_seconds", time.monotonic() - self.began, 90)
+        return 1 if self.missed else 0
+
+    def _print(self, figure, value, largest=None, target=None):
+        """Prints a figure; the target is an upper limit, or a text that must be equal."""
+        shown = f"{value:.2f}" if isinstance(value, float) else str(value)
+        if largest is None and target is None:
+            print(f"{figure}={shown} target=none", flush=True)
+            return
+        met = value <= largest if target is None else shown == target
+        limit = f"<={largest}" if target is None else target
+        self.missed += 0 if met else 1
+        print(f"{figure}={shown} target={limit} result={'met' if met else 'missed'}", flush=True)
+
+    def _start(self):
+        system = self.system
+        system.start_stand_ins()
+        for name in system.instances:
+            system.start_instance(name)
+        system.wait_healthy(system.instances)
+        system.start_fabric()
+        system.apply_contract(False, self.requests_per_second)
+        print(f"instances={len(system.instances)} upstreams={len(system.upstreams)} "
+              f"start_seconds={time.monotonic() - self.began:.1f}", flush=True)
+
+    def _next_contract(self, file_name="workshop.toml"):
+        self.requests_per_second += 1
+        return self.system.write_contract(file_name, False, self.requests_per_second)
+
+    def _edit(self, after_write=lambda: None):
+        """Edits the contract; returns the seconds from the command to the version in force."""
+        path = self._next_contract()
+        version = self.probe.version() + 1
+        began = time.monotonic()
+        self.system.ctl("contract", "apply", path)
+        after_write()
+        return self.probe.wait_in_force(version, began, EDIT_LIMIT_S)
+
+    def _part_1(self):
+        """Edits with a healthy store."""
+        end = time.monotonic() + EDIT_BUDGET_S
+        seconds = []
+        while len(seconds) < EDITS and time.monotonic() < end:
+            seconds.append(self._edit())
+        self._print("edits", len(seconds), target=str(EDITS))
+        self._print("edit_in_force_median_s", statistics.median(seconds), EDIT_TARGET_S)
+        self._print("edit_in_force_worst_s", max(seconds), EDIT_TARGET_S)
+
+    def _part_2(self):
+        """Changes whose write is accepted just before the store goes down."""
+        system = self.system
+        seconds = []
+        for _ in range(STORE_DOWN_EDITS):
+            seconds.append(self._edit(lambda: system.set_store_faults(down=True)))
+            system.set_store_faults(down=False)
+            self._wait_store()
+        self._print("edit_in_force_store_down_worst_s", max(seconds), STORE_DOWN_TARGET_S)
+        self._start_traffic(1)
+        withdrawn_ms = system.ctl("zone", "withdraw", WITHDRAWN_ZONE)
+        system.set_store_faults(down=True)
+        time.sleep(ZONE_OUT_S)
+        end_ms = int(time.time() * 1000)
+        system.set_store_faults(down=False)
+        counters = system.upstream_counters()
+        packets = sum(sum_between(counters["upstreams"][system.full_name(name)]["timeline"],
+                                  (PACKETS, PROBES), withdrawn_ms + BOUND_MS, end_ms)
+                      for name in self._zone_upstreams())
+        self._print("packets_to_withdrawn_zone_after_5s", packets, 0)
+        self._wait_store()
+        system.ctl("zone", "return", WITHDRAWN_ZONE, "--wait")
+        zone_ids = [counters["upstreams"][system.full_name(name)]["id"]
+                    for name in self._zone_upstreams()]
+        reports = system.stop_callers()
+        broken = broken_between(reports, 0, self._now_ms(), zone_ids)
+        self._print("withdrawal_broken_flows_of_other_zones", len(broken), 0)
+        self._say_broken("withdrawal", broken)
+        self._count_requests("withdrawal", reports)
+
+    def _part_3(self):
+        """Instances killed and paused under traffic, while flows depend on overrides."""
+        system = self.system
+        self._start_traffic(2)
+        system.ctl("upstream", "drain", CUSTOMER, f"bancada/{DRAINED}", "--wait")
+        time.sleep(1.0)
+        overrides = sum(status["overrides"] for status in self.probe.statuses().values())
+        print(f"overrides_held={overrides}", flush=True)
+        marks = [("one_killed", self._now_ms())]
+        self._kill(["i04"])
+        marks.append(("two_killed", self._now_ms()))
+        self._kill(["i05", "i09"])
+        marks.append(("paused", self._now_ms()))
+        system.pause_instance("i07")
+        time.sleep(PAUSE_S)
+        system.resume_instance("i07")
+        time.sleep(DETECTION_S)
+        marks.append(("end", self._now_ms()))
+        reports = system.stop_callers()
+        for (name, begin_ms), (_, end_ms) in zip(marks, marks[1:]):
+            broken = broken_between(reports, begin_ms, end_ms)
+            self._print(f"{name}_broken_flows", len(broken), 0)
+            self._say_broken(name, broken)
+        self._count_requests("killed_and_paused", reports)
+
+    def _part_4(self):
+        """The store down under traffic."""
+        system = self.system
+        self._start_traffic(3)
+        system.set_store_faults(down=True)
+        down_until = time.monotonic() + STORE_OUTAGE_S
+        statuses = []
+        while not statuses or time.monotonic() < down_until - 6:
+            statuses.append(system.run_ctl("contract", "apply", self._next_contract())[0])
+            time.sleep(1.0)
+        time.sleep(max(0.0, down_until - time.monotonic()))
+        system.set_store_faults(down=False)
+        wrong = sum(1 for status in statuses if status != EXIT_STORE_UNREACHABLE)
+        self._print("outage_edits", len(statuses))
+        self._print("outage_edits_without_exit_5", wrong, 0)
+        began = time.monotonic()
+        status, _ = system.run_ctl("contract", "apply", self._next_contract(), "--wait")
+        self._print("edit_after_outage_exit", status, target="0")
+        self._print("edit_after_outage_s", time.monotonic() - began)
+        time.sleep(2.0)
+        reports = system.stop_callers()
+        broken = broken_between(reports, 0, self._now_ms())
+        self._print("outage_broken_flows", len(broken), 0)
+        self._say_broken("outage", broken)
+        self._print("outage_requests_refused", total(reports, "requests", "not_run"), 0)
+        self._count_requests("outage", reports)
+
+    def _part_5(self):
+        """Two edits on the same base at the same time."""
+        base = str(self.probe.version())
+        paths = [self._next_contract(f"race{index}.toml") for index in range(2)]
+        racing = [self.system.start_ctl("contract", "apply", path, "--base", base)
+                  for path in paths]
+        for process in racing:
+            process.communicate(timeout=EDIT_LIMIT_S)
+        exits = sorted(process.returncode for process in racing)
+        self._print("race_exits", ",".join(map(str, exits)), target=f"0,{EXIT_CONFLICT}")
+
+    def _part_6(self):
+        """Resources of the instance that uses most, idle and under traffic."""
+        self._print_usage("idle", CPU_PERCENT_LIMIT, RESIDENT_MIB_LIMIT)
+        self._start_traffic(4)
+        self._print_usage("traffic", None, None)
+        self._count_requests("usage", self.system.stop_callers())
+
+    def _print_usage(self, name, cpu_limit, resident_limit):
+        usage = self.probe.usage(USAGE_S)
+        self._print(f"{name}_control_bytes_per_s", usage["control_bytes_per_s"],
+                    CONTROL_BYTES_LIMIT)
+        self._print(f"{name}_cpu_percent", usage["cpu_percent"], cpu_limit)
+        self._print(f"{name}_resident_mib", usage["resident_mib"], resident_limit)
+
+    def _start_traffic(self, group):
+        system = self.system
+        system.start_caller(f"monitor{group}", "bancada", "--feeds", 600, "--requests", 60,
+                            "--repeatable", 0.3)
+        system.start_caller(f"visitor{group}", "bancada", "--feeds", 100, "--lifetime-ms", 3000)
+        system.start_caller(f"archive{group}", "certidao", "--feeds", 100, "--requests", 20,
+                            "--downloads", 0.3)
+        time.sleep(SETTLE_S)
+        system.fleet.check_running()
+
+    def _count_requests(self, name, reports):
+        """Counts at callers and upstreams. Without traffic nothing would be measured."""
+        counters = self.system.upstream_counters()
+        print(f"{name}_flows={total(reports, 'feeds', 'opened')} "
+              f"open_failed={total(reports, 'feeds', 'open_failed')} "
+              f"requests={total(reports, 'requests', 'issued')} "
+              f"completed={total(reports, 'requests', 'completed')} "
+              f"not_run={total(reports, 'requests', 'not_run')} "
+              f"may_have_run={total(reports, 'requests', 'may_have_run')} "
+              f"no_verdict={total(reports, 'requests', 'no_verdict')} "
+              f"refusals={refusals(reports)}", flush=True)
+        self._print(f"{name}_duplicate_runs", counters["duplicate_runs"] - self.duplicates, 0)
+        self.duplicates = counters["duplicate_runs"]
+        self._print(f"{name}_false_not_run", false_not_run(reports, self.system.runs()), 0)
+
+    def _say_broken(self, name, broken):
+        reasons = {}
+        for feed in broken:
+            key = (feed["unix_ms"] // 1000, feed["upstream"], feed["reason"])
+            reasons[key] = reasons.get(key, 0) + 1
+        for (second, upstream, reason), count in sorted(reasons.items())[:20]:
+            print(f"event=broken_feeds phase={name} unix_s={second} upstream={upstream} "
+                  f"reason={reason} count={count}", flush=True)
+
+    def _kill(self, names):
+        """Kills instances at once and starts them again when their loss has shown its effect."""
+        for name in names:
+            self.system.kill_instance(name)
+        time.sleep(DETECTION_S)
+        for name in names:
+            self.system.start_instance(name)
+        self.system.wait_healthy(names)
+
+    def _wait_store(self):
+        """Waits until all instances reach the store again."""
+        wait_until(lambda: all(status["store_reachable"]
+                               for status in self.probe.statuses().values()),
+                   EDIT_LIMIT_S, "instances reach the store")
+
+    def _zone_upstreams(self):
+        return [name for name, upstream in self.system.upstreams.items()
+                if upstream["zone"] == WITHDRAWN_ZONE]
+
+    @staticmethod
+    def _now_ms():
+        return int(time.time() * 1000)
+
+
+def terminate(_signal, _frame):
+    raise KeyboardInterrupt
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build", help="build directory")
+    parser.add_argument("--seed", type=int, default=1, help="of all random choices")
+    parser.add_argument("--parts", default="6,1,5,2,3,4", help="parts in their order")
+    arguments = parser.parse_args()
+    signal.signal(signal.SIGTERM, terminate)
+    system = DemoFleet(arguments.build, {}, arguments.seed, "faultbench", PORT_BASE)
+    try:
+        return FaultBench(system).run(arguments.parts.split(","))
+    except FleetError as failure:
+        print(f"event=failed reason=\"{failure}\"", flush=True)
+        return 2
+    except KeyboardInterrupt:
+        print("event=interrupted", flush=True)
+        return 130
+    finally:
+        killed = system.fleet.stop_all()
+        if killed:
+            print(f"event=killed programs={','.join(killed)}", flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -172,6 +172,22 @@
     return json.loads(body)
 
 
+def http_post_json(address, target, value, timeout=5.0):
+    """Posts a JSON value; raises FleetError unless the answer is 200."""
+    host, port = address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        connection.request("POST", target, json.dumps(value))
+        answer = connection.getresponse()
+        body = answer.read()
+    except (OSError, http.client.HTTPException) as failure:
+        raise FleetError(f"no answer from {address}{target}: {failure}") from failure
+    finally:
+        connection.close()
+    if answer.status != 200:
+        raise FleetError(f"{address}{target} answered {answer.status}: {body.decode()}")
+
+
 def wait_until(condition, timeout, what, interval=0.05):
     """Polls condition until it holds; raises FleetError after timeout seconds."""
     deadline = time.monotonic() + timeout
