Move the ports of the fault benchmark below the ephemeral range

A restarted instance found its port taken by an outgoing connection of another process (bind: Address already in use), because 41000 lies in the range from which the system picks such ports. The block now starts at 27000.

--- a/scripts/faultbench.py
+++ b/scripts/faultbench.py
@@ -14,7 +14,8 @@
 from faultprobe import Probe, broken_between, false_not_run, refusals, total
 from fleet import FleetError, wait_until
 
-PORT_BASE = 41000
+# Below the range from which the system picks ports of outgoing connections.
+PORT_BASE = 27000
 EDITS = 30
 EDIT_BUDGET_S = 20.0
 EDIT_TARGET_S = 3.0
