Deliver each event of a watch as soon as it arrives

An edit took up to 3 s longer than its roll-out. The parser of the watch was eager: after a chunk it went on to the header of the next one, asked for more bytes and so did not return the chunk. It came out only when the silence limit of 3 s ended the exchange, which then also reopened the watch. Logs show 3.0 s between the write and the first roster_known, and 1 ms to the other instances.

Without eager parsing each chunk is returned by itself.

--- a/src/process/httpexchange.cpp
+++ b/src/process/httpexchange.cpp
@@ -50,7 +50,6 @@
 {
     m_onChunk = std::move(onChunk);
     m_parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    m_parser.eager(true);
     start(target, std::move(body), silence, std::move(handler));
 }
 
--- a/src/tests/storeclienttest.cpp
+++ b/src/tests/storeclienttest.cpp
@@ -225,6 +225,27 @@
     CHECK_TRUE(seen == expected);
 }
 
+// Guards against an event that is held back until more bytes follow or the watch counts as silent.
+TEST(StoreClient, watchDeliversEachEventAtOnce)
+{
+    auto settings = quickSettings({ server.address() });
+    // Longer than the bound of runUntil.
+    settings.watchSilence = std::chrono::minutes(1);
+    StoreClient watcher(context, settings, 2);
+    std::size_t batches = 0;
+    std::size_t events = 0;
+    watcher.watch("", 0, [&](const common::Result<WatchBatch> &result) {
+        ++batches;
+        events += common::valueOf(result).events.size();
+    });
+    runUntil([&] { return batches == 1; });
+    for (std::size_t written = 1; written <= 3; ++written) {
+        put(client, "k" + std::to_string(written), 0, std::string(2'000, 'v'));
+        runUntil([&] { return events == written; });
+        LONGS_EQUAL(1, watcher.counts().watch);
+    }
+}
+
 // Guards against calls on a client that is gone.
 TEST(StoreClient, destructionDropsOpenCalls)
 {
