--- a/scripts/faultprobe.py
+++ b/scripts/faultprobe.py
@@ -49,6 +49,24 @@
                                  f"after {limit} s")
             time.sleep(POLL_INTERVAL_S)
 
+    def watch_in_force(self, started, base, count, limit):
+        """Waits until the count versions after base are in force on all instances that answer.
+        started holds the moment of the command for each version and is filled meanwhile. Returns the
+        seconds that each version took, in their order."""
+        seconds = []
+        while len(seconds) < count:
+            in_force = min(status["documents"].get(CONTRACT_KEY, {"in_force": 0})["in_force"]
+                           for status in self.statuses().values())
+            now = time.monotonic()
+            while len(seconds) < count and base + len(seconds) + 1 <= in_force:
+                seconds.append(now - started[base + len(seconds) + 1])
+            oldest = started.get(base + len(seconds) + 1, now)
+            if now - oldest > limit:
+                raise FleetError(f"contract version {base + len(seconds) + 1} not in force after "
+                                 f"{limit} s")
+            time.sleep(POLL_INTERVAL_S)
+        return seconds
+
     def usage(self, seconds):
         """Largest values over the instances during an interval: control bytes a second, CPU share in
         percent of a core, resident KiB."""
