Reset no flow of an unknown service before having joined

Such packets are now counted and dropped until the instance has joined; the next packet of the flow reaches another instance.

--- a/src/process/packethandler.cpp
+++ b/src/process/packethandler.cpp
@@ -185,7 +185,10 @@
 void PacketHandler::reject(const FlowContext &flow, Reason reason)
 {
     m_parts.metrics.countRefusal(reason);
-    if (!isTransient(reason) && !flow.message.has_close()) {
+    // An instance that has not joined does not know the services yet; the caller's next packet
+    // reaches another instance, so a reset would break a flow whose upstream lives.
+    const bool unjoined = reason == Reason::UnknownService && m_freshUntil.load() == 0;
+    if (!unjoined && !isTransient(reason) && !flow.message.has_close()) {
         resetFlow(returnToken(flow.frame, flow.message.flow_id()), reason);
     }
 }
--- a/src/tests/nodetest.cpp
+++ b/src/tests/nodetest.cpp
@@ -157,6 +157,22 @@
     LONGS_EQUAL(0, sinks.replies.size());
 }
 
+// Guards against a restarted instance that resets flows of services it has not learned of yet.
+TEST(Node, unknownServiceIsResetOnlyAfterJoining)
+{
+    wire::proto::FabricFrame frame;
+    CHECK_TRUE(frame.ParseFromString(data()));
+    frame.set_service_port(ServiceAddress.port + 1);
+    const auto unknown = wire::encode(wire::proto::FabricFrame(frame));
+    packets.setFreshUntil(TimePoint {});
+    packets.onFabricDatagram(unknown, now);
+    LONGS_EQUAL(0, sinks.replies.size());
+    packets.setFreshUntil(TimePoint::max());
+    packets.onFabricDatagram(unknown, now);
+    LONGS_EQUAL(1, sinks.replies.size());
+    CHECK_TRUE(sinks.replies.back().has_reset());
+}
+
 // Guards against packets of a former life of an upstream reaching its successor (P2).
 TEST(Node, forwardedPacketsNameTheIncarnation)
 {
