--- a/src/process/peertransport.cpp
+++ b/src/process/peertransport.cpp
@@ -1,5 +1,7 @@
 #include "process/peertransport.h"
 
+#include "process/logging.h"
+
 #include <sys/eventfd.h>
 #include <unistd.h>
 
@@ -136,6 +138,7 @@
         }
     }
     m_connections.clear();
+    logSentBytes();
 }
 
 void PeerTransport::sendQueued()
@@ -161,6 +164,18 @@
     }
     m_metrics.count(isData(outgoing.message) ? Counter::DataBytesSent : Counter::ControlBytesSent,
                     bytes.size());
+    m_sentBytes[outgoing.message.body_case()] += bytes.size();
+}
+
+void PeerTransport::logSentBytes() const
+{
+    LogEvent event(LogLevel::Info, "peer_bytes_sent");
+    const auto *descriptor = wire::proto::PeerMessage::descriptor();
+    for (const auto &[number, bytes] : m_sentBytes) {
+        if (const auto *field = descriptor->FindFieldByNumber(number)) {
+            event.with(field->name(), bytes);
+        }
+    }
 }
 
 void PeerTransport::receive()
--- a/src/process/peertransport.h
+++ b/src/process/peertransport.h
@@ -65,6 +65,8 @@
     void send(const Outgoing &outgoing);
     void receive();
     void closeIdle();
+    /// One line with the bytes sent by kind of message, to tell what the counters add up.
+    void logSentBytes() const;
     Connection &connectionTo(common::Endpoint address);
 
     common::Endpoint m_listen;
@@ -74,6 +76,8 @@
     zmq::context_t m_context;
     zmq::socket_t m_router;
     std::map<common::Endpoint, Connection> m_connections;
+    /// By field number of the body. Used by the transport's thread only.
+    std::map<int, std::uint64_t> m_sentBytes;
     int m_wakeDescriptor = -1;
     std::thread m_thread;
     std::mutex m_mutex;
