Repeat member records, so that views of all instances become equal

A flooded record reaches only the neighbours known at that moment, and nothing repaired a missed one.

Each heartbeat tick now repeats 2 records to one neighbour in turn. The new test fails on the former code.

--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -93,9 +93,36 @@
         *send.message.mutable_heartbeat() = prepared;
         return send;
     });
+    if (auto repeated = repeatRecords()) {
+        sends.push_back(std::move(*repeated));
+    }
     return sends;
 }
 
+std::optional<SendToMember> Membership::repeatRecords() const
+{
+    // Records of the dead are left out, so that they can be forgotten.
+    std::vector<MemberRecord> records;
+    for (const auto &[id, member] : m_members) {
+        if (member.state != MemberRecord::DEAD) {
+            records.push_back(recordOf(member));
+        }
+    }
+    const auto receivers = neighbours();
+    if (receivers.empty() || records.empty()) {
+        return std::nullopt;
+    }
+    // Each neighbour gets one slice after the other.
+    const auto slices = (records.size() + RepeatedRecords - 1) / RepeatedRecords;
+    const auto first = m_sequence / receivers.size() % slices * RepeatedRecords;
+    const auto last = std::min(first + RepeatedRecords, records.size());
+    SendToMember send { receivers[m_sequence % receivers.size()], {} };
+    for (auto index = first; index < last; ++index) {
+        *send.message.mutable_member_update()->add_members() = records[index];
+    }
+    return send;
+}
+
 std::vector<SendToMember> Membership::onHeartbeat(InstanceId sender,
                                                   const wire::proto::Heartbeat &heartbeat,
                                                   std::uint64_t ownDigest, TimePoint now)
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -50,6 +50,10 @@
     static constexpr common::Duration HeartbeatInterval = std::chrono::milliseconds(500);
     static constexpr common::Duration SuspectAfter = std::chrono::seconds(2);
     static constexpr common::Duration DeadAfter = std::chrono::seconds(5);
+    /// Records that each tick repeats to one neighbour. A flooded record reaches only the
+    /// neighbours known at that moment, so that views of instances that start together miss members
+    /// without it.
+    static constexpr std::size_t RepeatedRecords = 2;
     /// Ticks further apart show that this process was paused. Silence of others is then not
     /// counted.
     static constexpr common::Duration PauseAfter = std::chrono::seconds(1);
@@ -122,6 +126,7 @@
     [[nodiscard]] std::vector<SendToMember>
     flood(const std::vector<wire::proto::MemberRecord> &news,
           std::optional<common::InstanceId> except) const;
+    [[nodiscard]] std::optional<SendToMember> repeatRecords() const;
     bool merge(const wire::proto::MemberRecord &record, common::TimePoint now);
     void heardFrom(common::InstanceId sender, common::TimePoint now);
     void forgivePause(common::TimePoint now);
--- a/src/tests/membershiptest.cpp
+++ b/src/tests/membershiptest.cpp
@@ -219,6 +219,26 @@
     LONGS_EQUAL(10, fleet.at(8).liveMembers().size());
 }
 
+// Guards against views that stay different, and so choose different owners, after a lost update.
+TEST(Membership, missedUpdateIsRepeated)
+{
+    for (std::uint32_t observer = 2; observer <= 9; ++observer) {
+        Fleet joined { 9 };
+        joined.introduceAll();
+        joined.run(1s);
+        joined.cut(observer);
+        joined.add(10, 1);
+        const process::MemberInfo seed { InstanceId(1),       Incarnation(1), ZoneId(1),  {},
+                                         MemberRecord::ALIVE, joined.now,     joined.now, false,
+                                         Incarnation(1) };
+        joined.at(10).applyStoreList({ seed }, joined.now);
+        joined.run(1s);
+        joined.heal(observer);
+        joined.run(15s);
+        CHECK_TRUE(joined.at(observer).members().contains(InstanceId(10)));
+    }
+}
+
 // Guards against a restarted process that is ignored because its clock was set back.
 TEST(Membership, restartAfterClockStepBackIsAccepted)
 {
