--- a/src/tests/storeclienttest.cpp
+++ b/src/tests/storeclienttest.cpp
@@ -190,6 +190,23 @@
     STRCMP_EQUAL("lease_expired", common::errorOf(late).code.c_str());
 }
 
+// Guards against a list of instances that runs empty because nobody could renew while the store was
+// down.
+TEST(StoreClient, leasesOutliveAnOutage)
+{
+    const auto lease = common::valueOf(await<std::int64_t>(
+            [&](const auto &handler) { client.grantLease(std::chrono::seconds(10), handler); }));
+    written(put(client, "k", 0, "value", lease));
+    server.setFaults({ .down = true });
+    now += std::chrono::seconds(60);
+    server.setFaults({});
+    server.expireLeases();
+    CHECK_TRUE(server.store().find("k") != nullptr);
+    now += std::chrono::seconds(11);
+    server.expireLeases();
+    CHECK_TRUE(server.store().find("k") == nullptr);
+}
+
 // Guards against events that are lost or repeated when a watch loses its connection or falls
 // silent.
 TEST(StoreClient, watchResumesWithoutAGap)
--- a/src/tools/platformserver.cpp
+++ b/src/tools/platformserver.cpp
@@ -63,6 +63,9 @@
 
 void PlatformServer::setFaults(const PlatformFaults &faults)
 {
+    if (m_faults.down && !faults.down) {
+        m_store.renewLeases(m_clock());
+    }
     m_faults = faults;
     if (m_faults.down) {
         const auto watches = m_watches;
@@ -111,7 +114,9 @@
 
 void PlatformServer::tick()
 {
-    expireLeases();
+    if (!m_faults.down) {
+        expireLeases();
+    }
     if (++m_ticks % TicksPerProgress == 0) {
         const auto watches = m_watches;
         std::ranges::for_each(watches, [](const auto &watch) { watch->sendProgress(); });
--- a/src/tools/platformstore.cpp
+++ b/src/tools/platformstore.cpp
@@ -83,6 +83,13 @@
     return true;
 }
 
+void PlatformStore::renewLeases(common::TimePoint now)
+{
+    for (auto &[id, lease] : m_leases) {
+        lease.expiry = now + std::chrono::seconds(lease.ttlSeconds);
+    }
+}
+
 void PlatformStore::expire(common::TimePoint now)
 {
     std::vector<std::int64_t> expired;
--- a/src/tools/platformstore.h
+++ b/src/tools/platformstore.h
@@ -71,6 +71,8 @@
     std::int64_t keepAlive(std::int64_t lease, common::TimePoint now);
     /// Returns false when the lease does not exist.
     bool revoke(std::int64_t lease, common::TimePoint now);
+    /// Gives each lease its whole time to live again, as etcd does when it has a new leader.
+    void renewLeases(common::TimePoint now);
     /// Ends the leases that were not renewed in time.
     void expire(common::TimePoint now);
 
