Count every refused request of a store outage

Only the verdict 'not run' was counted, 0 in a run in which 717 of 1995 requests were answered with 'may have run' (lease_lost 548, awaiting_takeover 169).

--- a/scripts/faultbench.py
+++ b/scripts/faultbench.py
@@ -181,7 +181,8 @@
         broken = broken_between(reports, 0, self._now_ms(), in_zone)
         self._print("outage_broken_flows", len(broken), 0)
         self._say_broken("outage", broken)
-        self._print("outage_requests_refused", total(reports, "requests", "not_run"), 0)
+        refused = sum(refusals(reports).values())
+        self._print("outage_requests_refused", refused, 0)
         self._count_requests("outage", reports)
 
     def _count_zone(self, withdrawn_ms, end_ms):
