--- a/src/tests/storeclienttest.cpp
+++ b/src/tests/storeclienttest.cpp
@@ -190,6 +190,23 @@
     STRCMP_EQUAL("lease_expired", common::errorOf(late).code.c_str());
 }
 
+// Guards against a list of instances that runs empty because nobody could renew while the store was
+// down.
+TEST(StoreClient, leasesOutliveAnOutage)
+{
+    const auto lease = common::valueOf(await<std::int64_t>(
+            [&](const auto &handler) { client.grantLease(std::chrono::seconds(10), handler); }));
+    written(put(client, "k", 0, "value", lease));
+    server.setFaults({ .down = true });
+    now += std::chrono::seconds(60);
+    server.setFaults({});
+    server.expireLeases();
+    CHECK_TRUE(server.store().find("k") != nullptr);
+    now += std::chrono::seconds(11);
+    server.expireLeases();
+    CHECK_TRUE(server.store().find("k") == nullptr);
+}
+
 // Guards against events that are lost or repeated when a watch loses its connection or falls
 // silent.
 TEST(StoreClient, watchResumesWithoutAGap)
@@ -225,6 +242,27 @@
     CHECK_TRUE(seen == expected);
 }
 
+// Guards against an event that is held back until more bytes follow or the watch counts as silent.
+TEST(StoreClient, watchDeliversEachEventAtOnce)
+{
+    auto settings = quickSettings({ server.address() });
+    // Longer than the bound of runUntil.
+    settings.watchSilence = std::chrono::minutes(1);
+    StoreClient watcher(context, settings, 2);
+    std::size_t batches = 0;
+    std::size_t events = 0;
+    watcher.watch("", 0, [&](const common::Result<WatchBatch> &result) {
+        ++batches;
+        events += common::valueOf(result).events.size();
+    });
+    runUntil([&] { return batches == 1; });
+    for (std::size_t written = 1; written <= 3; ++written) {
+        put(client, "k" + std::to_string(written), 0, std::string(2'000, 'v'));
+        runUntil([&] { return events == written; });
+        LONGS_EQUAL(1, watcher.counts().watch);
+    }
+}
+
 // Guards against calls on a client that is gone.
 TEST(StoreClient, destructionDropsOpenCalls)
 {
