Count apart the overload that was granted before a cold turn

Cause: cold_overload mixed dispatches whose slot was granted when the upstream was still warm, which nobody can take back, with grants that came later.

Change: the upstream fake records each dispatch beyond what it handles with the times of its grant, its dispatch and the cold turn. The benchmark prints cold_overload (granted after the turn) and cold_overload_granted_before; their sum is the former row. A second argument prints each such dispatch and, every 250 ms after the common cold turn, slots, window and requests in progress.

--- a/src/benchmarks/requestbenchmark.cpp
+++ b/src/benchmarks/requestbenchmark.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t Upstreams = 14;
 // Seconds between two points of the ideal that goodput is compared to.
 constexpr double FluidStep = 0.001;
+constexpr common::Duration TraceStep = 250ms;
 
 /// Everything around the instances of one run.
 struct World
@@ -56,11 +57,63 @@
                                  [](const UpstreamFake &fake) { return fake.overLimit(); });
 }
 
-std::uint64_t overload(const World &world)
+/// Dispatches beyond what a cold upstream handled, by whether their slot was granted before it
+/// turned cold.
+std::uint64_t overload(const World &world, bool grantedBefore)
 {
-    return std::transform_reduce(world.upstreams.begin(), world.upstreams.end(),
-                                 std::uint64_t { 0 }, std::plus<>(),
-                                 [](const UpstreamFake &fake) { return fake.coldOverload(); });
+    return std::transform_reduce(
+            world.upstreams.begin(), world.upstreams.end(), std::uint64_t { 0 }, std::plus<>(),
+            [grantedBefore](const UpstreamFake &fake) {
+                return std::ranges::count(fake.overloads(), grantedBefore,
+                                          &UpstreamFake::Overload::grantedBefore);
+            });
+}
+
+void printOverload(const std::string &prefix, const World &world)
+{
+    print(prefix + "cold_overload", overload(world, false));
+    print(prefix + "cold_overload_granted_before", overload(world, true));
+}
+
+double millisecondsBetween(common::TimePoint from, common::TimePoint to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+/// One row for each dispatch beyond what a cold upstream handled.
+void traceOverloads(const World &world)
+{
+    for (std::size_t index = 0; index < world.upstreams.size(); ++index) {
+        for (const auto &overload : world.upstreams[index].overloads()) {
+            std::cout << "trace.cold_overload upstream=" << index
+                      << " dispatched_ms=" << millisecondsBetween(overload.coldSince, overload.at)
+                      << " granted_ms="
+                      << millisecondsBetween(overload.coldSince, overload.grantedAt)
+                      << " running=" << overload.running << " handled=" << overload.handled << '\n';
+        }
+    }
+}
+
+/// State of slots and upstreams at each TraceStep of simulated time after a cold turn.
+void traceSlots(World &world, const CoordinatorFleet &fleet, common::TimePoint coldAt,
+                common::Duration left)
+{
+    const auto slots = fleet.slots();
+    std::size_t running = 0;
+    std::uint32_t handled = 0;
+    for (const auto &upstream : world.upstreams) {
+        running += upstream.running();
+        handled += upstream.handled();
+    }
+    std::cout << "trace.slots ms=" << millisecondsBetween(coldAt, world.events.now())
+              << " completed=" << world.ledger.completed() << " handled=" << handled
+              << " running=" << running << " window=" << slots.usable << " busy=" << slots.busy
+              << " in_progress=" << slots.inProgress << " retries=" << fleet.retries() << '\n';
+    if (left > TraceStep) {
+        world.events.after(TraceStep, [&world, &fleet, coldAt, left] {
+            traceSlots(world, fleet, coldAt, left - TraceStep);
+        });
+    }
 }
 
 void printRun(const std::string &prefix, const World &world)
@@ -77,7 +130,7 @@
     print(prefix + "incomplete_answers", tally.incompleteAnswers);
     print(prefix + "mixed_answers", tally.mixedAnswers);
     print(prefix + "slots_over_limit", overLimit(world));
-    print(prefix + "cold_overload", overload(world));
+    printOverload(prefix, world);
 }
 
 void runFailures(std::uint64_t seed)
@@ -121,7 +174,7 @@
     return served;
 }
 
-void runColdTurn(std::uint64_t seed, bool slowStart, const std::string &prefix)
+void runColdTurn(std::uint64_t seed, bool slowStart, const std::string &prefix, bool trace)
 {
     ScenarioSettings settings { seed };
     settings.failures = false;
@@ -135,6 +188,9 @@
     const auto coldAt = world.events.now() + settings.allColdAt;
     scenario.schedule();
     world.events.runUntil(coldAt);
+    if (trace) {
+        traceSlots(world, fleet, coldAt, 30s);
+    }
     const auto before = world.ledger.completed();
     world.events.runUntil(coldAt + 30s);
     const auto served = world.ledger.completed() - before;
@@ -143,7 +199,10 @@
               << static_cast<double>(served)
                     / servableAfterColdTurn(settings.requestsPerSecond, 30s)
               << '\n';
-    print(prefix + "cold_overload", overload(world));
+    printOverload(prefix, world);
+    if (trace) {
+        traceOverloads(world);
+    }
 }
 
 void printCapacity()
@@ -166,8 +225,9 @@
 {
     const auto seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : DefaultSeed;
     runFailures(seed);
-    runColdTurn(seed, true, "cold_turn.slow_start.");
-    runColdTurn(seed, false, "cold_turn.no_slow_start.");
+    // With a second argument, the run with slow start is traced.
+    runColdTurn(seed, true, "cold_turn.slow_start.", argc > 2);
+    runColdTurn(seed, false, "cold_turn.no_slow_start.", false);
     printCapacity();
     return 0;
 }
--- a/src/benchmarks/requestfleet.cpp
+++ b/src/benchmarks/requestfleet.cpp
@@ -149,6 +149,9 @@
             return;
         }
         const bool granted = role->second.acquire(ask.slot, ask.hold, m_events.now());
+        if (granted) {
+            m_upstreams[ask.upstream.value() - 1].noteGrant(ask.slot);
+        }
         toInstance(instance, PeerLink, [this, instance, slot = ask.slot, granted] {
             perform(instance,
                     m_instances[instance].coordinator->onSlotAnswer(slot, granted,
@@ -208,6 +211,19 @@
                    [this, refusal] { m_ledger.onVerdict(refusal.requestId, refusal.verdict); });
 }
 
+SlotCount CoordinatorFleet::slots() const
+{
+    SlotCount count;
+    for (const auto &instance : m_instances) {
+        for (const auto &[upstream, owner] : instance.owners) {
+            count.usable += owner.window();
+            count.busy += owner.busySlots(m_events.now());
+        }
+        count.inProgress += instance.coordinator->inProgress();
+    }
+    return count;
+}
+
 const connection::OwnerSelector &CoordinatorFleet::viewOf(std::size_t instance) const
 {
     return *m_views[m_instances[instance].view].members;
--- a/src/benchmarks/requestfleet.h
+++ b/src/benchmarks/requestfleet.h
@@ -16,6 +16,14 @@
 
 namespace banyanwall::benchmarks {
 
+/// Slots as their owners count them, and the requests that want them.
+struct SlotCount
+{
+    std::size_t usable = 0;
+    std::size_t busy = 0;
+    std::size_t inProgress = 0;
+};
+
 /// Instances with coordinators, leases and upstream owners, joined by a simulated network, store
 /// and membership.
 ///
@@ -49,6 +57,9 @@
     [[nodiscard]] static common::ZoneId zoneOf(std::size_t index);
     [[nodiscard]] static common::UpstreamId upstreamId(std::size_t index);
 
+    /// Summed over all upstreams.
+    [[nodiscard]] SlotCount slots() const;
+
     [[nodiscard]] std::uint64_t retries() const { return m_retries; }
 
     [[nodiscard]] std::uint64_t drops() const { return m_drops; }
--- a/src/benchmarks/requestupstreamfake.cpp
+++ b/src/benchmarks/requestupstreamfake.cpp
@@ -37,8 +37,14 @@
     start(dispatch);
 }
 
+void UpstreamFake::noteGrant(connection::SlotKey slot)
+{
+    m_granted.emplace(slot, m_events.now());
+}
+
 void UpstreamFake::turnCold()
 {
+    m_coldSince = m_events.now();
     m_handles = 1;
     m_work = 0;
     if (m_running.size() > m_handles) {
@@ -54,7 +60,10 @@
     m_running.emplace(job, Job { dispatch, work, m_events.now() + work });
     m_events.after(work, [this, job] { finish(job); });
     if (m_running.size() > m_handles) {
-        ++m_coldOverload;
+        const auto granted = m_granted.find(dispatch.slot);
+        m_overloads.push_back({ m_events.now(),
+                                granted == m_granted.end() ? m_events.now() : granted->second,
+                                m_coldSince, m_running.size(), m_handles });
         slowDown();
     }
 }
--- a/src/benchmarks/requestupstreamfake.h
+++ b/src/benchmarks/requestupstreamfake.h
@@ -33,14 +33,34 @@
         std::function<void(request::AnswerFragment)> answer;
     };
 
+    /// A dispatch that made this upstream run more than it handled.
+    struct Overload
+    {
+        common::TimePoint at;
+        /// Of the slot; the start of the dispatch for routers without slots.
+        common::TimePoint grantedAt;
+        common::TimePoint coldSince;
+        std::size_t running = 0;
+        std::uint32_t handled = 0;
+
+        /// No router can take back what it had granted when the upstream turned cold.
+        [[nodiscard]] bool grantedBefore() const { return grantedAt <= coldSince; }
+    };
+
     UpstreamFake(EventQueue &events, SimulatedNetwork &network, RequestLedger &ledger);
 
+    /// The owner of this upstream has granted a slot; only the first grant of a slot counts.
+    void noteGrant(connection::SlotKey slot);
     void onDispatch(const Dispatch &dispatch);
     void turnCold();
 
     [[nodiscard]] std::uint64_t overLimit() const { return m_overLimit; }
 
-    [[nodiscard]] std::uint64_t coldOverload() const { return m_coldOverload; }
+    [[nodiscard]] const std::vector<Overload> &overloads() const { return m_overloads; }
+
+    [[nodiscard]] std::size_t running() const { return m_running.size(); }
+
+    [[nodiscard]] std::uint32_t handled() const { return m_handles; }
 
 private:
     struct Job
@@ -66,7 +86,9 @@
     /// Attempts seen, and whether they were refused.
     std::map<connection::SlotKey, bool> m_seen;
     std::uint64_t m_overLimit = 0;
-    std::uint64_t m_coldOverload = 0;
+    common::TimePoint m_coldSince {};
+    std::map<connection::SlotKey, common::TimePoint> m_granted;
+    std::vector<Overload> m_overloads;
 };
 
 } // namespace banyanwall::benchmarks
