Treat an overdue grant as a sign of a cold upstream

Cause: after a cold turn the window stayed at 3 until three slow answers had arrived. The trace shows 25 of 226 overloads of the common cold turn from 278 ms to 494 ms after it: the first slow answer freed a slot and the owner granted it while the others were still slow. The same happened after each growth that came too early.

Change: a grant under way for over four times the usual latency (plus 10 ms for the messages) counts as a slow answer, and nothing is granted next to it. After twelve times the usual latency the holder counts as lost, so that a dead holder does not block its upstream until its grant ends.

--- a/src/benchmarks/requestfleetmembers.cpp
+++ b/src/benchmarks/requestfleetmembers.cpp
@@ -307,8 +307,9 @@
     // The owners of a new fleet know that nothing is granted.
     const auto since = m_views.size() == 1 ? m_events.now() - LongestRequest : m_events.now();
     auto &self = m_instances[instance];
-    connection::UpstreamOwner owner(UpstreamFake::Slots, UpstreamFake::UsualLatency, LongestRequest,
-                                    since);
+    // Without slow start, no grant or answer is slow.
+    const auto usualLatency = m_slowStart ? UpstreamFake::UsualLatency : LongestRequest;
+    connection::UpstreamOwner owner(UpstreamFake::Slots, usualLatency, LongestRequest, since);
     if (!m_slowStart) {
         for (std::uint64_t answer = 0; answer < 16; ++answer) {
             const connection::SlotKey key { common::RequestKey(answer), common::AttemptNumber(1) };
--- a/src/connection/upstreamowner.cpp
+++ b/src/connection/upstreamowner.cpp
@@ -14,15 +14,18 @@
 bool UpstreamOwner::acquire(SlotKey key, common::Duration hold, common::TimePoint now)
 {
     expire(now);
-    const auto held = std::ranges::find(m_held, key, &decltype(m_held)::value_type::first);
+    const auto held = std::ranges::find(m_held, key, &Grant::key);
     if (held != m_held.end()) {
-        held->second = std::max(held->second, now + hold);
+        held->end = std::max(held->end, now + hold);
         return true;
     }
+    if (m_window > 1 && m_slowAnswers + overdueGrants(now) >= ColdAfterAnswers) {
+        fallBack();
+    }
     if (freeSlots(now) == 0) {
         return false;
     }
-    m_held.emplace_back(key, now + hold);
+    m_held.push_back({ key, now, now + hold });
     return true;
 }
 
@@ -52,9 +55,9 @@
 {
     expire(now);
     for (const auto key : held) {
-        const auto known = std::ranges::find(m_held, key, &decltype(m_held)::value_type::first);
+        const auto known = std::ranges::find(m_held, key, &Grant::key);
         if (known == m_held.end()) {
-            m_held.emplace_back(key, now + hold);
+            m_held.push_back({ key, now, now + hold });
         }
     }
     if (allReported) {
@@ -105,14 +108,14 @@
 
 std::uint32_t UpstreamOwner::busySlots(common::TimePoint now) const
 {
-    const auto running = [now](const auto &grant) { return grant.second > now; };
+    const auto running = [now](const Grant &grant) { return grant.end > now; };
     const auto held = static_cast<std::uint32_t>(std::ranges::count_if(m_held, running));
     return now < m_unknownUntil ? std::max(held, m_slots) : held;
 }
 
 std::uint32_t UpstreamOwner::freeSlots(common::TimePoint now) const
 {
-    const auto usable = std::min(m_window, m_slots);
+    const auto usable = overdueGrants(now) != 0 ? 0 : std::min(m_window, m_slots);
     const auto busy = busySlots(now);
     return usable > busy ? usable - busy : 0;
 }
@@ -127,12 +130,22 @@
 void UpstreamOwner::expire(common::TimePoint now)
 {
     const auto ended =
-            std::erase_if(m_held, [now](const auto &grant) { return grant.second <= now; });
+            std::erase_if(m_held, [now](const Grant &grant) { return grant.end <= now; });
     if (ended != 0) {
         m_goodAnswers = 0;
     }
 }
 
+std::uint32_t UpstreamOwner::overdueGrants(common::TimePoint now) const
+{
+    const auto overdue = [this, now](const Grant &grant) {
+        const auto underWay = now - grant.since;
+        return underWay > 4 * m_usualLatency + GrantTravelTime
+                && underWay < LostAfterFactor * m_usualLatency + GrantTravelTime;
+    };
+    return static_cast<std::uint32_t>(std::ranges::count_if(m_held, overdue));
+}
+
 void UpstreamOwner::countAnswer(common::Duration latency)
 {
     m_slowAnswers = latency > 4 * m_usualLatency ? m_slowAnswers + 1 : 0;
@@ -149,7 +162,7 @@
 
 bool UpstreamOwner::forget(SlotKey key)
 {
-    return std::erase_if(m_held, [key](const auto &grant) { return grant.first == key; }) != 0;
+    return std::erase_if(m_held, [key](const Grant &grant) { return grant.key == key; }) != 0;
 }
 
 } // namespace banyanwall::connection
--- a/src/connection/upstreamowner.h
+++ b/src/connection/upstreamowner.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <utility>
 #include <vector>
 
 namespace banyanwall::connection {
@@ -34,6 +33,9 @@
 /// timeout, a new incarnation, or after ColdAfterAnswers answers in a row over four times the usual
 /// latency. Reports of the health endpoint only lower it.
 ///
+/// A grant that is under way for over four times the usual latency is a sign of a cold upstream
+/// before its answer arrives: it counts as a slow answer, and nothing is granted next to it.
+///
 /// A grant whose holder does not release it ends after its hold time. Such an expiry ends the run
 /// of good answers but does not lower the window, because it shows a lost holder, not a slow
 /// upstream. Not thread-safe.
@@ -42,6 +44,12 @@
 public:
     static constexpr std::uint32_t GrowAfterAnswers = 8;
     static constexpr std::uint32_t ColdAfterAnswers = 3;
+    /// Allowance for the messages between owner, coordinator and upstream, which pass at most three
+    /// times between zones each way.
+    static constexpr common::Duration GrantTravelTime = std::chrono::milliseconds(10);
+    /// A cold upstream takes up to about ten times the usual latency. After this many times, the
+    /// holder of the grant counts as lost, which says nothing about the upstream.
+    static constexpr int LostAfterFactor = 12;
     /// A warm upstream may fill up with connections within this time; a cold one takes longer in
     /// proportion to its window.
     static constexpr common::Duration ConnectionFillTime = std::chrono::seconds(30);
@@ -75,9 +83,18 @@
     [[nodiscard]] common::Incarnation incarnation() const { return m_incarnation; }
 
 private:
+    struct Grant
+    {
+        SlotKey key;
+        common::TimePoint since;
+        common::TimePoint end;
+    };
+
     void fallBack();
     void expire(common::TimePoint now);
     void countAnswer(common::Duration latency);
+    /// Grants under way for so long that the upstream looks cold.
+    [[nodiscard]] std::uint32_t overdueGrants(common::TimePoint now) const;
     /// Drops the grant; false when it is not held.
     bool forget(SlotKey key);
 
@@ -88,7 +105,7 @@
     std::uint32_t m_goodAnswers = 0;
     std::uint32_t m_slowAnswers = 0;
     common::Incarnation m_incarnation;
-    std::vector<std::pair<SlotKey, common::TimePoint>> m_held;
+    std::vector<Grant> m_held;
 };
 
 } // namespace banyanwall::connection
--- a/src/tests/upstreamownertest.cpp
+++ b/src/tests/upstreamownertest.cpp
@@ -103,6 +103,34 @@
     LONGS_EQUAL(1, grantAll(10));
 }
 
+// Guards against grants to an upstream that turned cold, in the time until its first slow answers
+// arrive, and against a holder that died and blocks its upstream until its grant ends.
+TEST(UpstreamOwner, overdueGrantsHoldBackFurtherOnes)
+{
+    warmUp();
+    CHECK_TRUE(owner.acquire(key(1), Hold, now));
+    now += 4 * UsualLatency + UpstreamOwner::GrantTravelTime;
+    CHECK_TRUE(owner.acquire(key(2), Hold, now));
+    now += 1us;
+    CHECK_FALSE(owner.acquire(key(3), Hold, now));
+    LONGS_EQUAL(3, owner.window());
+    now += 8 * UsualLatency;
+    owner.release(key(2), SlotOutcome::Answered, UsualLatency, now);
+    LONGS_EQUAL(2, grantAll(10));
+}
+
+// Guards against a window that stays open when all slots are overdue and the first one is free
+// again.
+TEST(UpstreamOwner, overdueGrantsCountAsSlowAnswers)
+{
+    warmUp();
+    LONGS_EQUAL(3, grantAll(1));
+    now += 5 * UsualLatency;
+    owner.release(key(1), SlotOutcome::Answered, 5 * UsualLatency, now);
+    CHECK_FALSE(owner.acquire(key(20), Hold, now));
+    LONGS_EQUAL(1, owner.window());
+}
+
 // Guards against a window that grows on answers which are slower than usual, and against one slow
 // answer that makes an upstream cold.
 TEST(UpstreamOwner, middlingAnswersNeitherGrowNorShrink)
