Grow the window slowly after an upstream turned cold

Cause: after a fall on slow answers the window grew again after 8 good answers, while the upstream fake takes 40 to handle one request more. All that it runs became 8 times slower, the window fell, and this repeated: with overdue grants counted, 111 of the 127 overloads of the common cold turn are granted more than 0.6 s after it.

The usual latency is fixed at the 50 ms of the contract.

Change: after a fall on slow answers from more than one slot, each growth takes 40 good answers in a row until all slots are usable. A start at one slot grows after 8 answers as before.

--- a/src/connection/upstreamowner.cpp
+++ b/src/connection/upstreamowner.cpp
@@ -20,7 +20,7 @@
         return true;
     }
     if (m_window > 1 && m_slowAnswers + overdueGrants(now) >= ColdAfterAnswers) {
-        fallBack();
+        fallBackSlow();
     }
     if (freeSlots(now) == 0) {
         return false;
@@ -127,6 +127,15 @@
     m_slowAnswers = 0;
 }
 
+void UpstreamOwner::fallBackSlow()
+{
+    // At one slot, slow answers are those of an upstream that has just started.
+    if (m_window > 1) {
+        m_growAfter = GrowAfterAnswersWhenCold;
+    }
+    fallBack();
+}
+
 void UpstreamOwner::expire(common::TimePoint now)
 {
     const auto ended =
@@ -151,12 +160,15 @@
     m_slowAnswers = latency > 4 * m_usualLatency ? m_slowAnswers + 1 : 0;
     m_goodAnswers = latency < 2 * m_usualLatency ? m_goodAnswers + 1 : 0;
     if (m_slowAnswers >= ColdAfterAnswers) {
-        fallBack();
+        fallBackSlow();
         return;
     }
-    if (m_goodAnswers >= GrowAfterAnswers) {
+    if (m_goodAnswers >= m_growAfter) {
         m_goodAnswers = 0;
         m_window = std::min(m_window + 1, std::max(m_slots, 1U));
+        if (m_window >= m_slots) {
+            m_growAfter = GrowAfterAnswers;
+        }
     }
 }
 
--- a/src/connection/upstreamowner.h
+++ b/src/connection/upstreamowner.h
@@ -31,7 +31,9 @@
 /// The window is the number of slots in use at the same time. It starts at 1 and grows by 1 after
 /// GrowAfterAnswers answers in a row under twice the usual latency; it falls to 1 on a shed, a
 /// timeout, a new incarnation, or after ColdAfterAnswers answers in a row over four times the usual
-/// latency. Reports of the health endpoint only lower it.
+/// latency. After a fall on slow answers from more than one slot, each growth takes
+/// GrowAfterAnswersWhenCold answers until the window is full. Reports of the health endpoint only
+/// lower it.
 ///
 /// A grant that is under way for over four times the usual latency is a sign of a cold upstream
 /// before its answer arrives: it counts as a slow answer, and nothing is granted next to it.
@@ -44,6 +46,10 @@
 public:
     static constexpr std::uint32_t GrowAfterAnswers = 8;
     static constexpr std::uint32_t ColdAfterAnswers = 3;
+    /// After a fall on slow answers the window grows this slowly until it is full. A window that
+    /// grows too early makes all that the upstream is running slow, which costs more time than
+    /// waiting for these answers.
+    static constexpr std::uint32_t GrowAfterAnswersWhenCold = 5 * GrowAfterAnswers;
     /// Allowance for the messages between owner, coordinator and upstream, which pass at most three
     /// times between zones each way.
     static constexpr common::Duration GrantTravelTime = std::chrono::milliseconds(10);
@@ -91,6 +97,8 @@
     };
 
     void fallBack();
+    /// Falls back because the upstream turned cold without warning.
+    void fallBackSlow();
     void expire(common::TimePoint now);
     void countAnswer(common::Duration latency);
     /// Grants under way for so long that the upstream looks cold.
@@ -104,6 +112,7 @@
     std::uint32_t m_window = 1;
     std::uint32_t m_goodAnswers = 0;
     std::uint32_t m_slowAnswers = 0;
+    std::uint32_t m_growAfter = GrowAfterAnswers;
     common::Incarnation m_incarnation;
     std::vector<Grant> m_held;
 };
--- a/src/tests/upstreamownertest.cpp
+++ b/src/tests/upstreamownertest.cpp
@@ -103,6 +103,24 @@
     LONGS_EQUAL(1, grantAll(10));
 }
 
+// Guards against a window that grows again and again on an upstream that is still cold, and against
+// slow growth that outlasts the cold turn or delays an ordinary start.
+TEST(UpstreamOwner, windowGrowsSlowlyAfterAColdTurn)
+{
+    answer(300, 8, 10 * UsualLatency);
+    warmUp();
+    answer(1, 3, 5 * UsualLatency);
+    answer(10, 39, UsualLatency);
+    LONGS_EQUAL(1, owner.window());
+    answer(50, 1, UsualLatency);
+    LONGS_EQUAL(2, owner.window());
+    answer(60, 40, UsualLatency);
+    LONGS_EQUAL(3, owner.window());
+    CHECK_TRUE(owner.acquire(key(200), Hold, now));
+    owner.release(key(200), SlotOutcome::Shed, {}, now);
+    warmUp();
+}
+
 // Guards against grants to an upstream that turned cold, in the time until its first slow answers
 // arrive, and against a holder that died and blocks its upstream until its grant ends.
 TEST(UpstreamOwner, overdueGrantsHoldBackFurtherOnes)
