Trace the overloads of the run with failures

Cause: cold_overload of the run with failures is above 0 and the trace covered only the common cold turn.

Change: with a second argument the benchmark prints the overloads of both runs.

Other rows are unchanged.

--- a/src/benchmarks/requestbenchmark.cpp
+++ b/src/benchmarks/requestbenchmark.cpp
@@ -81,11 +81,11 @@
 }
 
 /// One row for each dispatch beyond what a cold upstream handled.
-void traceOverloads(const World &world)
+void traceOverloads(const std::string &prefix, const World &world)
 {
     for (std::size_t index = 0; index < world.upstreams.size(); ++index) {
         for (const auto &overload : world.upstreams[index].overloads()) {
-            std::cout << "trace.cold_overload upstream=" << index
+            std::cout << "trace." << prefix << "cold_overload upstream=" << index
                       << " dispatched_ms=" << millisecondsBetween(overload.coldSince, overload.at)
                       << " granted_ms="
                       << millisecondsBetween(overload.coldSince, overload.grantedAt)
@@ -133,13 +133,16 @@
     printOverload(prefix, world);
 }
 
-void runFailures(std::uint64_t seed)
+void runFailures(std::uint64_t seed, bool trace)
 {
     const ScenarioSettings settings { seed };
     World ours(seed);
     CoordinatorFleet fleet(ours.events, ours.network, ours.ledger, ours.upstreams, true, seed);
     runAll(ours, fleet, settings);
     printRun("coordinator.", ours);
+    if (trace) {
+        traceOverloads("coordinator.", ours);
+    }
     print("coordinator.retries", fleet.retries());
     for (const auto &[reason, count] : fleet.refusals()) {
         print("coordinator.refused." + std::string(common::toString(reason)), count);
@@ -201,7 +204,7 @@
               << '\n';
     printOverload(prefix, world);
     if (trace) {
-        traceOverloads(world);
+        traceOverloads(prefix, world);
     }
 }
 
@@ -224,9 +227,10 @@
 int main(int argc, char **argv)
 {
     const auto seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : DefaultSeed;
-    runFailures(seed);
-    // With a second argument, the run with slow start is traced.
-    runColdTurn(seed, true, "cold_turn.slow_start.", argc > 2);
+    // With a second argument, the runs with slow start are traced.
+    const bool trace = argc > 2;
+    runFailures(seed, trace);
+    runColdTurn(seed, true, "cold_turn.slow_start.", trace);
     runColdTurn(seed, false, "cold_turn.no_slow_start.", false);
     printCapacity();
     return 0;
