Hand recent upstreams of a bucket to its new owner

Cause: the search for a flow whose overrides are lost tries the open upstreams of the bucket's recent rosters. An instance that started after those rosters never learned of them, so that nextCandidate ended after the newest open upstream.

Ruled out: a search that is not started (it was, on the first owner), and candidates that are refused for their status (the upstream was active).

Change: the last handover message of a bucket, and the confirmation that both sides hold the same records, carry at most 4 open upstreams of recent rosters.

The new test fails before and passes after.

Conclusion: a new owner searches as widely as its predecessor. An owner that has no live predecessor still knows only rosters of its own lifetime.

--- a/src/benchmarks/flowbenchmark.cpp
+++ b/src/benchmarks/flowbenchmark.cpp
@@ -274,6 +274,9 @@
         handover.add_flows(record.flow.value());
         handover.add_upstreams(record.upstream.value());
     }
+    for (const auto upstream : batch.recentUpstreams) {
+        handover.add_recent_upstreams(upstream.value());
+    }
     return message.ByteSizeLong();
 }
 
--- a/src/connection/bucketruntime.h
+++ b/src/connection/bucketruntime.h
@@ -47,4 +47,14 @@
     std::vector<OwedHandover> owed;
 };
 
+/// A handover that has not arrived after this time is requested, again and again.
+inline constexpr common::Duration HandoverRetry = std::chrono::seconds(2);
+
+/// Begins to wait for the overrides of source, or for nobody.
+void waitFor(BucketRuntime &runtime, std::optional<common::InstanceId> source,
+             common::TimePoint now);
+/// The source died before its handover: waits for the fallback, or else for the other owner.
+void replaceSource(BucketRuntime &runtime, std::optional<common::InstanceId> fallback,
+                   std::optional<common::InstanceId> other, common::TimePoint now);
+
 } // namespace banyanwall::connection
--- a/src/connection/flowdecision.cpp
+++ b/src/connection/flowdecision.cpp
@@ -152,7 +152,7 @@
     }
     if (next && m_packet.kind != PacketKind::Close) {
         m_context.lateRecords.push(
-                { *next, m_key.service, m_key.bucket, { { m_packet.flow, recorded } }, false });
+                { *next, m_key.service, m_key.bucket, { { m_packet.flow, recorded } }, false, {} });
     }
     return ForwardToUpstream { recorded };
 }
--- a/src/connection/flowrouter.cpp
+++ b/src/connection/flowrouter.cpp
@@ -459,7 +459,12 @@
     const auto found = state.tables.find(request.service);
     if (found != state.tables.end()
         && found->second.acceptRequest(state.self, sender, request, state.overrides, now)) {
-        state.lateRecords.push({ sender, request.service, request.bucket, {}, true });
+        state.lateRecords.push({ sender,
+                                 request.service,
+                                 request.bucket,
+                                 {},
+                                 true,
+                                 found->second.openedUpstreams(request.bucket) });
     }
 }
 
--- a/src/connection/flowrouter.h
+++ b/src/connection/flowrouter.h
@@ -75,6 +75,9 @@
     std::vector<Record> records;
     /// The sender has sent all that it holds for this bucket.
     bool complete = false;
+    /// With complete: open upstreams of recent rosters, newest first. The receiver may have started
+    /// after those rosters, and needs them to search for flows whose override is lost.
+    std::vector<common::UpstreamId> recentUpstreams {};
 };
 
 /// Asks for the overrides of a bucket that have not arrived.
--- a/src/connection/servicetable.cpp
+++ b/src/connection/servicetable.cpp
@@ -17,32 +17,9 @@
 
 namespace {
 
-/// A handover that has not arrived after this time is requested, again and again.
-constexpr common::Duration HandoverRetry = std::chrono::seconds(2);
 /// Requests to a former owner end after this time; while they last, packets are relayed there.
 constexpr common::Duration FallbackLimit = std::chrono::seconds(10);
 
-void waitFor(BucketRuntime &runtime, std::optional<InstanceId> source, TimePoint now)
-{
-    runtime.source = source.value_or(InstanceId(0)).value();
-    runtime.sourceSince = now.time_since_epoch().count();
-    runtime.requested = now;
-    runtime.fallback.reset();
-    runtime.awaitsFallback = false;
-}
-
-/// The source died before its handover.
-void replaceSource(BucketRuntime &runtime, std::optional<InstanceId> fallback,
-                   std::optional<InstanceId> other, TimePoint now)
-{
-    waitFor(runtime, fallback ? fallback : other, now);
-    if (fallback) {
-        // It owes nothing by itself, so that the request is due at once.
-        runtime.awaitsFallback = true;
-        runtime.requested = now - HandoverRetry;
-    }
-}
-
 UpstreamStatus statusOf(const version::RosterUpstream &upstream, const Outages &outages)
 {
     if (upstream.state == version::UpstreamState::Withdrawn) {
@@ -142,12 +119,7 @@
             m_recent.erase(bucket);
         } else if (upstream != entry.openUpstream && upstream != entry.defaultUpstream
                    && upstream != UpstreamId(0)) {
-            auto &recent = m_recent[bucket];
-            recent.erase(std::remove(recent.begin(), recent.end(), upstream), recent.end());
-            if (recent.size() == recent.capacity()) {
-                recent.pop_back();
-            }
-            recent.insert(recent.begin(), upstream);
+            m_recent.note(bucket, upstream);
         }
     }
 }
@@ -375,7 +347,10 @@
             break;
         }
         const auto records = overrides.list({ m_service, bucket }, owed.cursor, budget);
-        OverrideBatch batch { owed.receiver, m_service, bucket, {}, records.size() < budget };
+        OverrideBatch batch { owed.receiver, m_service, bucket, {}, records.size() < budget, {} };
+        if (batch.complete) {
+            batch.recentUpstreams = openedUpstreams(bucket);
+        }
         std::ranges::transform(records, std::back_inserter(batch.records), [](const auto &record) {
             return OverrideBatch::Record { record.flow, record.upstream };
         });
@@ -412,6 +387,13 @@
             overrides.insert({ m_service, batch.bucket }, { record.flow, record.upstream }, now);
         }
     }
+    for (const auto upstream : batch.recentUpstreams) {
+        const auto entry = m_map ? m_map->entry(batch.bucket) : version::BucketEntry {};
+        if (entry.transitional && upstream != entry.openUpstream
+            && upstream != entry.defaultUpstream) {
+            m_recent.learn(batch.bucket, upstream);
+        }
+    }
     if (waiting && batch.complete) {
         found->second->source = 0;
         found->second->lastDefault = now.time_since_epoch().count();
@@ -477,12 +459,19 @@
 {
     const auto entry = m_map->entry(bucket);
     std::vector<UpstreamId> recent { entry.openUpstream, entry.defaultUpstream };
-    if (const auto known = m_recent.find(bucket); known != m_recent.end()) {
-        std::ranges::copy(known->second, std::back_inserter(recent));
-    }
+    std::ranges::copy(m_recent.of(bucket), std::back_inserter(recent));
     return recent;
 }
 
+std::vector<UpstreamId> ServiceTable::openedUpstreams(BucketIndex bucket) const
+{
+    auto opened = m_map ? recentUpstreams(bucket) : std::vector<UpstreamId>();
+    std::erase_if(opened, [&](UpstreamId upstream) {
+        return upstream == m_map->entry(bucket).defaultUpstream || upstream == UpstreamId(0);
+    });
+    return opened;
+}
+
 const BucketRuntime *ServiceTable::runtime(BucketIndex bucket) const
 {
     const auto found = m_runtimes.find(bucket);
--- a/src/connection/servicetable.h
+++ b/src/connection/servicetable.h
@@ -7,6 +7,7 @@
 #include "connection/overridestore.h"
 #include "connection/ownerchange.h"
 #include "connection/ownerselector.h"
+#include "connection/recentupstreams.h"
 #include "connection/serviceview.h"
 #include "version/bucketmap.h"
 #include "version/roster.h"
@@ -19,9 +20,6 @@
 #include <set>
 #include <vector>
 
-#include <boost/container/flat_map.hpp>
-#include <boost/container/static_vector.hpp>
-
 namespace banyanwall::connection {
 
 /// Members as the router uses them: unreachable and suspected ones are left out.
@@ -95,6 +93,8 @@
 
     /// Upstreams that the bucket's recent maps named, newest first.
     [[nodiscard]] std::vector<common::UpstreamId> recentUpstreams(common::BucketIndex bucket) const;
+    /// Those that a new owner cannot know from the newest settled map.
+    [[nodiscard]] std::vector<common::UpstreamId> openedUpstreams(common::BucketIndex bucket) const;
     [[nodiscard]] const BucketRuntime *runtime(common::BucketIndex bucket) const;
 
     [[nodiscard]] const std::shared_ptr<const version::BucketMap> &map() const { return m_map; }
@@ -104,8 +104,6 @@
     void setAcknowledged(common::SettledRevision revision);
 
 private:
-    using RecentUpstreams = boost::container::static_vector<common::UpstreamId, 3>;
-
     void rebuildMap();
     void noteFormer(const version::BucketMap &former);
     [[nodiscard]] ServiceView::Statuses statuses(const Outages &outages) const;
@@ -133,9 +131,8 @@
     common::SettledRevision m_acknowledged;
     /// Maps by version from the one in force to the newest.
     std::map<common::RosterVersion, std::shared_ptr<const version::BucketMap>> m_pending;
-    /// Open upstreams of former rosters, newest first, of buckets in transition. Kept instead of
-    /// the former maps, which would take 8 KB each.
-    boost::container::flat_map<common::BucketIndex, RecentUpstreams> m_recent;
+    /// Of buckets in transition.
+    RecentUpstreams m_recent;
     /// Settled buckets whose default was unusable here: flows may have been opened elsewhere.
     std::bitset<version::BucketCount> m_diverted;
     /// Of transitional buckets that this instance owns or has owned.
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -263,6 +263,9 @@
         batch.records.push_back({ common::FlowKey(handover.flows(index)),
                                   common::UpstreamId(handover.upstreams(index)) });
     }
+    for (const auto upstream : handover.recent_upstreams()) {
+        batch.recentUpstreams.emplace_back(upstream);
+    }
     m_router.acceptHandover(batch, now);
 }
 
--- a/src/process/nodecontrol.cpp
+++ b/src/process/nodecontrol.cpp
@@ -304,6 +304,9 @@
             handover.add_flows(record.flow.value());
             handover.add_upstreams(record.upstream.value());
         }
+        for (const auto upstream : batch.recentUpstreams) {
+            handover.add_recent_upstreams(upstream.value());
+        }
         m_transport.toPeer(batch.receiver, message);
     }
     return batches.size();
--- a/src/tests/handovertest.cpp
+++ b/src/tests/handovertest.cpp
@@ -120,6 +120,50 @@
     checkData(flow, chosen);
 }
 
+// Guards against a search that cannot find the upstream of a former roster, because the owner that
+// lost the override started after that roster and knows only the newest one.
+TEST(Handover, newOwnerSearchesAmongUpstreamsOfFormerRosters)
+{
+    drain();
+    const auto membersWithout = [&](std::vector<common::InstanceId> dead) {
+        auto members = fleet.selector->members();
+        members.push_back({ common::InstanceId(7), RouterFleet::zoneOf(7), false });
+        std::erase_if(members, [&](const auto &member) {
+            return std::ranges::find(dead, member.id) != dead.end();
+        });
+        return members;
+    };
+    auto flow = flowAtDrained();
+    const auto joinerOwns = [&] {
+        const connection::OwnerSelector later(
+                membersWithout({ ownersOf(flow).first, *ownersOf(flow).second }));
+        return later.bucketOwners(RouterFleet::Service, BucketMap::bucketOf(flow))->first
+                == common::InstanceId(7);
+    };
+    while (!joinerOwns()) {
+        flow = flowAtDrained();
+    }
+    const auto chosen = open(flow);
+    auto next = withState(rosterOf(3), 0, UpstreamState::Draining);
+    std::ranges::find(next.upstreams, chosen, &version::RosterUpstream::id)->state =
+            UpstreamState::Draining;
+    fleet.roll(next);
+    const auto owners = ownersOf(flow);
+    kill(owners.first);
+    kill(*owners.second);
+    const auto settled = fleet.routers.begin()->second->map(RouterFleet::Service)->settledTable();
+    fleet.add(7);
+    auto &joiner = *fleet.routers.at(7);
+    joiner.applySettled(RouterFleet::Service, settled, fleet.now);
+    joiner.applyRoster(next, fleet.now);
+    fleet.announceMembers();
+    fleet.handOver();
+    CHECK_TRUE(reaches(fleet.deliver(7, PacketKind::Data, flow), drained));
+    const auto opens = entryOf(flow).openUpstream;
+    CHECK_TRUE(joiner.nextCandidate(RouterFleet::Service, flow, drained, fleet.now) == opens);
+    CHECK_TRUE(joiner.nextCandidate(RouterFleet::Service, flow, opens, fleet.now) == chosen);
+}
+
 // Guards against packets that are relayed for long to a former owner that cannot hand over.
 TEST(Handover, silentFormerOwnerIsAskedForALimitedTime)
 {
