Try the replacement of a lost upstream in the search for a flow

Cause: while the open upstream of a bucket is lost, opens go to an upstream that is chosen by the flow key and belongs to no map. When both owners of the bucket fail as well, nextCandidate tries only upstreams of the maps and gives the flow up, though its upstream lives.

Ruled out: an upstream that had left the roster, and a search on an instance that does not own the bucket.

Change: the upstream that the flow key selects at present is the last candidate. It is the former choice unless the active upstreams have changed since.

The new test fails before and passes after.

Flows whose default is itself lost are still refused before a search begins.

--- a/src/connection/flowrouter.cpp
+++ b/src/connection/flowrouter.cpp
@@ -381,7 +381,11 @@
     auto &search = state.searches.try_emplace(flow.value(), Search { {}, now }).first->second;
     search.rejected.push_back(rejectedBy);
     const auto &view = table.view();
-    const auto recent = table.recentUpstreams(bucket);
+    auto recent = table.recentUpstreams(bucket);
+    // Chosen by opens while the regular upstream could not be used.
+    if (const auto alternative = view->alternative(flow)) {
+        recent.push_back(*alternative);
+    }
     const auto next = std::ranges::find_if(recent, [&](UpstreamId candidate) {
         const auto status = view->status(candidate);
         return (status == UpstreamStatus::Active || status == UpstreamStatus::Draining)
--- a/src/tests/handovertest.cpp
+++ b/src/tests/handovertest.cpp
@@ -164,6 +164,25 @@
     CHECK_TRUE(joiner.nextCandidate(RouterFleet::Service, flow, opens, fleet.now) == chosen);
 }
 
+// Guards against a search that passes over the upstream which took a flow in place of a lost one.
+TEST(Handover, searchIncludesTheReplacementOfALostUpstream)
+{
+    drain();
+    auto flow = flowAtDrained();
+    const auto lost = entryOf(flow).openUpstream;
+    fleet.each([&](auto &router) { router.setUpstreamLost(lost, true); });
+    const auto chosen = open(flow);
+    CHECK_FALSE(chosen == lost);
+    const auto owners = ownersOf(flow);
+    kill(owners.first);
+    kill(*owners.second);
+    CHECK_TRUE(
+            reaches(fleet.deliver(fleet.routers.begin()->first, PacketKind::Data, flow), drained));
+    auto &forwarder = *fleet.routers.at(fleet.lastInstance);
+    CHECK_TRUE(forwarder.nextCandidate(RouterFleet::Service, flow, drained, fleet.now) == chosen);
+    CHECK_FALSE(forwarder.nextCandidate(RouterFleet::Service, flow, chosen, fleet.now));
+}
+
 // Guards against packets that are relayed for long to a former owner that cannot hand over.
 TEST(Handover, silentFormerOwnerIsAskedForALimitedTime)
 {
