Let the flow benchmark kill a chosen pair of instances

The faults replay kills instances 16 and 15, 700 ms apart, 125 s after its start. Few buckets have both as owners, so that the loss of both replicas hardly shows.

Traced causes: a default that is lost itself is refused before a search begins, and an instance that decides as last resort without being an owner does not search, while both new owners wait for each other.

--- a/src/benchmarks/flowbenchmark.cpp
+++ b/src/benchmarks/flowbenchmark.cpp
@@ -12,6 +12,7 @@
 #include <numeric>
 #include <random>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -123,16 +124,13 @@
 
 // Broken flows
 
-void runReplay(const std::string &name, bool faults, std::uint64_t seed)
+void runReplay(const std::string &name, benchmarks::WorkloadOptions options)
 {
     const auto begin = std::chrono::steady_clock::now();
-    benchmarks::WorkloadOptions options;
-    options.faults = faults;
-    options.seed = seed;
     FlowWorkload workload(options);
     const auto result = workload.run();
     const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - begin;
-    print(name + ".seed", seed);
+    print(name + ".seed", options.seed);
     print(name + ".flows", result.flows);
     print(name + ".packets", result.packets);
     print(name + ".broken.core", result.broken);
@@ -392,14 +390,22 @@
     }
 }
 
-/// Parts take the seed of the replays; the others keep their own.
-const std::map<std::string, std::function<void(std::uint64_t)>> Parts {
-    { "balance", [](std::uint64_t) { runBalance(); } },
-    { "capacity", [](std::uint64_t) { runCapacity(); } },
-    { "faults", [](std::uint64_t seed) { runReplay("faults", true, seed); } },
-    { "moves", [](std::uint64_t) { runMoves(); } },
-    { "replay", [](std::uint64_t seed) { runReplay("replay", false, seed); } },
-    { "speed", [](std::uint64_t) { runSpeed(); } },
+void runFaults(benchmarks::WorkloadOptions options)
+{
+    options.faults = true;
+    runReplay("faults", options);
+}
+
+/// Only the replays depend on the options.
+using Part = std::function<void(const benchmarks::WorkloadOptions &)>;
+
+const std::map<std::string, Part> Parts {
+    { "balance", [](const auto &) { runBalance(); } },
+    { "capacity", [](const auto &) { runCapacity(); } },
+    { "faults", runFaults },
+    { "moves", [](const auto &) { runMoves(); } },
+    { "replay", [](const auto &options) { runReplay("replay", options); } },
+    { "speed", [](const auto &) { runSpeed(); } },
 };
 
 } // namespace
@@ -417,9 +423,24 @@
         commandLine.add(selected);
         TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of the parts faults and replay",
                                             false, Seed, "number", commandLine);
+        TCLAP::MultiArg<std::uint32_t> victims(
+                "", "victim", "part faults: two instances that are killed at the same instant",
+                false, "instance", commandLine);
+        TCLAP::ValueArg<std::uint32_t> killAfter("", "kill-after",
+                                                 "part faults: time of the first kill", false, 125,
+                                                 "seconds", commandLine);
         commandLine.parse(argc, argv);
+        benchmarks::WorkloadOptions options;
+        options.seed = seed.getValue();
+        options.killAfter = std::chrono::seconds(killAfter.getValue());
+        if (victims.getValue().size() == options.victims.size()) {
+            std::ranges::copy(victims.getValue(), options.victims.begin());
+            options.killInterval = {};
+        } else if (!victims.getValue().empty()) {
+            throw std::invalid_argument("give --victim twice");
+        }
         for (const auto &name : selected.getValue().empty() ? names : selected.getValue()) {
-            Parts.at(name)(seed.getValue());
+            Parts.at(name)(options);
         }
     } catch (const std::exception &error) {
         std::cerr << "flowbenchmark: " << error.what() << '\n';
--- a/src/benchmarks/flowworkload.cpp
+++ b/src/benchmarks/flowworkload.cpp
@@ -117,11 +117,11 @@
 
 void FlowWorkload::scheduleFaults()
 {
-    // Two instances that are not being replaced at that time.
-    const auto victims = m_start + 2 * ChangeInterval + seconds(5);
-    m_fleet.at(victims, [this] { m_fleet.killInstance(m_options.instances); });
-    m_fleet.at(victims + milliseconds(700),
-               [this] { m_fleet.killInstance(m_options.instances - 1); });
+    // By default two instances that are not being replaced at that time.
+    const auto kill = m_start + m_options.killAfter;
+    m_fleet.at(kill, [this] { m_fleet.killInstance(m_options.victims[0]); });
+    m_fleet.at(kill + m_options.killInterval,
+               [this] { m_fleet.killInstance(m_options.victims[1]); });
     m_fleet.at(m_start + 3 * ChangeInterval + seconds(20), [this] {
         m_dead = upstreamAt(UpstreamsAtStart / 2);
         m_fleet.loseUpstream(*m_dead);
--- a/src/benchmarks/flowworkload.h
+++ b/src/benchmarks/flowworkload.h
@@ -26,6 +26,10 @@
     std::uint32_t opensPerSecond = 100;
     /// Duplicates and delays 1 % of the packets, kills two instances and an upstream.
     bool faults = false;
+    /// Instances that are killed in a run with faults, the second one killInterval later.
+    std::array<std::uint32_t, 2> victims { 16, 15 };
+    common::Duration killAfter = std::chrono::seconds(125);
+    common::Duration killInterval = std::chrono::milliseconds(700);
     std::uint64_t seed = 1;
 };
 
