--- a/src/connection/flowrouter.cpp
+++ b/src/connection/flowrouter.cpp
@@ -381,7 +381,11 @@
     auto &search = state.searches.try_emplace(flow.value(), Search { {}, now }).first->second;
     search.rejected.push_back(rejectedBy);
     const auto &view = table.view();
-    const auto recent = table.recentUpstreams(bucket);
+    auto recent = table.recentUpstreams(bucket);
+    // Chosen by opens while the regular upstream could not be used.
+    if (const auto alternative = view->alternative(flow)) {
+        recent.push_back(*alternative);
+    }
     const auto next = std::ranges::find_if(recent, [&](UpstreamId candidate) {
         const auto status = view->status(candidate);
         return (status == UpstreamStatus::Active || status == UpstreamStatus::Draining)
@@ -459,7 +463,12 @@
     const auto found = state.tables.find(request.service);
     if (found != state.tables.end()
         && found->second.acceptRequest(state.self, sender, request, state.overrides, now)) {
-        state.lateRecords.push({ sender, request.service, request.bucket, {}, true });
+        state.lateRecords.push({ sender,
+                                 request.service,
+                                 request.bucket,
+                                 {},
+                                 true,
+                                 found->second.openedUpstreams(request.bucket) });
     }
 }
 
