Compare views of the members and coordinate only by a confirmed one

The log shows that one instance knew 11 of 12 members for 8 s; it coordinated copies of requests whose coordinator was the member that it lacked. Ruled out: crashes and restarts (none before), leases (all valid), attempts of one coordinator (the two attempt numbers belong to different instances).

Change: heartbeats and their acknowledgements carry a digest of the live members. A view that differs in two heartbeats in a row is repaired by sending it whole, in place of two records that each tick repeated. An instance places new non-repeatable requests with itself only while more than half of its neighbours reported an equal view within 1.5 s; otherwise it drops the packet and the caller's repeat finds a confirmed view.

The new tests fail without the change: the different view is neither noticed nor repaired within 2 s.

--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -1,5 +1,6 @@
 #include "process/membership.h"
 
+#include "common/hash.h"
 #include "version/rollout.h"
 
 #include <algorithm>
@@ -85,6 +86,7 @@
     auto sends = flood(expire(now), std::nullopt);
     prepared.set_sequence(++m_sequence);
     prepared.set_leaving(m_leaving);
+    prepared.set_view_digest(viewDigest());
     *prepared.mutable_self() = selfRecord();
     m_sentAt[m_sequence] = now;
     std::erase_if(m_sentAt, [&](const auto &entry) { return now - entry.second > DeadAfter; });
@@ -93,36 +95,9 @@
         *send.message.mutable_heartbeat() = prepared;
         return send;
     });
-    if (auto repeated = repeatRecords()) {
-        sends.push_back(std::move(*repeated));
-    }
     return sends;
 }
 
-std::optional<SendToMember> Membership::repeatRecords() const
-{
-    // Records of the dead are left out, so that they can be forgotten.
-    std::vector<MemberRecord> records;
-    for (const auto &[id, member] : m_members) {
-        if (member.state != MemberRecord::DEAD) {
-            records.push_back(recordOf(member));
-        }
-    }
-    const auto receivers = neighbours();
-    if (receivers.empty() || records.empty()) {
-        return std::nullopt;
-    }
-    // Each neighbour gets one slice after the other.
-    const auto slices = (records.size() + RepeatedRecords - 1) / RepeatedRecords;
-    const auto first = m_sequence / receivers.size() % slices * RepeatedRecords;
-    const auto last = std::min(first + RepeatedRecords, records.size());
-    SendToMember send { receivers[m_sequence % receivers.size()], {} };
-    for (auto index = first; index < last; ++index) {
-        *send.message.mutable_member_update()->add_members() = records[index];
-    }
-    return send;
-}
-
 std::vector<SendToMember> Membership::onHeartbeat(InstanceId sender,
                                                   const wire::proto::Heartbeat &heartbeat,
                                                   std::uint64_t ownDigest, TimePoint now)
@@ -160,7 +135,11 @@
     if (heartbeat.catalogue_digest() == ownDigest) {
         m_contacts[sender].equalDigest = now;
     }
+    if (compareViews(sender, heartbeat.view_digest(), now)) {
+        sends.push_back({ sender, wholeView() });
+    }
     SendToMember reply { sender, {} };
+    reply.message.mutable_heartbeat_ack()->set_view_digest(viewDigest());
     reply.message.mutable_heartbeat_ack()->set_sequence(heartbeat.sequence());
     reply.message.mutable_heartbeat_ack()->set_catalogue_digest(ownDigest);
     sends.push_back(std::move(reply));
@@ -177,6 +156,8 @@
     heardFrom(sender, now);
     auto &contact = m_contacts[sender];
     contact.acknowledgedSend = std::max(contact.acknowledgedSend, sent->second);
+    contact.viewDigest = ack.view_digest();
+    contact.viewReported = now;
     if (ack.catalogue_digest() == ownDigest) {
         contact.equalDigest = std::max(contact.equalDigest, sent->second);
     }
@@ -319,6 +300,40 @@
     return contacts.at((contacts.size() + 1) / 2 - 1) + version::Rollout::StaleAfter;
 }
 
+std::uint64_t Membership::viewDigest() const
+{
+    std::uint64_t digest = 0;
+    for (const auto &member : liveMembers()) {
+        digest += common::hashPair(member.id.value(), member.leaving ? 1 : 0);
+    }
+    return digest;
+}
+
+bool Membership::compareViews(InstanceId sender, std::uint64_t digest, TimePoint now)
+{
+    auto &contact = m_contacts[sender];
+    contact.viewDigest = digest;
+    contact.viewReported = now;
+    contact.viewDifferences = digest == viewDigest() ? 0 : contact.viewDifferences + 1;
+    if (contact.viewDifferences < DifferencesBeforeRepair) {
+        return false;
+    }
+    contact.viewDifferences = 0;
+    return true;
+}
+
+bool Membership::isViewConfirmed(TimePoint now) const
+{
+    const auto watched = neighbours();
+    const auto own = viewDigest();
+    const auto equal = std::ranges::count_if(watched, [&](InstanceId neighbour) {
+        const auto contact = m_contacts.find(neighbour);
+        return contact != m_contacts.end() && contact->second.viewDigest == own
+                && now - contact->second.viewReported <= ViewConfirmedFor;
+    });
+    return watched.empty() || 2 * static_cast<std::size_t>(equal) > watched.size();
+}
+
 std::vector<common::ZoneId> Membership::silentZones(TimePoint now) const
 {
     std::map<common::ZoneId, TimePoint> newest;
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -50,10 +50,6 @@
     static constexpr common::Duration HeartbeatInterval = std::chrono::milliseconds(500);
     static constexpr common::Duration SuspectAfter = std::chrono::seconds(2);
     static constexpr common::Duration DeadAfter = std::chrono::seconds(5);
-    /// Records that each tick repeats to one neighbour. A flooded record reaches only the
-    /// neighbours known at that moment, so that views of instances that start together miss members
-    /// without it.
-    static constexpr std::size_t RepeatedRecords = 2;
     /// Ticks further apart show that this process was paused. Silence of others is then not
     /// counted.
     static constexpr common::Duration PauseAfter = std::chrono::seconds(1);
@@ -62,6 +58,12 @@
     static constexpr std::size_t ZoneNeighbours = 6;
     /// At least; one for each other zone, so that silence of a zone is noticed.
     static constexpr std::size_t RemoteNeighbours = 2;
+    /// Reports in a row of a different view before the whole view is sent; news on their way need
+    /// no repair. A flooded record reaches only the neighbours known at that moment, so that views
+    /// of instances that start together miss members without repair.
+    static constexpr std::uint32_t DifferencesBeforeRepair = 2;
+    /// Three heartbeat intervals, so that one lost heartbeat does not matter.
+    static constexpr common::Duration ViewConfirmedFor = std::chrono::milliseconds(1'500);
 
     Membership(common::InstanceId self, common::Incarnation incarnation, common::ZoneId zone,
                common::Endpoint peerAddress);
@@ -98,6 +100,9 @@
     [[nodiscard]] bool isStale(common::TimePoint now) const;
     /// Until when this instance is not stale if nothing more is heard.
     [[nodiscard]] common::TimePoint freshUntil() const;
+    /// More than half of the neighbours reported an equal view of the live members within
+    /// ViewConfirmedFor. Without that, two instances may choose different coordinators.
+    [[nodiscard]] bool isViewConfirmed(common::TimePoint now) const;
     [[nodiscard]] std::vector<common::ZoneId> silentZones(common::TimePoint now) const;
     /// Number of peers whose acknowledgement of a heartbeat sent at or after oldest has arrived.
     [[nodiscard]] std::uint32_t acknowledgedSince(common::TimePoint oldest) const;
@@ -121,12 +126,20 @@
     {
         common::TimePoint equalDigest;
         common::TimePoint acknowledgedSend;
+        /// View of the member as it last reported it.
+        std::uint64_t viewDigest = 0;
+        common::TimePoint viewReported;
+        std::uint32_t viewDifferences = 0;
     };
 
+    [[nodiscard]] std::uint64_t viewDigest() const;
+    /// Returns true when the views have differed for long enough to be repaired.
+    [[nodiscard]] bool compareViews(common::InstanceId sender, std::uint64_t digest,
+                                    common::TimePoint now);
+
     [[nodiscard]] std::vector<SendToMember>
     flood(const std::vector<wire::proto::MemberRecord> &news,
           std::optional<common::InstanceId> except) const;
-    [[nodiscard]] std::optional<SendToMember> repeatRecords() const;
     bool merge(const wire::proto::MemberRecord &record, common::TimePoint now);
     void heardFrom(common::InstanceId sender, common::TimePoint now);
     void forgivePause(common::TimePoint now);
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -360,6 +360,7 @@
     }
     m_router.setMembers(change.members, now);
     m_placement.setMembers(change.members, moment.wall);
+    m_placement.setViewConfirmed(m_membership.membership().isViewConfirmed(now));
     m_requests.setMembers(change.members);
     m_coordinator.setInstances(static_cast<std::uint32_t>(change.members->members().size()));
     m_ownedFor = {};
--- a/src/process/nodecontrol.cpp
+++ b/src/process/nodecontrol.cpp
@@ -90,6 +90,7 @@
 {
     const auto now = monotonicNow();
     const auto &membership = m_membership.membership();
+    m_placement.setViewConfirmed(membership.isViewConfirmed(now));
     m_packets.setFreshUntil(isJoined() ? membership.freshUntil() : TimePoint {});
     auto silent = membership.silentZones(now);
     if (silent != m_silentZones) {
--- a/src/process/requesthandler.cpp
+++ b/src/process/requesthandler.cpp
@@ -136,13 +136,14 @@
     }
     const auto key =
             wire::requestKey(*service, wire::callerOf(relayed.frame()), requestIdOf(*message));
-    RequestPlacement::Question question { key,
-                                          wallTime(message->request().issued_unix_ms()),
-                                          wallTime(message->request().deadline_unix_ms()),
-                                          relayed.handover(),
-                                          message->has_cancel(),
-                                          sender,
-                                          {} };
+    RequestPlacement::Question question;
+    question.key = key;
+    question.issued = wallTime(message->request().issued_unix_ms());
+    question.deadline = wallTime(message->request().deadline_unix_ms());
+    question.handover = relayed.handover();
+    question.isRepeatable = message->request().repeatable();
+    question.isCancel = message->has_cancel();
+    question.sender = sender;
     for (const auto asked : relayed.asked()) {
         question.asked.insert(common::InstanceId(asked));
     }
--- a/src/process/requestplacement.cpp
+++ b/src/process/requestplacement.cpp
@@ -56,6 +56,9 @@
     if (ceded != m_ceded.end() && !isGone(ceded->second.to)) {
         return Nowhere {};
     }
+    if (!m_viewConfirmed && !question.isRepeatable) {
+        return Nowhere {};
+    }
     if (const auto former = liveFormer(question)) {
         return Relay { *former, RequestRelay::ASK_FORMER };
     }
--- a/src/process/requestplacement.h
+++ b/src/process/requestplacement.h
@@ -36,6 +36,8 @@
         common::WallTime issued;
         common::WallTime deadline;
         Handover handover = wire::proto::RequestRelay::NONE;
+        /// A copy at another coordinator does no harm.
+        bool isRepeatable = false;
         /// A cancellation; it takes the same way, but places nothing.
         bool isCancel = false;
         /// Instance that relayed the request; empty for a packet from the fabric.
@@ -62,6 +64,11 @@
 
     void setMembers(std::shared_ptr<const connection::OwnerSelector> members,
                     common::WallTime wall);
+
+    /// While most neighbours have another view of the members, no non-repeatable request is placed
+    /// here: they may choose another coordinator for a copy of it.
+    void setViewConfirmed(bool confirmed) { m_viewConfirmed = confirmed; }
+
     [[nodiscard]] Decision place(const Question &question);
     void forget(common::WallTime wall);
 
@@ -85,6 +92,7 @@
     [[nodiscard]] bool isGone(common::InstanceId member) const;
 
     common::InstanceId m_self;
+    bool m_viewConfirmed = true;
     std::shared_ptr<const connection::OwnerSelector> m_members;
     std::deque<View> m_former;
     /// Requests handled here, with their deadlines.
--- a/src/tests/membershiptest.cpp
+++ b/src/tests/membershiptest.cpp
@@ -239,6 +239,30 @@
     }
 }
 
+// Guards against views that differ for seconds, in which two instances coordinate copies of one
+// request, and against an instance that trusts its view meanwhile.
+TEST(Membership, differentViewIsNoticedAndRepairedWithinTwoSeconds)
+{
+    Fleet joined { 9 };
+    joined.introduceAll();
+    joined.run(1s);
+    CHECK_TRUE(joined.at(5).isViewConfirmed(joined.now));
+    joined.cut(5);
+    joined.add(10, 1);
+    const process::MemberInfo seed { InstanceId(1),       Incarnation(1), ZoneId(1),  {},
+                                     MemberRecord::ALIVE, joined.now,     joined.now, false,
+                                     Incarnation(1) };
+    joined.at(10).applyStoreList({ seed }, joined.now);
+    joined.run(500ms);
+    joined.heal(5);
+    joined.run(500ms);
+    CHECK_FALSE(joined.at(5).isViewConfirmed(joined.now)
+                && !joined.at(5).members().contains(InstanceId(10)));
+    joined.run(1500ms);
+    CHECK_TRUE(joined.at(5).members().contains(InstanceId(10)));
+    CHECK_TRUE(joined.at(5).isViewConfirmed(joined.now));
+}
+
 // Guards against a restarted process that is ignored because its clock was set back.
 TEST(Membership, restartAfterClockStepBackIsAccepted)
 {
--- a/src/tests/nodetest.cpp
+++ b/src/tests/nodetest.cpp
@@ -249,9 +249,13 @@
     RequestPlacement::Question question(RequestRelay::Handover handover = RequestRelay::NONE,
                                         std::uint32_t sender = 0) const
     {
-        return { key,      wall,  wall + 10s,
-                 handover, false, sender == 0 ? std::nullopt : std::optional(InstanceId(sender)),
-                 {} };
+        RequestPlacement::Question question;
+        question.key = key;
+        question.issued = wall;
+        question.deadline = wall + 10s;
+        question.handover = handover;
+        question.sender = sender == 0 ? std::nullopt : std::optional(InstanceId(sender));
+        return question;
     }
 };
 
@@ -282,6 +286,22 @@
     CHECK_TRUE(std::get<RequestPlacement::Relay>(former.place(question())).peer == InstanceId(2));
 }
 
+// Guards against two coordinators of one request while the views of the members differ, as after a
+// common start: the instance with the other view must not dispatch (P7).
+TEST(RequestPlacement, unconfirmedViewPlacesNoNonRepeatableRequestHere)
+{
+    former.setViewConfirmed(false);
+    CHECK_TRUE(std::holds_alternative<RequestPlacement::Nowhere>(former.place(question())));
+    auto repeatable = question();
+    repeatable.isRepeatable = true;
+    repeatable.key = common::RequestKey(key.value() + 1);
+    CHECK_TRUE(std::holds_alternative<RequestPlacement::Here>(former.place(repeatable)));
+    former.setViewConfirmed(true);
+    CHECK_TRUE(std::holds_alternative<RequestPlacement::Here>(former.place(question())));
+    former.setViewConfirmed(false);
+    CHECK_TRUE(std::holds_alternative<RequestPlacement::Here>(former.place(question())));
+}
+
 // Guards against asking former coordinators for ever.
 TEST(RequestPlacement, requestsIssuedLongAfterTheChangeNeedNoQuestion)
 {
