Send heartbeats to all members while the store is down

Cause: in a store outage a coordinator goes on while more than half of the members acknowledged its heartbeats, but heartbeats reach 5 to 8 neighbours, so no instance of a fleet of 12 could ever count a majority, and non-repeatable requests were refused for the length of the outage. Ruled out: the store's leases (they are kept during the outage) and the views of the members (equal in all instances).

Change: while the store does not answer, every third heartbeat goes to all live members.

The new test fails before the change.

--- a/src/benchmarks/controlbenchmark.cpp
+++ b/src/benchmarks/controlbenchmark.cpp
@@ -86,15 +86,19 @@
     {
         for (int tick = 0; tick < ticks; ++tick) {
             m_now += Membership::HeartbeatInterval;
-            std::ranges::for_each(m_members, [this](Entry &member) {
+            wire::proto::Heartbeat prepared;
+            prepared.set_store_reachable(m_storeReachable);
+            std::ranges::for_each(m_members, [&](Entry &member) {
                 if (!member.silent) {
-                    queue(member, member.membership->onTick({}, m_now));
+                    queue(member, member.membership->onTick(prepared, m_now));
                 }
             });
             deliverAll();
         }
     }
 
+    void setStoreReachable(bool reachable) { m_storeReachable = reachable; }
+
     void silence(std::size_t index) { m_members[index].silent = true; }
 
     [[nodiscard]] double bytesSent() const { return m_bytes; }
@@ -162,6 +166,7 @@
 
     TimePoint m_now = Start;
     double m_bytes = 0;
+    bool m_storeReachable = true;
     std::vector<Entry> m_members;
     std::deque<InFlight> m_inFlight;
 };
@@ -187,6 +192,13 @@
     printRow("heartbeat_cpu_us_per_s", size,
              (cpuSeconds() - cpuBefore) * 1e6 / perMember / seconds(MeasuredTicks));
 
+    group.setStoreReachable(false);
+    const auto bytesBeforeOutage = group.bytesSent();
+    group.runTicks(MeasuredTicks);
+    printRow("heartbeat_bytes_per_s_store_down", size,
+             (group.bytesSent() - bytesBeforeOutage) / perMember / seconds(MeasuredTicks));
+    group.setStoreReachable(true);
+
     const auto bytesBeforeFailure = group.bytesSent();
     group.silence(size - 1);
     group.runTicks(MeasuredTicks);
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -90,14 +90,20 @@
     *prepared.mutable_self() = selfRecord();
     m_sentAt[m_sequence] = now;
     std::erase_if(m_sentAt, [&](const auto &entry) { return now - entry.second > DeadAfter; });
-    std::ranges::transform(neighbours(), std::back_inserter(sends), [&](InstanceId neighbour) {
-        SendToMember send { neighbour, {} };
+    const auto receivers = heartbeatReceivers(prepared.store_reachable());
+    std::ranges::transform(receivers, std::back_inserter(sends), [&](InstanceId receiver) {
+        SendToMember send { receiver, {} };
         *send.message.mutable_heartbeat() = prepared;
         return send;
     });
     return sends;
 }
 
+std::vector<InstanceId> Membership::heartbeatReceivers(bool storeReachable) const
+{
+    return !storeReachable && m_sequence % WideHeartbeatTicks == 0 ? livePeers() : neighbours();
+}
+
 std::vector<SendToMember> Membership::onHeartbeat(InstanceId sender,
                                                   const wire::proto::Heartbeat &heartbeat,
                                                   std::uint64_t ownDigest, TimePoint now)
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -58,6 +58,9 @@
     static constexpr std::size_t ZoneNeighbours = 6;
     /// At least; one for each other zone, so that silence of a zone is noticed.
     static constexpr std::size_t RemoteNeighbours = 2;
+    /// While the store does not answer, each such heartbeat goes to all live members: the lease
+    /// guard needs acknowledgements of more than half of them, each at most 2 s old.
+    static constexpr std::uint64_t WideHeartbeatTicks = 3;
     /// Reports in a row of a different view before the whole view is sent; news on their way need
     /// no repair. A flooded record reaches only the neighbours known at that moment, so that views
     /// of instances that start together miss members without repair.
@@ -137,6 +140,7 @@
     [[nodiscard]] bool compareViews(common::InstanceId sender, std::uint64_t digest,
                                     common::TimePoint now);
 
+    [[nodiscard]] std::vector<common::InstanceId> heartbeatReceivers(bool storeReachable) const;
     [[nodiscard]] std::vector<SendToMember>
     flood(const std::vector<wire::proto::MemberRecord> &news,
           std::optional<common::InstanceId> except) const;
--- a/src/tests/membershiptest.cpp
+++ b/src/tests/membershiptest.cpp
@@ -63,10 +63,12 @@
 
     void run(common::Duration time)
     {
+        wire::proto::Heartbeat prepared;
+        prepared.set_store_reachable(storeReachable);
         for (const auto end = now + time; now < end; now += Membership::HeartbeatInterval) {
             for (auto &[id, member] : m_members) {
                 if (!m_paused.contains(id)) {
-                    deliver(id, member->onTick({}, now));
+                    deliver(id, member->onTick(prepared, now));
                 }
             }
         }
@@ -100,6 +102,8 @@
         }
     }
 
+    bool storeReachable = true;
+
     void pause(std::uint32_t id) { m_paused.insert(InstanceId(id)); }
 
     void resume(std::uint32_t id) { m_paused.erase(InstanceId(id)); }
@@ -263,6 +267,23 @@
     CHECK_TRUE(joined.at(5).isViewConfirmed(joined.now));
 }
 
+// Guards against coordinators that lose their permit in an outage of the store because too few
+// members can acknowledge them: neighbours alone are no majority of a larger fleet.
+TEST(Membership, mostMembersAcknowledgeWhileTheStoreIsDown)
+{
+    Fleet large { 24 };
+    large.introduceAll();
+    large.storeReachable = false;
+    large.run(4s);
+    for (int step = 0; step < 6; ++step) {
+        large.run(500ms);
+        CHECK_TRUE(2 * (large.at(7).acknowledgedSince(large.now - 2s) + 1) > 24);
+    }
+    large.storeReachable = true;
+    large.run(4s);
+    CHECK_TRUE(large.at(7).acknowledgedSince(large.now - 2s) < 12);
+}
+
 // Guards against a restarted process that is ignored because its clock was set back.
 TEST(Membership, restartAfterClockStepBackIsAccepted)
 {
