Raise the share of a returning zone step by step

Cause: banyanwallctl zone return writes the first step of 20 %, and no instance raised it, so a returned zone stayed at 20 % of its share for ever.

Change: the instance that plans for the zones raises the share by 20 % every 6 s with compare-and-swap until it is whole. A new planner or an operator's edit begins a step anew; a withdrawn zone is left alone.

--- a/src/process/documentapplier.h
+++ b/src/process/documentapplier.h
@@ -61,6 +61,8 @@
 
     /// Newest version of a document by which this instance decides; 0 before the first one.
     [[nodiscard]] std::uint64_t inForceOf(const std::string &key) const;
+    [[nodiscard]] const version::ZoneStates &zones() const { return m_zones; }
+
     [[nodiscard]] bool isZoneWithdrawn(const std::string &zone) const;
 
     [[nodiscard]] static std::string rosterSubject(const std::string &customer);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -12,6 +12,7 @@
 #include "process/storesession.h"
 #include "process/udpfrontend.h"
 #include "process/upstreamconditions.h"
+#include "process/zonereturn.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -87,6 +88,7 @@
     void tickMembersOfZone();
     [[nodiscard]] wire::proto::Heartbeat preparedHeartbeat();
     void planSettledMaps();
+    void planZoneReturn();
     /// Asks for handovers that are overdue.
     void sendHandoverRequests();
     std::size_t sendHandovers(std::size_t maxRecords);
@@ -112,6 +114,7 @@
     RolloutTracker m_rollouts;
     DocumentApplier m_applier;
     SettledPlanner m_planner;
+    ZoneReturn m_zoneReturn;
     RequestPlacement m_placement;
     UdpFrontend m_udp;
     PeerTransport m_transport;
@@ -136,6 +139,7 @@
     /// Last report of idle buckets that the planner got; a repetition says nothing new.
     std::map<common::ServiceId, std::string> m_sentReports;
     bool m_planning = false;
+    bool m_planningZones = false;
     bool m_zoneWithdrawn = false;
     common::RosterVersion m_ownedFor;
     std::optional<common::TimePoint> m_shutdownSince;
--- a/src/process/nodecontrol.cpp
+++ b/src/process/nodecontrol.cpp
@@ -222,6 +222,7 @@
 {
     reportIdleBuckets();
     planSettledMaps();
+    planZoneReturn();
     sendHandovers(HandoverRecords);
     sendHandoverRequests();
     m_placement.forget(wallNow());
@@ -299,6 +300,33 @@
     }
 }
 
+void Node::planZoneReturn()
+{
+    const auto id = common::idFromName<common::CustomerId>(version::ZonesKey);
+    if (m_planningZones || !isJoined() || !m_store.hasRead()
+        || m_membership.members()->planner(id) != m_self) {
+        return;
+    }
+    const auto next = m_zoneReturn.next(m_applier.zones(), monotonicNow());
+    if (!next) {
+        return;
+    }
+    const std::string key(version::ZonesKey);
+    const auto value = version::formatZoneStates(*next);
+    const auto isExpected = [base = next->version - 1](const std::string &current) {
+        const auto known = version::parseZoneStates(current);
+        return common::isOk(known) && common::valueOf(known).version == base;
+    };
+    m_planningZones = true;
+    m_store.replace(key, value, isExpected, [this, key, value](bool written) {
+        m_planningZones = false;
+        LogEvent(LogLevel::Info, "zone_return_step").with("written", written);
+        if (written) {
+            m_catalogue.onStoreValue(key, value, monotonicNow());
+        }
+    });
+}
+
 void Node::sendHandoverRequests()
 {
     for (const auto &request : m_router.takeRequests(HandoverRequests, monotonicNow())) {
