--- a/src/process/documentapplier.h
+++ b/src/process/documentapplier.h
@@ -61,6 +61,7 @@
 
     /// Newest version of a document by which this instance decides; 0 before the first one.
     [[nodiscard]] std::uint64_t inForceOf(const std::string &key) const;
+
     [[nodiscard]] const version::ZoneStates &zones() const { return m_zones; }
 
     [[nodiscard]] bool isZoneWithdrawn(const std::string &zone) const;
