--- a/scripts/capacitymodel.py
+++ b/scripts/capacitymodel.py
@@ -125,6 +125,12 @@
         "`override_bytes_per_record` x 2 x open flows of a region x 1/4, by instance",
         lambda fits: fits["override_bytes_per_record"].at(1e5) * 2
         * (OPEN_FLOWS / REGIONS / ZONES_A_REGION) / REGION_INSTANCES / 1e6),
+    Row("zone withdrawn, all services in transition", "bucket maps with owners of transitional buckets", "MB",
+        "`router_bytes_zone_withdrawn` at 1,300 services", at("router_bytes_zone_withdrawn", ADDRESSES, 1e-6)),
+    Row("zone withdrawn, all services in transition", "rebuild of maps for each change of members", "ms of a core",
+        "`member_change_zone_withdrawn_ms` at 1,300 services", at("member_change_zone_withdrawn_ms", ADDRESSES)),
+    Row("store down for an hour", "heartbeats to all members each 1.5 s", "bytes/s",
+        "`heartbeat_bytes_per_s_store_down` at 260", at("heartbeat_bytes_per_s_store_down", REGION_INSTANCES)),
     Row("store back after an hour", "lease renewals with back-off and jitter", "calls",
         "one grant and one read an instance, 2 watches a zone", lambda fits: 2 * INSTANCES + 2 * ZONES),
     Row("100 changes in a minute", "offer to neighbours, one fetch", "bytes/s",
