Explain the slow start after a cold turn

contract explain named only the growth by 8 answers; after a cold turn the window grows by 40 answers a slot.

--- a/src/version/limits.cpp
+++ b/src/version/limits.cpp
@@ -61,7 +61,9 @@
                   + text(AnswersPerSlowStartStep) + " answers in a row under " + text(2 * usual)
                   + " ms" },
         { "slow_start_fallback_ms", 4 * usual, "usual_latency_ms",
-          "after 3 answers over 4 x " + text(usual) + " ms the window returns to 1 slot" },
+          "after 3 answers over 4 x " + text(usual)
+                  + " ms the window returns to 1 slot and grows by " + text(AnswersPerStepWhenCold)
+                  + " answers a slot" },
     };
 }
 
--- a/src/version/limits.h
+++ b/src/version/limits.h
@@ -12,6 +12,8 @@
 inline constexpr std::uint32_t RetryPercent = 10;
 inline constexpr std::uint32_t MaximumRetriesInProgress = 32;
 inline constexpr std::uint32_t AnswersPerSlowStartStep = 8;
+/// Answers for each slot after an upstream turned cold, until all slots are usable again.
+inline constexpr std::uint32_t AnswersPerStepWhenCold = 40;
 inline constexpr std::uint32_t ZoneReturnSteps = 5;
 inline constexpr std::uint32_t ZoneReturnStepPercent = 100 / ZoneReturnSteps;
 inline constexpr std::uint32_t ZoneReturnSeconds = 30;
