--- a/scripts/installpackages.sh
+++ b/scripts/installpackages.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that building, testing and the demo need. Does nothing when all are present.
 set -eu
 packages="build-essential cmake ninja-build clang-format clang-tidy clang libclang-rt-14-dev git python3 gnuplot-nox
-libboost1.81-dev libboost-log1.81-dev libboost-thread1.81-dev libboost-json1.81-dev libboost-system1.81-dev
+libboost1.81-dev libboost-log1.81-dev libboost-thread1.81-dev libboost-json1.81-dev libboost-system1.81-dev libboost-url1.81-dev
 libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler libtclap-dev libtomlplusplus-dev libcpputest-dev
 libxxhash-dev libssl-dev"
 missing=""
--- a/src/common/ids.h
+++ b/src/common/ids.h
@@ -34,6 +34,13 @@
 /// Revision of a settled map.
 using SettledRevision = StrongType<struct SettledRevisionTag, std::uint64_t>;
 
+/// Number under which the fabric knows an upstream. A fabric never gives it to another upstream.
+using UpstreamSerial = StrongType<struct UpstreamSerialTag, std::uint64_t>;
+/// Names the upstream of a flow in each packet of that flow; never zero for an open flow.
+using FlowToken = StrongType<struct FlowTokenTag, std::uint32_t>;
+/// Position in the store's sequence of changes.
+using StoreRevision = StrongType<struct StoreRevisionTag, std::uint64_t>;
+
 /// Returns the id of a named thing.
 template<typename Id>
 [[nodiscard]] Id idFromName(std::string_view name);
--- a/src/common/reason.cpp
+++ b/src/common/reason.cpp
@@ -31,6 +31,8 @@
         return "wrong_incarnation";
     case Reason::ZoneWithdrawn:
         return "zone_withdrawn";
+    case Reason::MalformedEntry:
+        return "malformed_entry";
     case Reason::BadSignature:
         return "bad_signature";
     case Reason::UnknownKey:
--- a/src/common/reason.h
+++ b/src/common/reason.h
@@ -20,6 +20,7 @@
     WrongService,
     WrongIncarnation,
     ZoneWithdrawn,
+    MalformedEntry,
     // Peer messages
     BadSignature,
     UnknownKey,
--- /dev/null
+++ b/src/connection/flowforwarder.cpp
@@ -0,0 +1,189 @@
+#include "connection/flowforwarder.h"
+
+#include "common/hash.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace banyanwall::connection {
+
+using common::Reason;
+using common::TimePoint;
+
+namespace {
+
+// News pass from the store to all instances well within this time while the fleet is healthy.
+constexpr std::chrono::seconds CurrentNewsAge { 3 };
+// An upstream that this instance does not know yet, but another one does, is known by then.
+constexpr std::chrono::milliseconds UnknownTokenWait { 800 };
+constexpr std::chrono::seconds UnknownTokenMemory { 10 };
+// Bounds the memory that forged tokens can take.
+constexpr std::size_t MaxUnknownTokens = 1'024;
+
+std::uint64_t flowHashOf(const FlowPacket &packet)
+{
+    const std::hash<common::Endpoint> hash;
+    return common::hashPair(hash(packet.caller), hash(packet.service));
+}
+
+} // namespace
+
+FlowForwarder::FlowForwarder(const Options &options, AnswerTimeSink onAnswerTime)
+    : m_options(options)
+    , m_onAnswerTime(std::move(onAnswerTime))
+    , m_policy(m_upstreams)
+    , m_observer(options.observedFlowSets)
+{ }
+
+void FlowForwarder::update(const version::Directory &directory,
+                           const std::vector<version::EntryKey> &changed, TimePoint now)
+{
+    m_upstreams.update(directory, changed, now);
+    const bool rulesChanged = std::ranges::any_of(changed, [](const version::EntryKey &key) {
+        return key.kind == version::EntryKind::Rules;
+    });
+    if (const auto *rules = directory.rules(); rules != nullptr && rulesChanged) {
+        updateRoutes(*rules);
+    }
+}
+
+PacketVerdict FlowForwarder::handle(const FlowPacket &packet, TimePoint now)
+{
+    const auto seen = m_observer.observe(packet, now);
+    noteEvidence(seen, now);
+    if (packet.opens) {
+        return open(packet, seen, now);
+    }
+    return forward(packet, seen, now);
+}
+
+void FlowForwarder::forgetOld(TimePoint now)
+{
+    m_upstreams.forgetOld(now);
+    std::erase_if(m_unknownTokens,
+                  [&](const auto &item) { return now - item.second > UnknownTokenMemory; });
+}
+
+PacketVerdict FlowForwarder::open(const FlowPacket &packet, const FlowObservation &seen,
+                                  TimePoint now)
+{
+    const auto *route = routeOf(packet);
+    if (route == nullptr) {
+        // Without current news the route may be one that was just added.
+        if (isCurrent(now)) {
+            return ResetFlow { Reason::UnknownService };
+        }
+        return DropPacket { Reason::UnknownService };
+    }
+    const auto hash = flowHashOf(packet);
+    auto *upstream = m_policy.choose(serviceOf(*route, hash), hash, packet.acknowledgement,
+                                     seen.upstream, now);
+    if (upstream == nullptr) {
+        return ResetFlow { Reason::NoUpstream };
+    }
+    m_observer.noteOpening(packet, upstream->token, now);
+    return ForwardPacket { upstream->record.endpoint, upstream->record.serial, upstream->token };
+}
+
+PacketVerdict FlowForwarder::forward(const FlowPacket &packet, const FlowObservation &seen,
+                                     TimePoint now)
+{
+    if (packet.token == common::FlowToken()) {
+        return DropPacket { Reason::UnknownFlow };
+    }
+    auto *upstream = m_upstreams.find(packet.token);
+    if (upstream == nullptr) {
+        return handleUnknown(packet, now);
+    }
+    const auto *route = routeOf(packet);
+    const bool mayRunAgain = route != nullptr && route->record.repeatable;
+    if (mayRunAgain && seen.isRepeated && packet.payloadBytes > 0
+        && isUnreachable(*upstream, now)) {
+        return ResetFlow { Reason::UpstreamSilent };
+    }
+    return ForwardPacket { upstream->record.endpoint, upstream->record.serial, packet.token };
+}
+
+PacketVerdict FlowForwarder::handleUnknown(const FlowPacket &packet, TimePoint now)
+{
+    if (m_unknownTokens.size() >= MaxUnknownTokens) {
+        return DropPacket { Reason::UnknownFlow };
+    }
+    const auto firstSeen = m_unknownTokens.try_emplace(packet.token, now).first->second;
+    const auto *route = routeOf(packet);
+    const bool wouldBeKnown = now - firstSeen >= UnknownTokenWait
+            && now - m_assuredAt < now - firstSeen && isCurrent(now);
+    if (wouldBeKnown && route != nullptr && route->record.repeatable && !packet.resets) {
+        return ResetFlow { Reason::UpstreamLost };
+    }
+    return DropPacket { Reason::UnknownFlow };
+}
+
+void FlowForwarder::noteEvidence(const FlowObservation &seen, TimePoint now)
+{
+    auto *upstream = m_upstreams.find(seen.upstream);
+    if (upstream == nullptr) {
+        return;
+    }
+    if (seen.isHeard) {
+        upstream->health.onHeard(now);
+        m_upstreams.zoneHealth(upstream->record.zone).onHeard(now);
+    }
+    if (seen.answerTime) {
+        m_onAnswerTime(*seen.answerTime);
+    }
+    if (!seen.isRepeated) {
+        return;
+    }
+    const bool wasSuspected = upstream->health.isSuspected(now);
+    upstream->health.onRepeated(now);
+    const bool isNewSuspect = !wasSuspected && upstream->health.isSuspected(now);
+    if (isNewSuspect && upstream->record.zone != m_options.ownZone) {
+        m_upstreams.zoneHealth(upstream->record.zone).onRepeated(now);
+    }
+}
+
+bool FlowForwarder::isUnreachable(KnownUpstream &upstream, TimePoint now)
+{
+    return upstream.health.isSilent(now)
+            || m_upstreams.zoneHealth(upstream.record.zone).isSuspected(now);
+}
+
+bool FlowForwarder::isCurrent(TimePoint now) const
+{
+    return now - m_assuredAt < CurrentNewsAge;
+}
+
+const FlowForwarder::Route *FlowForwarder::routeOf(const FlowPacket &packet) const
+{
+    const auto found = m_routes.find(packet.service);
+    return found == m_routes.end() ? nullptr : &found->second;
+}
+
+common::ServiceId FlowForwarder::serviceOf(const Route &route, std::uint64_t flowHash)
+{
+    // Another part of the hash than the one that ranks the upstreams.
+    auto position = common::mixBits(flowHash) % route.totalWeight;
+    for (const auto &share : route.record.shares) {
+        if (position < share.weight) {
+            return share.service;
+        }
+        position -= share.weight;
+    }
+    return route.record.shares.back().service;
+}
+
+void FlowForwarder::updateRoutes(const version::RulesRecord &rules)
+{
+    m_routes.clear();
+    for (const auto &record : rules.routes) {
+        const auto total = std::accumulate(
+                record.shares.begin(), record.shares.end(), 0U,
+                [](std::uint32_t sum, const auto &share) { return sum + share.weight; });
+        if (total > 0) {
+            m_routes.emplace(record.address, Route { record, total });
+        }
+    }
+}
+
+} // namespace banyanwall::connection
--- /dev/null
+++ b/src/connection/flowforwarder.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "connection/flowobserver.h"
+#include "connection/flowpacket.h"
+#include "connection/openingpolicy.h"
+#include "connection/upstreamtable.h"
+#include "version/directory.h"
+
+#include <functional>
+#include <unordered_map>
+
+namespace banyanwall::connection {
+
+/// Decides where each packet of a caller goes on a fabric whose flows carry a token. An open flow
+/// needs no state here: its token names the upstream. Not thread-safe.
+class FlowForwarder
+{
+public:
+    struct Options
+    {
+        common::ZoneId ownZone;
+        /// Sets of the memory that tells repeated packets; a power of two.
+        std::size_t observedFlowSets = 1'024;
+    };
+
+    using AnswerTimeSink = std::function<void(common::Duration)>;
+
+    FlowForwarder(const Options &options, AnswerTimeSink onAnswerTime);
+
+    /// Takes over entries of the directory that changed.
+    void update(const version::Directory &directory, const std::vector<version::EntryKey> &changed,
+                common::TimePoint now);
+
+    void setPosition(const FleetPosition &position) { m_policy.setPosition(position); }
+
+    /// When the store last confirmed that the directory is current.
+    void setAssuredAt(common::TimePoint time) { m_assuredAt = time; }
+
+    PacketVerdict handle(const FlowPacket &packet, common::TimePoint now);
+
+    /// Forgets what is too old to matter; called about once a second.
+    void forgetOld(common::TimePoint now);
+
+    [[nodiscard]] const UpstreamTable &upstreams() const { return m_upstreams; }
+
+    [[nodiscard]] UpstreamTable &upstreams() { return m_upstreams; }
+
+private:
+    struct Route
+    {
+        version::RouteRecord record;
+        std::uint32_t totalWeight = 0;
+    };
+
+    PacketVerdict open(const FlowPacket &packet, const FlowObservation &seen,
+                       common::TimePoint now);
+    PacketVerdict forward(const FlowPacket &packet, const FlowObservation &seen,
+                          common::TimePoint now);
+    PacketVerdict handleUnknown(const FlowPacket &packet, common::TimePoint now);
+    void noteEvidence(const FlowObservation &seen, common::TimePoint now);
+    [[nodiscard]] bool isUnreachable(KnownUpstream &upstream, common::TimePoint now);
+    [[nodiscard]] bool isCurrent(common::TimePoint now) const;
+    [[nodiscard]] const Route *routeOf(const FlowPacket &packet) const;
+    [[nodiscard]] static common::ServiceId serviceOf(const Route &route, std::uint64_t flowHash);
+    void updateRoutes(const version::RulesRecord &rules);
+
+    Options m_options;
+    AnswerTimeSink m_onAnswerTime;
+    UpstreamTable m_upstreams;
+    OpeningPolicy m_policy;
+    FlowObserver m_observer;
+    std::unordered_map<common::Endpoint, Route> m_routes;
+    /// When packets with a token that no upstream has were first seen.
+    std::unordered_map<common::FlowToken, common::TimePoint> m_unknownTokens;
+    common::TimePoint m_assuredAt;
+};
+
+} // namespace banyanwall::connection
--- /dev/null
+++ b/src/connection/openingpolicy.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "common/ids.h"
+#include "common/time.h"
+#include "connection/upstreamtable.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace banyanwall::connection {
+
+/// Where this instance stands in the fleet.
+struct FleetPosition
+{
+    common::ZoneId zone;
+    /// Different for each instance.
+    std::uint64_t instance = 0;
+    /// Instances that open flows, this one included.
+    std::uint32_t instances = 1;
+};
+
+/// Chooses the upstream of a new flow by rendezvous hashing over the upstreams that may take it.
+/// Repeated opening packets get another upstream, because the first did not answer in time.
+class OpeningPolicy
+{
+public:
+    explicit OpeningPolicy(UpstreamTable &upstreams);
+
+    void setPosition(const FleetPosition &position) { m_position = position; }
+
+    /// Null when no upstream can take the flow. copy is how often the opening packet was sent
+    /// before; avoided names the upstream that got it then, zero when unknown.
+    [[nodiscard]] KnownUpstream *choose(common::ServiceId service, std::uint64_t flowHash,
+                                        std::uint32_t copy, common::FlowToken avoided,
+                                        common::TimePoint now);
+
+private:
+    struct Candidates
+    {
+        UpstreamTable::Group healthy;
+        UpstreamTable::Group suspected;
+    };
+
+    void collect(common::ServiceId service, common::TimePoint now);
+    [[nodiscard]] bool mayTakeFlows(const KnownUpstream &upstream, common::TimePoint now) const;
+    [[nodiscard]] bool admitsCold(const KnownUpstream &upstream, common::TimePoint now);
+    void noteOpened(KnownUpstream &upstream, common::TimePoint now);
+    [[nodiscard]] KnownUpstream *bestOf(const UpstreamTable::Group &group, std::uint64_t flowHash,
+                                        std::uint32_t copy, common::FlowToken avoided) const;
+
+    UpstreamTable &m_upstreams;
+    FleetPosition m_position;
+    /// Kept between calls, so that choosing allocates nothing.
+    Candidates m_candidates;
+    UpstreamTable::Group m_lapsed;
+
+    struct ColdOpens
+    {
+        common::TimePoint windowStart;
+        std::uint32_t opens = 0;
+    };
+
+    std::unordered_map<common::UpstreamSerial, ColdOpens> m_coldOpens;
+};
+
+} // namespace banyanwall::connection
--- /dev/null
+++ b/src/connection/upstreamtable.cpp
@@ -0,0 +1,166 @@
+#include "connection/upstreamtable.h"
+
+#include "common/hash.h"
+
+#include <algorithm>
+
+namespace banyanwall::connection {
+
+using common::FlowToken;
+using common::TimePoint;
+using common::UpstreamSerial;
+using version::EntryKind;
+
+namespace {
+
+// The longest life of a flow that the fabric allows.
+constexpr std::chrono::seconds FlowLife { 60 };
+
+} // namespace
+
+FlowToken tokenOf(UpstreamSerial serial)
+{
+    const auto token = static_cast<std::uint32_t>(common::mixBits(serial.value()));
+    return FlowToken(token == 0 ? 1 : token);
+}
+
+void UpstreamTable::update(const version::Directory &directory,
+                           const std::vector<version::EntryKey> &changed, TimePoint now)
+{
+    for (const auto &key : changed) {
+        const auto found = directory.entries().find(key);
+        if (found == directory.entries().end()) {
+            continue;
+        }
+        switch (key.kind) {
+        case EntryKind::Upstream:
+            updateUpstream(found->second, UpstreamSerial(key.id), now);
+            break;
+        case EntryKind::Withdrawal:
+            updateWithdrawal(found->second, common::ZoneId(static_cast<std::uint32_t>(key.id)),
+                             now);
+            break;
+        case EntryKind::Rules:
+            updateRules(directory);
+            break;
+        case EntryKind::Member:
+            break;
+        }
+    }
+}
+
+void UpstreamTable::forgetOld(TimePoint now)
+{
+    std::erase_if(m_upstreams, [&](const auto &item) {
+        const auto &upstream = *item.second;
+        const bool forget = !upstream.isRegistered && now - upstream.removedAt > FlowLife;
+        if (forget) {
+            leaveGroup(upstream);
+        }
+        return forget;
+    });
+}
+
+KnownUpstream *UpstreamTable::find(FlowToken token)
+{
+    const auto found = m_upstreams.find(token);
+    return found == m_upstreams.end() ? nullptr : found->second.get();
+}
+
+const UpstreamTable::Group &UpstreamTable::ofService(common::ServiceId service) const
+{
+    static const Group Empty;
+    const auto found = m_groups.find(service);
+    return found == m_groups.end() ? Empty : found->second;
+}
+
+bool UpstreamTable::isWithdrawn(common::ZoneId zone) const
+{
+    const auto found = m_withdrawn.find(zone);
+    return found != m_withdrawn.end() && found->second;
+}
+
+const version::ServiceRecord *UpstreamTable::serviceRules(common::ServiceId service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+void UpstreamTable::updateUpstream(const version::Directory::Entry &entry, UpstreamSerial serial,
+                                   TimePoint now)
+{
+    auto *known = find(tokenOf(serial));
+    const auto *record = std::get_if<version::UpstreamRecord>(&entry.value);
+    if (known == nullptr) {
+        if (record != nullptr) {
+            addUpstream(*record, now);
+        }
+        return;
+    }
+    if (known->record.serial != serial) {
+        // Two serials with one token: the first keeps it, the other one gets no flows.
+        m_tokenCollisions += record != nullptr ? 1 : 0;
+        return;
+    }
+    if (record == nullptr) {
+        known->isRegistered = false;
+        known->removedAt = now;
+        return;
+    }
+    const bool isNewLife = record->incarnation != known->record.incarnation;
+    if (record->service != known->record.service) {
+        leaveGroup(*known);
+        m_groups[record->service].push_back(known);
+    }
+    known->record = *record;
+    known->isRegistered = true;
+    known->coldUntil = std::max(known->coldUntil, now + record->coldFor);
+    if (isNewLife) {
+        known->health = {};
+    }
+}
+
+void UpstreamTable::addUpstream(const version::UpstreamRecord &record, TimePoint now)
+{
+    auto upstream = std::make_unique<KnownUpstream>();
+    upstream->record = record;
+    upstream->token = tokenOf(record.serial);
+    upstream->coldUntil = now + record.coldFor;
+    m_groups[record.service].push_back(upstream.get());
+    m_upstreams.emplace(upstream->token, std::move(upstream));
+}
+
+void UpstreamTable::updateWithdrawal(const version::Directory::Entry &entry, common::ZoneId zone,
+                                     TimePoint now)
+{
+    const bool isWithdrawn = std::holds_alternative<version::WithdrawalRecord>(entry.value);
+    const bool returns = m_withdrawn[zone] && !isWithdrawn;
+    m_withdrawn[zone] = isWithdrawn;
+    if (!returns) {
+        return;
+    }
+    // The upstreams say with a delay that they are cold.
+    for (auto &[token, upstream] : m_upstreams) {
+        const auto *rules = serviceRules(upstream->record.service);
+        if (upstream->record.zone == zone && rules != nullptr) {
+            upstream->coldUntil = std::max(upstream->coldUntil, now + rules->coldPeriod);
+        }
+    }
+}
+
+void UpstreamTable::updateRules(const version::Directory &directory)
+{
+    m_services.clear();
+    if (const auto *rules = directory.rules()) {
+        for (const auto &service : rules->services) {
+            m_services.emplace(service.service, service);
+        }
+    }
+}
+
+void UpstreamTable::leaveGroup(const KnownUpstream &upstream)
+{
+    std::erase(m_groups[upstream.record.service], &upstream);
+}
+
+} // namespace banyanwall::connection
--- /dev/null
+++ b/src/connection/upstreamtable.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "common/ids.h"
+#include "common/time.h"
+#include "connection/upstreamhealth.h"
+#include "version/directory.h"
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace banyanwall::connection {
+
+/// An upstream as routing sees it.
+struct KnownUpstream
+{
+    version::UpstreamRecord record;
+    common::FlowToken token;
+    /// Its entry is in the directory.
+    bool isRegistered = true;
+    /// When its entry went.
+    common::TimePoint removedAt;
+    common::TimePoint coldUntil;
+    UpstreamHealth health;
+
+    [[nodiscard]] bool isCold(common::TimePoint now) const { return now < coldUntil; }
+};
+
+/// Token of the flows of an upstream; the same at all instances.
+[[nodiscard]] common::FlowToken tokenOf(common::UpstreamSerial serial);
+
+/// Upstreams and withdrawn zones of the directory. Upstreams whose entry went are kept for as long
+/// as their flows may live. Not thread-safe.
+class UpstreamTable
+{
+public:
+    using Group = std::vector<KnownUpstream *>;
+
+    /// Takes over the entries of the directory that changed.
+    void update(const version::Directory &directory, const std::vector<version::EntryKey> &changed,
+                common::TimePoint now);
+    /// Forgets upstreams whose entry went a flow's life ago.
+    void forgetOld(common::TimePoint now);
+
+    /// Null when no upstream with this token is known.
+    [[nodiscard]] KnownUpstream *find(common::FlowToken token);
+    /// All known upstreams of a service, removed ones included.
+    [[nodiscard]] const Group &ofService(common::ServiceId service) const;
+    [[nodiscard]] bool isWithdrawn(common::ZoneId zone) const;
+
+    /// Evidence about a whole zone.
+    [[nodiscard]] UpstreamHealth &zoneHealth(common::ZoneId zone) { return m_zoneHealth[zone]; }
+
+    [[nodiscard]] const version::ServiceRecord *serviceRules(common::ServiceId service) const;
+
+    [[nodiscard]] std::size_t size() const { return m_upstreams.size(); }
+
+    /// Upstreams that get no flows because another upstream has their token.
+    [[nodiscard]] std::size_t tokenCollisions() const { return m_tokenCollisions; }
+
+private:
+    void updateUpstream(const version::Directory::Entry &entry, common::UpstreamSerial serial,
+                        common::TimePoint now);
+    void addUpstream(const version::UpstreamRecord &record, common::TimePoint now);
+    void updateWithdrawal(const version::Directory::Entry &entry, common::ZoneId zone,
+                          common::TimePoint now);
+    void updateRules(const version::Directory &directory);
+    void leaveGroup(const KnownUpstream &upstream);
+
+    std::unordered_map<common::FlowToken, std::unique_ptr<KnownUpstream>> m_upstreams;
+    std::unordered_map<common::ServiceId, Group> m_groups;
+    std::unordered_map<common::ZoneId, bool> m_withdrawn;
+    std::unordered_map<common::ZoneId, UpstreamHealth> m_zoneHealth;
+    std::unordered_map<common::ServiceId, version::ServiceRecord> m_services;
+    std::size_t m_tokenCollisions = 0;
+};
+
+} // namespace banyanwall::connection
--- /dev/null
+++ b/src/process/directorysync.cpp
@@ -0,0 +1,407 @@
+#include "process/directorysync.h"
+
+#include "common/hash.h"
+#include "wire/directorycodec.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace banyanwall::process {
+
+using common::Endpoint;
+using common::Overloaded;
+using common::StoreRevision;
+using common::TimePoint;
+using std::chrono::milliseconds;
+using wire::proto::DirectoryMessage;
+
+namespace {
+
+// A connection that went silent shows at the latest after this time and the answer's latency, well
+// before the 3 s in which a change has to be in force.
+constexpr milliseconds WatchWait { 1'200 };
+// Changes that come within this time cost one call.
+constexpr milliseconds ChangeBatch { 250 };
+constexpr milliseconds AssuranceInterval { 300 };
+// Zones hear of each other often enough to help one that has lost the store within its 3 s.
+constexpr milliseconds RemoteAssuranceInterval { 600 };
+// Three missed assurances: the watching instance is gone.
+constexpr milliseconds WatcherSilence { 900 };
+// A watch that waits is renewed within WatchWait; older knowledge means that it fails.
+constexpr milliseconds WatcherStaleness { 1'800 };
+// Instances of worse rank follow one after another, so that an outage of the store does not make
+// all of them call it.
+constexpr milliseconds SilenceStep { 150 };
+constexpr milliseconds StalenessStep { 250 };
+// Pause after a call that failed, doubled each time.
+constexpr milliseconds FirstBackoff { 200 };
+constexpr milliseconds LongestBackoff { 2'000 };
+// Knowledge older than this makes an instance ask its peers.
+constexpr milliseconds AskAge { 1'000 };
+constexpr milliseconds AskInterval { 500 };
+constexpr std::size_t AskedPeers = 3;
+// A fetch and its answer take a few milliseconds; the next one is for lost datagrams.
+constexpr milliseconds FetchInterval { 150 };
+// The store answers a starting instance in milliseconds; after this time peers are asked, too.
+constexpr milliseconds StoreGrace { 300 };
+constexpr std::chrono::seconds AskerMemory { 10 };
+constexpr std::chrono::seconds WatcherMemory { 3 };
+
+milliseconds nextBackoff(milliseconds backoff)
+{
+    return std::clamp(backoff * 2, FirstBackoff, LongestBackoff);
+}
+
+} // namespace
+
+DirectorySync::DirectorySync(Options options, version::Directory &directory)
+    : m_options(std::move(options))
+    , m_directory(directory)
+    , m_random(m_options.seed)
+{ }
+
+SyncActions DirectorySync::onTick(TimePoint now)
+{
+    SyncActions actions;
+    if (!m_hasStarted) {
+        m_hasStarted = true;
+        m_startedAt = now;
+        m_betterHeardAt = now;
+        m_betterAssuredAt = now;
+    }
+    decideWatching(now, actions);
+    callStore(now, actions);
+    registerSelf(now, actions);
+    sendAssurances(now, actions);
+    askPeers(now, actions);
+    return actions;
+}
+
+SyncActions DirectorySync::onStoreAnswer(const StoreAnswer &answer, TimePoint now)
+{
+    SyncActions actions;
+    m_isCalling = false;
+    std::visit(Overloaded {
+                       [&](const version::DirectoryDelta &delta) {
+                           m_backoff = {};
+                           m_needsFullRead = false;
+                           const bool changed = delta.to > m_directory.revision();
+                           m_nextCall = now + (changed ? ChangeBatch : milliseconds());
+                           // A stale answer is no proof that the directory is current.
+                           if (delta.to >= m_directory.revision()) {
+                               m_assuredAt = now;
+                           }
+                           applyDelta(delta, now, actions);
+                       },
+                       [&](const HistoryLost & /*none*/) {
+                           m_needsFullRead = true;
+                           m_nextCall = now;
+                       },
+                       [&](const StoreFailure & /*failure*/) {
+                           m_backoff = nextBackoff(m_backoff);
+                           // Instances that fail together come back at different times.
+                           const auto jitter =
+                                   m_random() % static_cast<std::uint32_t>(m_backoff.count() / 2);
+                           m_nextCall = now + m_backoff / 2 + milliseconds(jitter);
+                       },
+               },
+               answer);
+    decideWatching(now, actions);
+    callStore(now, actions);
+    return actions;
+}
+
+SyncActions DirectorySync::onRegistered(bool accepted, TimePoint now)
+{
+    m_isRegistering = false;
+    m_registerBackoff = accepted ? milliseconds(LongestBackoff) : nextBackoff(m_registerBackoff);
+    m_nextRegister = now + m_registerBackoff;
+    return {};
+}
+
+SyncActions DirectorySync::onMessage(Endpoint from, const DirectoryMessage &message, TimePoint now)
+{
+    SyncActions actions;
+    switch (message.body_case()) {
+    case DirectoryMessage::kAssurance:
+        onAssurance(from, message.assurance(), now, actions);
+        break;
+    case DirectoryMessage::kFetch:
+        onFetch(from, message.fetch(), now, actions);
+        break;
+    case DirectoryMessage::kFragment:
+        onFragment(message.fragment(), now, actions);
+        break;
+    case DirectoryMessage::kSilence:
+    case DirectoryMessage::BODY_NOT_SET:
+        break;
+    }
+    return actions;
+}
+
+SyncActions DirectorySync::onShutdown(TimePoint now)
+{
+    SyncActions actions;
+    m_isLeaving = true;
+    if (m_isWatching) {
+        std::ranges::for_each(m_zonePeers, [&](Endpoint peer) {
+            actions.push_back(SendDirectoryMessage { peer, assurance(now, true) });
+        });
+    }
+    return actions;
+}
+
+void DirectorySync::decideWatching(TimePoint now, SyncActions & /*actions*/)
+{
+    m_isWatching = m_directory.isLoaded() && shouldWatch(now);
+}
+
+bool DirectorySync::shouldWatch(TimePoint now) const
+{
+    if (m_isLeaving) {
+        return false;
+    }
+    if (m_ownRank == 0) {
+        return true;
+    }
+    const auto step = static_cast<int>(m_ownRank) - 1;
+    return now - m_betterHeardAt > WatcherSilence + step * SilenceStep
+            || now - m_betterAssuredAt > WatcherStaleness + step * StalenessStep;
+}
+
+void DirectorySync::callStore(TimePoint now, SyncActions &actions)
+{
+    const bool isWanted = !m_directory.isLoaded() || m_isWatching;
+    if (m_isCalling || !isWanted || now < m_nextCall) {
+        return;
+    }
+    m_isCalling = true;
+    if (m_needsFullRead || !m_directory.isLoaded()) {
+        actions.push_back(ReadStore {});
+    } else {
+        actions.push_back(WatchStore { m_directory.revision(), WatchWait });
+    }
+}
+
+void DirectorySync::registerSelf(TimePoint now, SyncActions &actions)
+{
+    if (!m_directory.isLoaded() || m_isRegistering || m_isLeaving || now < m_nextRegister) {
+        return;
+    }
+    const auto found = m_directory.entries().find(version::keyOf(m_options.self));
+    const bool isRegistered = found != m_directory.entries().end()
+            && found->second.value == version::DirectoryValue(m_options.self);
+    if (!isRegistered) {
+        m_isRegistering = true;
+        actions.push_back(RegisterMember { m_options.self });
+    }
+}
+
+void DirectorySync::sendAssurances(TimePoint now, SyncActions &actions)
+{
+    if (!m_isWatching) {
+        return;
+    }
+    if (now >= m_nextAssurance) {
+        m_nextAssurance = now + AssuranceInterval;
+        std::ranges::for_each(m_zonePeers, [&](Endpoint peer) {
+            actions.push_back(SendDirectoryMessage { peer, assurance(now, false) });
+        });
+    }
+    if (now >= m_nextRemoteAssurance) {
+        m_nextRemoteAssurance = now + RemoteAssuranceInterval;
+        std::ranges::for_each(remoteWatchers(now), [&](Endpoint peer) {
+            actions.push_back(SendDirectoryMessage { peer, assurance(now, false) });
+        });
+    }
+}
+
+void DirectorySync::askPeers(TimePoint now, SyncActions &actions)
+{
+    const bool isStale =
+            m_directory.isLoaded() ? now - m_assuredAt > AskAge : now - m_startedAt > StoreGrace;
+    if (!isStale || now < m_nextAsk) {
+        return;
+    }
+    m_nextAsk = now + AskInterval;
+    std::vector<Endpoint> peers(m_zonePeers);
+    std::ranges::copy_if(m_options.seeds, std::back_inserter(peers), [&](Endpoint seed) {
+        return seed != m_options.self.endpoint && std::ranges::find(peers, seed) == peers.end();
+    });
+    std::ranges::shuffle(peers, m_random);
+    DirectoryMessage message;
+    message.mutable_fetch()->set_since_revision(m_directory.revision().value());
+    message.mutable_fetch()->set_zone(m_options.self.zone.value());
+    for (const auto peer : peers | std::views::take(AskedPeers)) {
+        actions.push_back(SendDirectoryMessage { peer, message });
+    }
+}
+
+void DirectorySync::applyDelta(const version::DirectoryDelta &delta, TimePoint now,
+                               SyncActions &actions)
+{
+    const auto before = m_directory.revision();
+    auto changed = m_directory.apply(delta, now);
+    if (!changed.empty()) {
+        updateMembers(now);
+        actions.push_back(DirectoryChanged { std::move(changed) });
+    }
+    if (m_isWatching && before != StoreRevision() && m_directory.revision() > before) {
+        pushChanges(before, now, actions);
+    }
+}
+
+void DirectorySync::pushChanges(StoreRevision since, TimePoint now, SyncActions &actions)
+{
+    std::ranges::for_each(m_zonePeers,
+                          [&](Endpoint peer) { sendDelta(peer, since, now, actions); });
+}
+
+void DirectorySync::sendDelta(Endpoint to, StoreRevision since, TimePoint now, SyncActions &actions)
+{
+    const auto bytes = wire::encodeDelta(m_directory.changesSince(since, now));
+    for (auto &message : cutIntoFragments(bytes, static_cast<std::uint32_t>(m_random()))) {
+        actions.push_back(SendDirectoryMessage { to, std::move(message) });
+    }
+}
+
+void DirectorySync::fetchFrom(Endpoint peer, TimePoint now, SyncActions &actions)
+{
+    if (now < m_nextFetch) {
+        return;
+    }
+    m_nextFetch = now + FetchInterval;
+    DirectoryMessage message;
+    message.mutable_fetch()->set_since_revision(m_directory.revision().value());
+    message.mutable_fetch()->set_zone(m_options.self.zone.value());
+    actions.push_back(SendDirectoryMessage { peer, std::move(message) });
+}
+
+void DirectorySync::onAssurance(Endpoint from, const wire::proto::DirectoryAssurance &assurance,
+                                TimePoint now, SyncActions &actions)
+{
+    const StoreRevision revision(assurance.revision());
+    const auto confirmedAt = now - milliseconds(assurance.age_ms());
+    if (assurance.leaving()) {
+        m_watchers.erase(from);
+        if (rankKey(from) > rankKey(m_options.self.endpoint)) {
+            m_betterHeardAt = std::min(m_betterHeardAt, now - WatcherSilence);
+        }
+        return;
+    }
+    if (assurance.watching()) {
+        const common::ZoneId zone(assurance.zone());
+        m_watchers[from] = { zone, now, revision };
+        const bool isBetter =
+                zone == m_options.self.zone && rankKey(from) > rankKey(m_options.self.endpoint);
+        if (isBetter) {
+            m_betterHeardAt = now;
+            m_betterAssuredAt = std::max(m_betterAssuredAt, confirmedAt);
+        }
+    }
+    if (revision > m_directory.revision()) {
+        fetchFrom(from, now, actions);
+    } else if (m_directory.isLoaded() && revision == m_directory.revision()) {
+        m_assuredAt = std::max(m_assuredAt, confirmedAt);
+    }
+}
+
+void DirectorySync::onFetch(Endpoint from, const wire::proto::DirectoryFetch &fetch, TimePoint now,
+                            SyncActions &actions)
+{
+    if (!m_directory.isLoaded()) {
+        return;
+    }
+    const StoreRevision since(fetch.since_revision());
+    if (!m_members.contains(from)) {
+        m_askers[from] = { common::ZoneId(fetch.zone()), now, since };
+        updateMembers(now);
+    }
+    if (since < m_directory.revision()) {
+        sendDelta(from, since, now, actions);
+    }
+    actions.push_back(SendDirectoryMessage { from, assurance(now, false) });
+}
+
+void DirectorySync::onFragment(const wire::proto::DirectoryFragment &fragment, TimePoint now,
+                               SyncActions &actions)
+{
+    const auto bytes = m_fragments.add(fragment, now);
+    if (!bytes) {
+        return;
+    }
+    const auto delta = wire::decodeDelta(*bytes);
+    if (common::isOk(delta)) {
+        applyDelta(common::valueOf(delta), now, actions);
+    }
+}
+
+void DirectorySync::updateMembers(TimePoint now)
+{
+    std::erase_if(m_askers, [&](const auto &item) { return now - item.second.at > AskerMemory; });
+    m_members.clear();
+    for (const auto &member : m_directory.members()) {
+        m_members[member.endpoint] = member.zone;
+    }
+    for (const auto &[endpoint, heard] : m_askers) {
+        m_members[endpoint] = heard.zone;
+    }
+    m_members.erase(m_options.self.endpoint);
+    m_zonePeers.clear();
+    for (const auto &[endpoint, zone] : m_members) {
+        if (zone == m_options.self.zone) {
+            m_zonePeers.push_back(endpoint);
+        }
+    }
+    const auto ownKey = rankKey(m_options.self.endpoint);
+    m_ownRank = static_cast<std::size_t>(std::ranges::count_if(
+            m_zonePeers, [&](Endpoint peer) { return rankKey(peer) > ownKey; }));
+}
+
+DirectoryMessage DirectorySync::assurance(TimePoint now, bool leaving) const
+{
+    DirectoryMessage message;
+    auto &body = *message.mutable_assurance();
+    body.set_revision(m_directory.revision().value());
+    const auto age = std::chrono::duration_cast<milliseconds>(now - m_assuredAt).count();
+    body.set_age_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX)));
+    body.set_zone(m_options.self.zone.value());
+    body.set_leaving(leaving);
+    body.set_watching(m_isWatching);
+    return message;
+}
+
+std::uint64_t DirectorySync::rankKey(Endpoint member) const
+{
+    return common::hashPair((std::uint64_t { member.address } << 16U) | member.port,
+                            m_options.self.zone.value());
+}
+
+std::vector<Endpoint> DirectorySync::remoteWatchers(TimePoint now) const
+{
+    // Where no watching instance is known, the highest ranked member of the zone should be one.
+    std::map<common::ZoneId, Endpoint> best;
+    for (const auto &[endpoint, zone] : m_members) {
+        if (zone == m_options.self.zone) {
+            continue;
+        }
+        const auto rankIn = [zone = zone](Endpoint member) {
+            return common::hashPair((std::uint64_t { member.address } << 16U) | member.port,
+                                    zone.value());
+        };
+        const auto [known, isNew] = best.try_emplace(zone, endpoint);
+        if (!isNew && rankIn(endpoint) > rankIn(known->second)) {
+            known->second = endpoint;
+        }
+    }
+    for (const auto &[endpoint, heard] : m_watchers) {
+        if (heard.zone != m_options.self.zone && now - heard.at < WatcherMemory) {
+            best[heard.zone] = endpoint;
+        }
+    }
+    std::vector<Endpoint> watchers;
+    std::ranges::copy(best | std::views::values, std::back_inserter(watchers));
+    return watchers;
+}
+
+} // namespace banyanwall::process
--- /dev/null
+++ b/src/process/directorysync.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "common/endpoint.h"
+#include "common/ids.h"
+#include "common/time.h"
+#include "directory.pb.h"
+#include "process/fragmentassembler.h"
+#include "version/directory.h"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace banyanwall::process {
+
+/// Read all entries of the store.
+struct ReadStore
+{ };
+
+/// Wait for changes after a revision.
+struct WatchStore
+{
+    common::StoreRevision after;
+    /// The store answers after this time when nothing changes.
+    std::chrono::milliseconds wait {};
+};
+
+/// Write the entry of this instance, unless one exists.
+struct RegisterMember
+{
+    version::MemberRecord member;
+};
+
+struct SendDirectoryMessage
+{
+    common::Endpoint to;
+    wire::proto::DirectoryMessage message;
+};
+
+/// The directory changed; packets are to be routed by the new entries.
+struct DirectoryChanged
+{
+    std::vector<version::EntryKey> keys;
+};
+
+using SyncAction =
+        std::variant<ReadStore, WatchStore, RegisterMember, SendDirectoryMessage, DirectoryChanged>;
+using SyncActions = std::vector<SyncAction>;
+
+/// The store's history does not reach back to the watched revision.
+struct HistoryLost
+{ };
+
+/// The store gave no usable answer.
+struct StoreFailure
+{
+    std::string reason;
+};
+
+using StoreAnswer = std::variant<version::DirectoryDelta, HistoryLost, StoreFailure>;
+
+/// Keeps the directory of an instance current at few calls to the store. In each availability zone
+/// the highest ranked instance watches the store, passes changes on and tells regularly how old its
+/// knowledge is. An instance that is not told so in time watches by itself, the better ranked ones
+/// first. Takes events with their time and returns actions; not thread-safe.
+class DirectorySync
+{
+public:
+    struct Options
+    {
+        version::MemberRecord self;
+        /// Peer endpoints of some instances, asked while the store does not answer.
+        std::vector<common::Endpoint> seeds;
+        std::uint32_t seed = 0;
+    };
+
+    DirectorySync(Options options, version::Directory &directory);
+
+    /// Called every 100 ms or more often.
+    [[nodiscard]] SyncActions onTick(common::TimePoint now);
+    [[nodiscard]] SyncActions onStoreAnswer(const StoreAnswer &answer, common::TimePoint now);
+    [[nodiscard]] SyncActions onRegistered(bool accepted, common::TimePoint now);
+    [[nodiscard]] SyncActions onMessage(common::Endpoint from,
+                                        const wire::proto::DirectoryMessage &message,
+                                        common::TimePoint now);
+    /// Other instances take over watching; this one goes on serving.
+    [[nodiscard]] SyncActions onShutdown(common::TimePoint now);
+
+    void setSeeds(std::vector<common::Endpoint> seeds) { m_options.seeds = std::move(seeds); }
+
+    /// When the directory was last known to be the store's newest state.
+    [[nodiscard]] common::TimePoint assuredAt() const { return m_assuredAt; }
+
+    [[nodiscard]] bool isWatching() const { return m_isWatching; }
+
+    /// Members of the directory and instances that asked lately.
+    [[nodiscard]] std::size_t memberCount() const { return m_members.size(); }
+
+    /// Other instances of the own zone.
+    [[nodiscard]] const std::vector<common::Endpoint> &zonePeers() const { return m_zonePeers; }
+
+private:
+    struct Heard
+    {
+        common::ZoneId zone;
+        common::TimePoint at;
+        common::StoreRevision revision;
+    };
+
+    void decideWatching(common::TimePoint now, SyncActions &actions);
+    [[nodiscard]] bool shouldWatch(common::TimePoint now) const;
+    void callStore(common::TimePoint now, SyncActions &actions);
+    void registerSelf(common::TimePoint now, SyncActions &actions);
+    void sendAssurances(common::TimePoint now, SyncActions &actions);
+    void askPeers(common::TimePoint now, SyncActions &actions);
+    void applyDelta(const version::DirectoryDelta &delta, common::TimePoint now,
+                    SyncActions &actions);
+    void pushChanges(common::StoreRevision since, common::TimePoint now, SyncActions &actions);
+    void sendDelta(common::Endpoint to, common::StoreRevision since, common::TimePoint now,
+                   SyncActions &actions);
+    void fetchFrom(common::Endpoint peer, common::TimePoint now, SyncActions &actions);
+    void onAssurance(common::Endpoint from, const wire::proto::DirectoryAssurance &assurance,
+                     common::TimePoint now, SyncActions &actions);
+    void onFetch(common::Endpoint from, const wire::proto::DirectoryFetch &fetch,
+                 common::TimePoint now, SyncActions &actions);
+    void onFragment(const wire::proto::DirectoryFragment &fragment, common::TimePoint now,
+                    SyncActions &actions);
+    void updateMembers(common::TimePoint now);
+    [[nodiscard]] wire::proto::DirectoryMessage assurance(common::TimePoint now,
+                                                          bool leaving) const;
+    [[nodiscard]] std::uint64_t rankKey(common::Endpoint member) const;
+    [[nodiscard]] std::vector<common::Endpoint> remoteWatchers(common::TimePoint now) const;
+
+    Options m_options;
+    version::Directory &m_directory;
+    FragmentAssembler m_fragments;
+    std::mt19937 m_random;
+
+    common::TimePoint m_startedAt;
+    common::TimePoint m_assuredAt;
+    bool m_hasStarted = false;
+    bool m_isLeaving = false;
+
+    /// Other instances, by rank within the own zone and by zone elsewhere.
+    std::map<common::Endpoint, common::ZoneId> m_members;
+    std::vector<common::Endpoint> m_zonePeers;
+    std::size_t m_ownRank = 0;
+    /// Instances that asked for changes and are not in the directory yet.
+    std::map<common::Endpoint, Heard> m_askers;
+    std::map<common::Endpoint, Heard> m_watchers;
+    common::TimePoint m_betterHeardAt;
+    common::TimePoint m_betterAssuredAt;
+
+    bool m_isWatching = false;
+    bool m_isCalling = false;
+    bool m_needsFullRead = true;
+    std::chrono::milliseconds m_backoff {};
+    common::TimePoint m_nextCall;
+    bool m_isRegistering = false;
+    std::chrono::milliseconds m_registerBackoff {};
+    common::TimePoint m_nextRegister;
+    common::TimePoint m_nextAssurance;
+    common::TimePoint m_nextRemoteAssurance;
+    common::TimePoint m_nextAsk;
+    common::TimePoint m_nextFetch;
+};
+
+} // namespace banyanwall::process
--- /dev/null
+++ b/src/process/fleetstore.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "process/directorysync.h"
+#include "version/directory.h"
+
+#include <chrono>
+#include <functional>
+
+namespace banyanwall::process {
+
+/// The platform's store as the source of the directory. Handlers are called once, later, from the
+/// io_context.
+class FleetStore
+{
+public:
+    using AnswerHandler = std::function<void(StoreAnswer)>;
+    using WriteHandler = std::function<void(bool accepted)>;
+
+    virtual ~FleetStore() = default;
+    /// Reads all entries; the delta is complete.
+    virtual void readAll(AnswerHandler handler) = 0;
+    /// Waits for changes after a revision. Without changes the answer comes after wait and holds
+    /// none.
+    virtual void watch(common::StoreRevision after, std::chrono::milliseconds wait,
+                       AnswerHandler handler) = 0;
+    /// Writes the entry of an instance unless there is one.
+    virtual void registerMember(const version::MemberRecord &member, WriteHandler handler) = 0;
+};
+
+} // namespace banyanwall::process
--- /dev/null
+++ b/src/process/flowdaemon.cpp
@@ -0,0 +1,436 @@
+#include "process/flowdaemon.h"
+
+#include "common/hash.h"
+#include "process/boottimeclock.h"
+
+#include <boost/asio/error.hpp>
+
+#include <csignal>
+#include <sstream>
+
+namespace banyanwall::process {
+
+using boost::asio::ip::udp;
+using common::Endpoint;
+using common::Overloaded;
+using common::TimePoint;
+
+namespace {
+
+constexpr std::chrono::milliseconds TickInterval { 100 };
+// Packets read for one wake-up, so that timers are not held up by traffic.
+constexpr int PacketsPerWakeup = 64;
+// The fabric asks twice a second and needs two misses to send no more packets.
+constexpr std::chrono::milliseconds RotationDelay { 1'600 };
+// Without a packet for this long the fabric sends none any more.
+constexpr std::chrono::milliseconds QuietTime { 600 };
+// Left of the grace time for the end of the process itself.
+constexpr std::chrono::milliseconds ExitMargin { 600 };
+constexpr std::chrono::seconds SweepInterval { 1 };
+constexpr double LogEventsPerSecond = 20.0;
+constexpr double LogBurst = 60.0;
+
+udp::endpoint toAsio(Endpoint endpoint)
+{
+    return { boost::asio::ip::address_v4(endpoint.address), endpoint.port };
+}
+
+Endpoint fromAsio(const udp::endpoint &endpoint)
+{
+    return { endpoint.address().to_v4().to_uint(), endpoint.port() };
+}
+
+DirectorySync::Options syncOptions(const FlowSettings &settings)
+{
+    const auto zone = common::idFromName<common::ZoneId>(settings.zone);
+    const auto seed = common::hashBytes(common::toString(settings.peerListen))
+            ^ static_cast<std::uint64_t>(bootTimeNow().time_since_epoch().count());
+    return { .self = { settings.peerListen, zone },
+             .seeds = settings.seeds,
+             .seed = static_cast<std::uint32_t>(seed) };
+}
+
+} // namespace
+
+FlowDaemon::FlowDaemon(boost::asio::io_context &context, FlowSettings settings,
+                       SettingsLoader reload, FleetStore &store, const PacketFormat &format,
+                       Metrics &metrics)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_reload(std::move(reload))
+    , m_store(store)
+    , m_format(format)
+    , m_metrics(metrics)
+    , m_log(LogEventsPerSecond, LogBurst)
+    , m_sync(syncOptions(m_settings), m_directory)
+    , m_forwarder({ .ownZone = common::idFromName<common::ZoneId>(m_settings.zone) },
+                  [this](common::Duration time) { m_metrics.observeLatency(time); })
+    , m_traffic(context, toAsio(m_settings.trafficListen))
+    , m_peers(context, toAsio(m_settings.peerListen))
+    , m_admin(context, m_settings.adminListen,
+              { [this] { return isReady(); }, [this] { return metricsText(); },
+                [this] { return statusText(); } })
+    , m_tick(context)
+    , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+{
+    m_traffic.non_blocking(true);
+    m_peers.non_blocking(true);
+}
+
+void FlowDaemon::run()
+{
+    LogEvent(LogLevel::Info, "started")
+            .with("zone", m_settings.zone)
+            .with("traffic", common::toString(m_settings.trafficListen))
+            .with("peer", common::toString(m_settings.peerListen))
+            .with("store", common::toString(m_settings.store))
+            .with("seeds", m_settings.seeds.size());
+    waitForSignal();
+    receiveTraffic();
+    receivePeers();
+    onTick(bootTimeNow());
+    m_context.run();
+    LogEvent(LogLevel::Info, "stopped").with("packets", m_metrics.value(Counter::FabricDatagrams));
+}
+
+void FlowDaemon::receiveTraffic()
+{
+    m_traffic.async_wait(udp::socket::wait_read, [this](boost::system::error_code error) {
+        if (error) {
+            return;
+        }
+        const auto now = bootTimeNow();
+        for (int packet = 0; packet < PacketsPerWakeup && receivePacket(now); ++packet) { }
+        receiveTraffic();
+    });
+}
+
+bool FlowDaemon::receivePacket(TimePoint now)
+{
+    udp::endpoint from;
+    boost::system::error_code error;
+    const auto space = boost::asio::buffer(m_buffer) + PacketFormat::PrefixBytes;
+    const auto bytes = m_traffic.receive_from(space, from, 0, error);
+    if (error) {
+        return false;
+    }
+    onPacket(bytes, now);
+    return true;
+}
+
+void FlowDaemon::onPacket(std::size_t bytes, TimePoint now)
+{
+    m_metrics.count(Counter::FabricDatagrams);
+    m_lastPacketAt = now;
+    const auto packet =
+            m_format.decode(std::span(m_buffer).subspan(PacketFormat::PrefixBytes, bytes));
+    if (!packet) {
+        m_metrics.countRefusal(common::Reason::MalformedPacket);
+        if (auto event = m_log.event(LogLevel::Warning, "packet_dropped", now)) {
+            event->with("reason", toString(common::Reason::MalformedPacket)).with("bytes", bytes);
+        }
+        return;
+    }
+    apply(*packet, m_forwarder.handle(*packet, now), bytes);
+}
+
+void FlowDaemon::apply(const connection::FlowPacket &packet,
+                       const connection::PacketVerdict &verdict, std::size_t bytes)
+{
+    boost::system::error_code error;
+    std::visit(Overloaded {
+                       [&](const connection::ForwardPacket &forward) {
+                           const auto whole =
+                                   std::span(m_buffer).first(PacketFormat::PrefixBytes + bytes);
+                           m_format.address(whole, forward.serial, forward.token);
+                           m_traffic.send_to(boost::asio::buffer(whole.data(), whole.size()),
+                                             toAsio(forward.upstream), 0, error);
+                           m_metrics.count(Counter::PacketsToUpstream);
+                       },
+                       [&](const connection::ResetFlow &reset) {
+                           const auto bytesOfReset = m_format.resetOf(packet);
+                           const Endpoint caller { packet.caller.address,
+                                                   m_settings.trafficListen.port };
+                           m_traffic.send_to(boost::asio::buffer(bytesOfReset), toAsio(caller), 0,
+                                             error);
+                           m_metrics.count(Counter::FlowsReset);
+                           m_metrics.countRefusal(reset.reason);
+                           logRefusal(packet, "flow_reset", reset.reason);
+                       },
+                       [&](const connection::DropPacket &drop) {
+                           m_metrics.countRefusal(drop.reason);
+                           logRefusal(packet, "packet_dropped", drop.reason);
+                       },
+               },
+               verdict);
+    if (error) {
+        m_metrics.count(Counter::SendErrors);
+    }
+}
+
+void FlowDaemon::logRefusal(const connection::FlowPacket &packet, std::string_view event,
+                            common::Reason reason)
+{
+    const auto now = m_lastPacketAt;
+    auto line = m_log.event(LogLevel::Info, event, now);
+    if (!line) {
+        return;
+    }
+    const auto age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sync.assuredAt());
+    line->with("reason", toString(reason))
+            .with("caller", common::toString(packet.caller))
+            .with("service", common::toString(packet.service))
+            .with("token", packet.token.value())
+            .with("opens", packet.opens)
+            .with("copy", packet.opens ? packet.acknowledgement : 0)
+            .with("payload_bytes", packet.payloadBytes)
+            .with("revision", m_directory.revision().value())
+            .with("news_age_ms", age.count());
+}
+
+void FlowDaemon::receivePeers()
+{
+    m_peers.async_wait(udp::socket::wait_read, [this](boost::system::error_code error) {
+        if (error) {
+            return;
+        }
+        udp::endpoint from;
+        for (int message = 0; message < PacketsPerWakeup && !error; ++message) {
+            const auto bytes =
+                    m_peers.receive_from(boost::asio::buffer(m_peerBuffer), from, 0, error);
+            if (!error) {
+                onPeerDatagram(bytes, from);
+            }
+        }
+        receivePeers();
+    });
+}
+
+void FlowDaemon::onPeerDatagram(std::size_t bytes, const udp::endpoint &from)
+{
+    m_metrics.count(Counter::ControlBytesReceived, bytes);
+    wire::proto::DirectoryMessage message;
+    const auto now = bootTimeNow();
+    if (!message.ParseFromArray(m_peerBuffer.data(), static_cast<int>(bytes))) {
+        m_metrics.countRefusal(common::Reason::MalformedPacket);
+        if (auto event = m_log.event(LogLevel::Warning, "peer_message_dropped", now)) {
+            event->with("reason", toString(common::Reason::MalformedPacket))
+                    .with("peer", common::toString(fromAsio(from)));
+        }
+        return;
+    }
+    perform(m_sync.onMessage(fromAsio(from), message, now), now);
+}
+
+void FlowDaemon::sendToPeer(const SendDirectoryMessage &send)
+{
+    const auto bytes = send.message.SerializeAsString();
+    boost::system::error_code error;
+    m_peers.send_to(boost::asio::buffer(bytes), toAsio(send.to), 0, error);
+    if (error) {
+        m_metrics.count(Counter::SendErrors);
+    } else {
+        m_metrics.count(Counter::ControlBytesSent, bytes.size());
+    }
+}
+
+void FlowDaemon::scheduleTick()
+{
+    m_tick.expires_after(TickInterval);
+    m_tick.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            onTick(bootTimeNow());
+        }
+    });
+}
+
+void FlowDaemon::onTick(TimePoint now)
+{
+    if (m_isShuttingDown && mayStop(now)) {
+        m_context.stop();
+        return;
+    }
+    perform(m_sync.onTick(now), now);
+    if (now - m_lastSweepAt >= SweepInterval) {
+        m_lastSweepAt = now;
+        m_forwarder.forgetOld(now);
+    }
+    noteBeliefs();
+    scheduleTick();
+}
+
+void FlowDaemon::perform(const SyncActions &actions, TimePoint now)
+{
+    for (const auto &action : actions) {
+        std::visit(Overloaded {
+                           [this](const ReadStore & /*none*/) { startRead(); },
+                           [this](const WatchStore &watch) { startWatch(watch); },
+                           [this](const RegisterMember &member) { startRegister(member); },
+                           [this](const SendDirectoryMessage &send) { sendToPeer(send); },
+                           [&](const DirectoryChanged &change) { onDirectoryChanged(change, now); },
+                   },
+                   action);
+    }
+    m_forwarder.setAssuredAt(m_sync.assuredAt());
+}
+
+void FlowDaemon::startRead()
+{
+    m_store.readAll([this](const StoreAnswer &answer) { onStoreAnswer("read", answer); });
+}
+
+void FlowDaemon::startWatch(const WatchStore &watch)
+{
+    m_store.watch(watch.after, watch.wait,
+                  [this](const StoreAnswer &answer) { onStoreAnswer("watch", answer); });
+}
+
+void FlowDaemon::startRegister(const RegisterMember &registration)
+{
+    m_store.registerMember(registration.member, [this](bool accepted) {
+        const auto now = bootTimeNow();
+        LogEvent(LogLevel::Info, "member_registered").with("accepted", accepted);
+        perform(m_sync.onRegistered(accepted, now), now);
+    });
+}
+
+void FlowDaemon::onStoreAnswer(const char *call, const StoreAnswer &answer)
+{
+    const auto now = bootTimeNow();
+    const auto *failure = std::get_if<StoreFailure>(&answer);
+    const bool isReachable = failure == nullptr;
+    if (isReachable != m_wasStoreReachable) {
+        LogEvent event(isReachable ? LogLevel::Info : LogLevel::Warning,
+                       isReachable ? "store_regained" : "store_lost");
+        event.with("call", call).with("revision", m_directory.revision().value());
+        if (failure != nullptr) {
+            event.with("problem", failure->reason);
+        }
+        m_wasStoreReachable = isReachable;
+    }
+    if (std::holds_alternative<HistoryLost>(answer)) {
+        LogEvent(LogLevel::Info, "store_history_lost")
+                .with("revision", m_directory.revision().value());
+    }
+    perform(m_sync.onStoreAnswer(answer, now), now);
+}
+
+void FlowDaemon::onDirectoryChanged(const DirectoryChanged &change, TimePoint now)
+{
+    m_forwarder.update(m_directory, change.keys, now);
+    m_forwarder.setPosition({ .zone = common::idFromName<common::ZoneId>(m_settings.zone),
+                              .instance = (std::uint64_t { m_settings.peerListen.address } << 16U)
+                                      | m_settings.peerListen.port,
+                              .instances = static_cast<std::uint32_t>(m_sync.memberCount() + 1) });
+    if (auto event = m_log.event(LogLevel::Info, "directory_changed", now)) {
+        const auto *rules = m_directory.rules();
+        event->with("revision", m_directory.revision().value())
+                .with("entries", change.keys.size())
+                .with("contract_version", rules == nullptr ? 0 : rules->version)
+                .with("upstreams", m_forwarder.upstreams().size())
+                .with("members", m_sync.memberCount());
+    }
+}
+
+void FlowDaemon::noteBeliefs()
+{
+    if (m_sync.isWatching() != m_wasWatching) {
+        m_wasWatching = m_sync.isWatching();
+        LogEvent(LogLevel::Info, m_wasWatching ? "watch_started" : "watch_ended")
+                .with("revision", m_directory.revision().value());
+    }
+    if (isReady() != m_wasReady) {
+        m_wasReady = isReady();
+        LogEvent(LogLevel::Info, m_wasReady ? "ready" : "not_ready")
+                .with("revision", m_directory.revision().value())
+                .with("upstreams", m_forwarder.upstreams().size());
+    }
+}
+
+void FlowDaemon::waitForSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reloadSettings();
+        } else {
+            beginShutdown();
+        }
+        waitForSignal();
+    });
+}
+
+void FlowDaemon::beginShutdown()
+{
+    if (m_isShuttingDown) {
+        return;
+    }
+    const auto now = bootTimeNow();
+    m_isShuttingDown = true;
+    m_shutdownAt = now;
+    LogEvent(LogLevel::Info, "shutdown_started").with("grace_ms", m_settings.shutdownGrace.count());
+    perform(m_sync.onShutdown(now), now);
+}
+
+void FlowDaemon::reloadSettings()
+{
+    const auto loaded = m_reload();
+    if (!common::isOk(loaded)) {
+        LogEvent(LogLevel::Warning, "settings_rejected")
+                .with("problem", common::errorOf(loaded).message);
+        return;
+    }
+    const auto &settings = common::valueOf(loaded);
+    m_settings.seeds = settings.seeds;
+    m_settings.shutdownGrace = settings.shutdownGrace;
+    m_sync.setSeeds(settings.seeds);
+    LogEvent(LogLevel::Info, "settings_reloaded")
+            .with("seeds", settings.seeds.size())
+            .with("grace_ms", settings.shutdownGrace.count());
+}
+
+bool FlowDaemon::mayStop(TimePoint now) const
+{
+    const auto elapsed = now - m_shutdownAt;
+    const bool isQuiet = elapsed > RotationDelay && now - m_lastPacketAt > QuietTime;
+    return isQuiet || elapsed > m_settings.shutdownGrace - ExitMargin;
+}
+
+bool FlowDaemon::isReady() const
+{
+    return !m_isShuttingDown && m_directory.isLoaded() && m_directory.rules() != nullptr;
+}
+
+std::string FlowDaemon::metricsText() const
+{
+    std::ostringstream text;
+    const auto age = std::chrono::duration<double>(bootTimeNow() - m_sync.assuredAt()).count();
+    text << m_metrics.prometheusText() << "# TYPE banyanwall_directory_revision gauge\n"
+         << "banyanwall_directory_revision " << m_directory.revision().value() << "\n"
+         << "# TYPE banyanwall_directory_age_seconds gauge\n"
+         << "banyanwall_directory_age_seconds " << age << "\n"
+         << "# TYPE banyanwall_upstreams gauge\n"
+         << "banyanwall_upstreams " << m_forwarder.upstreams().size() << "\n"
+         << "# TYPE banyanwall_token_collisions_total counter\n"
+         << "banyanwall_token_collisions_total " << m_forwarder.upstreams().tokenCollisions()
+         << "\n"
+         << "# TYPE banyanwall_watching gauge\n"
+         << "banyanwall_watching " << (m_sync.isWatching() ? 1 : 0) << "\n";
+    return text.str();
+}
+
+std::string FlowDaemon::statusText() const
+{
+    const auto *rules = m_directory.rules();
+    std::ostringstream text;
+    text << "{\"ready\":" << (isReady() ? "true" : "false")
+         << ",\"revision\":" << m_directory.revision().value()
+         << ",\"contract_version\":" << (rules == nullptr ? 0 : rules->version)
+         << ",\"members\":" << m_sync.memberCount() << "}\n";
+    return text.str();
+}
+
+} // namespace banyanwall::process
--- /dev/null
+++ b/src/process/flowdaemon.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "connection/flowforwarder.h"
+#include "process/adminserver.h"
+#include "process/directorysync.h"
+#include "process/eventlog.h"
+#include "process/fleetstore.h"
+#include "process/flowsettings.h"
+#include "process/metrics.h"
+#include "process/packetformat.h"
+#include "version/directory.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+
+namespace banyanwall::process {
+
+/// An instance in front of a fabric whose flows carry a token: sockets, timers and the decisions of
+/// FlowForwarder and DirectorySync. One thread; the instances have at most one core.
+class FlowDaemon
+{
+public:
+    using SettingsLoader = std::function<common::Result<FlowSettings>()>;
+
+    /// Binds the sockets. Throws boost::system::system_error when that fails.
+    FlowDaemon(boost::asio::io_context &context, FlowSettings settings, SettingsLoader reload,
+               FleetStore &store, const PacketFormat &format, Metrics &metrics);
+
+    /// Serves until SIGTERM or SIGINT and the graceful shutdown that follows.
+    void run();
+
+private:
+    /// A full packet of the fabric and its prefix.
+    static constexpr std::size_t BufferBytes = 2'048;
+
+    void receiveTraffic();
+    bool receivePacket(common::TimePoint now);
+    void onPacket(std::size_t bytes, common::TimePoint now);
+    void apply(const connection::FlowPacket &packet, const connection::PacketVerdict &verdict,
+               std::size_t bytes);
+    void logRefusal(const connection::FlowPacket &packet, std::string_view event,
+                    common::Reason reason);
+    void receivePeers();
+    void onPeerDatagram(std::size_t bytes, const boost::asio::ip::udp::endpoint &from);
+    void sendToPeer(const SendDirectoryMessage &send);
+
+    void scheduleTick();
+    void onTick(common::TimePoint now);
+    void perform(const SyncActions &actions, common::TimePoint now);
+    void startRead();
+    void startWatch(const WatchStore &watch);
+    void startRegister(const RegisterMember &registration);
+    void onStoreAnswer(const char *call, const StoreAnswer &answer);
+    void onDirectoryChanged(const DirectoryChanged &change, common::TimePoint now);
+    void noteBeliefs();
+
+    void waitForSignal();
+    void beginShutdown();
+    void reloadSettings();
+    [[nodiscard]] bool mayStop(common::TimePoint now) const;
+    [[nodiscard]] bool isReady() const;
+    [[nodiscard]] std::string metricsText() const;
+    [[nodiscard]] std::string statusText() const;
+
+    boost::asio::io_context &m_context;
+    FlowSettings m_settings;
+    SettingsLoader m_reload;
+    FleetStore &m_store;
+    const PacketFormat &m_format;
+    Metrics &m_metrics;
+    EventLog m_log;
+    version::Directory m_directory;
+    DirectorySync m_sync;
+    connection::FlowForwarder m_forwarder;
+    boost::asio::ip::udp::socket m_traffic;
+    boost::asio::ip::udp::socket m_peers;
+    AdminServer m_admin;
+    boost::asio::steady_timer m_tick;
+    boost::asio::signal_set m_signals;
+    std::array<std::uint8_t, BufferBytes> m_buffer {};
+    std::array<std::uint8_t, BufferBytes> m_peerBuffer {};
+    common::TimePoint m_lastPacketAt;
+    common::TimePoint m_shutdownAt;
+    common::TimePoint m_lastSweepAt;
+    bool m_isShuttingDown = false;
+    bool m_wasWatching = false;
+    bool m_wasStoreReachable = true;
+    bool m_wasReady = false;
+};
+
+} // namespace banyanwall::process
--- /dev/null
+++ b/src/process/flowsettings.cpp
@@ -0,0 +1,59 @@
+#include "process/flowsettings.h"
+
+#include "process/settingsreader.h"
+
+#include <algorithm>
+
+namespace banyanwall::process {
+
+namespace {
+
+const KnownKeys Keys {
+    { "instance", { "name", "zone" } }, { "listen", { "traffic", "peer", "admin" } },
+    { "store", { "endpoint" } },        { "peers", { "seeds" } },
+    { "shutdown", { "grace_ms" } },     { "log", { "level" } },
+};
+
+// Below, callers' packets would be lost before the fabric looks elsewhere.
+constexpr std::int64_t MinGraceMs = 1'000;
+constexpr std::int64_t MaxGraceMs = 600'000;
+
+} // namespace
+
+common::Result<FlowSettings> parseFlowSettings(std::string_view toml, std::string_view sourceName)
+{
+    const auto root = parseToml(toml, sourceName);
+    if (!common::isOk(root)) {
+        return common::errorOf(root);
+    }
+    SettingsReader reader(common::valueOf(root), sourceName);
+    FlowSettings settings;
+    reader.checkKeys(Keys);
+    settings.name = reader.string("instance", "name", "a name");
+    settings.zone = reader.string("instance", "zone", "the name of an availability zone");
+    settings.trafficListen = reader.endpoint("listen", "traffic");
+    settings.peerListen = reader.endpoint("listen", "peer");
+    settings.adminListen = reader.endpoint("listen", "admin");
+    settings.store = reader.endpoint("store", "endpoint");
+    settings.seeds = reader.endpoints("peers", "seeds", false);
+    std::ranges::for_each(settings.seeds,
+                          [&](auto &seed) { seed.port = settings.peerListen.port; });
+    const auto grace = reader.integer("shutdown", "grace_ms", MinGraceMs, MaxGraceMs, true);
+    settings.shutdownGrace = std::chrono::milliseconds(grace.value_or(MinGraceMs));
+    settings.logLevel = reader.logLevel(settings.logLevel);
+    if (reader.error()) {
+        return *reader.error();
+    }
+    return settings;
+}
+
+common::Result<FlowSettings> loadFlowSettings(const std::string &path)
+{
+    const auto text = readSettingsFile(path);
+    if (!common::isOk(text)) {
+        return common::errorOf(text);
+    }
+    return parseFlowSettings(common::valueOf(text), path);
+}
+
+} // namespace banyanwall::process
--- /dev/null
+++ b/src/process/fragmentassembler.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "common/endpoint.h"
+#include "common/time.h"
+#include "directory.pb.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace banyanwall::process {
+
+/// Cuts bytes into messages that fit into a datagram.
+[[nodiscard]] std::vector<wire::proto::DirectoryMessage> cutIntoFragments(std::string_view bytes,
+                                                                          std::uint32_t transfer);
+
+/// Joins the fragments of transfers, which arrive in any order. Incomplete transfers are dropped
+/// after a second. Not thread-safe.
+class FragmentAssembler
+{
+public:
+    /// Returns the bytes of the transfer when this was its last missing fragment.
+    std::optional<std::string> add(const wire::proto::DirectoryFragment &fragment,
+                                   common::TimePoint now);
+
+private:
+    struct Transfer
+    {
+        std::vector<std::optional<std::string>> parts;
+        std::size_t missing = 0;
+        common::TimePoint startedAt;
+    };
+
+    std::map<std::uint32_t, Transfer> m_transfers;
+};
+
+} // namespace banyanwall::process
--- a/src/process/logging.cpp
+++ b/src/process/logging.cpp
@@ -3,11 +3,16 @@
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <iostream>
 
 namespace banyanwall::process {
@@ -34,6 +39,25 @@
     return Severity::info;
 }
 
+/// Writes lines to standard output and drops those that it does not take at once.
+class LineDropper
+    : public blog::sinks::basic_formatted_sink_backend<char, blog::sinks::concurrent_feeding>
+{
+public:
+    LineDropper()
+    {
+        const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+
+    static void consume(const blog::record_view & /*record*/, const string_type &line)
+    {
+        const auto whole = line + '\n';
+        // A line that finds no room is lost; waiting would hold up the packets.
+        [[maybe_unused]] const auto written = ::write(STDOUT_FILENO, whole.data(), whole.size());
+    }
+};
+
 bool needsQuotes(const std::string &value)
 {
     return value.empty() || value.find_first_of(" \"=\n\t") != std::string::npos;
@@ -53,20 +77,28 @@
 
 } // namespace
 
-void startLogging(std::string_view level, const std::string &instance)
+void startLogging(std::string_view level, const std::string &instance, LogTarget target)
 {
     namespace expressions = blog::expressions;
     Severity threshold = Severity::info;
     blog::trivial::from_string(level.data(), level.size(), threshold);
     blog::add_common_attributes();
     blog::core::get()->set_filter(blog::trivial::severity >= threshold);
-    blog::add_console_log(std::cerr, blog::keywords::auto_flush = true,
-                          blog::keywords::format = expressions::stream
-                                  << "time="
-                                  << expressions::format_date_time<boost::posix_time::ptime>(
-                                                           "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                                  << " level=" << blog::trivial::severity
-                                  << " instance=" << instance << " " << expressions::smessage);
+    const auto format = expressions::stream
+            << "time="
+            << expressions::format_date_time<boost::posix_time::ptime>("TimeStamp",
+                                                                       "%Y-%m-%dT%H:%M:%S.%f")
+            << " level=" << blog::trivial::severity << " instance=" << instance << " "
+            << expressions::smessage;
+    if (target == LogTarget::StandardOutput) {
+        using Sink = blog::sinks::synchronous_sink<LineDropper>;
+        const auto sink = boost::make_shared<Sink>();
+        sink->set_formatter(format);
+        blog::core::get()->add_sink(sink);
+    } else {
+        blog::add_console_log(std::cerr, blog::keywords::auto_flush = true,
+                              blog::keywords::format = format);
+    }
 }
 
 LogEvent::LogEvent(LogLevel level, std::string_view event)
--- a/src/process/logging.h
+++ b/src/process/logging.h
@@ -14,8 +14,15 @@
     Error,
 };
 
-/// Starts logging to standard error. Lines below level are dropped; each line names the instance.
-void startLogging(std::string_view level, const std::string &instance);
+enum class LogTarget {
+    StandardError,
+    /// A reader that is too slow does not hold up the process: lines that find no room are dropped.
+    StandardOutput,
+};
+
+/// Starts logging. Lines below level are dropped; each line names the instance.
+void startLogging(std::string_view level, const std::string &instance,
+                  LogTarget target = LogTarget::StandardError);
 
 /// One event as a line of key=value, written when the object ends its life. Values with blanks or
 /// quotes are quoted.
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -28,7 +28,7 @@
     "fabric_datagrams", "upstream_datagrams",   "packets_to_upstream", "packets_to_fabric",
     "packets_relayed",  "requests_received",    "requests_dispatched", "answers_delivered",
     "flows_reset",      "send_errors",          "control_bytes_sent",  "control_bytes_received",
-    "relay_bytes_sent", "relay_bytes_received",
+    "relay_bytes_sent", "relay_bytes_received", "store_calls",
 };
 
 /// A histogram with the sum that the text format wants.
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -30,14 +30,14 @@
     ControlBytesReceived,
     DataBytesSent,
     DataBytesReceived,
+    StoreCalls,
 };
 
 /// Counters and histograms of one instance. Thread-safe.
 class Metrics
 {
 public:
-    static constexpr std::size_t CounterCount =
-            static_cast<std::size_t>(Counter::DataBytesReceived) + 1;
+    static constexpr std::size_t CounterCount = static_cast<std::size_t>(Counter::StoreCalls) + 1;
     static constexpr std::size_t ReasonCount =
             static_cast<std::size_t>(common::Reason::TooManyRequests) + 1;
 
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -1,26 +1,14 @@
 #include "process/settings.h"
 
-#include <toml++/toml.h>
-
-#include <algorithm>
-#include <array>
-#include <charconv>
-#include <fstream>
-#include <optional>
-#include <sstream>
+#include "process/settingsreader.h"
 
 namespace banyanwall::process {
 
-using common::Endpoint;
-using common::Error;
-
 namespace {
 
 constexpr std::int64_t MaxWorkers = 64;
-constexpr std::size_t MinSecretBytes = 16;
-constexpr std::array LogLevels { "trace", "debug", "info", "warning", "error" };
 
-const std::map<std::string_view, std::vector<std::string_view>> KnownKeys {
+const KnownKeys Keys {
     { "instance", { "name", "zone" } },
     { "listen", { "fabric", "peer", "admin", "upstream" } },
     { "fabric", { "address" } },
@@ -30,199 +18,7 @@
     { "workers", { "count" } },
 };
 
-std::string joined(const std::vector<std::string_view> &words)
-{
-    std::string text;
-    for (const auto word : words) {
-        text += (text.empty() ? "" : ", ") + std::string(word);
-    }
-    return text;
-}
-
-/// Reads values out of the parsed file and keeps the first deviation.
-class Reader
-{
-public:
-    Reader(const toml::table &root, std::string_view sourceName)
-        : m_root(root)
-        , m_source(sourceName)
-    { }
-
-    [[nodiscard]] const std::optional<Error> &error() const { return m_error; }
-
-    void checkKeys()
-    {
-        std::vector<std::string_view> sections;
-        sections.reserve(KnownKeys.size());
-        for (const auto &[name, keys] : KnownKeys) {
-            sections.push_back(name);
-        }
-        for (const auto &[name, node] : m_root) {
-            const auto known = KnownKeys.find(name.str());
-            if (known == KnownKeys.end()) {
-                fail(node.source().begin.line, name.str(), "unknown section", joined(sections));
-            } else if (!node.is_table()) {
-                fail(node.source().begin.line, name.str(), "wrong type", "a section");
-            } else {
-                checkSection(name.str(), *node.as_table(), known->second);
-            }
-        }
-    }
-
-    std::string string(std::string_view section, std::string_view key, std::string_view allowed,
-                       bool required = true)
-    {
-        const auto *node = find(section, key, allowed, required);
-        if (node == nullptr) {
-            return {};
-        }
-        const auto value = node->value_exact<std::string>();
-        if (!value || value->empty()) {
-            fail(node->source().begin.line, path(section, key), "wrong type or empty", allowed);
-            return {};
-        }
-        return *value;
-    }
-
-    std::optional<std::int64_t> integer(std::string_view section, std::string_view key,
-                                        std::int64_t low, std::int64_t high, bool required)
-    {
-        const auto allowed =
-                "an integer from " + std::to_string(low) + " to " + std::to_string(high);
-        const auto *node = find(section, key, allowed, required);
-        if (node == nullptr) {
-            return std::nullopt;
-        }
-        const auto value = node->value_exact<std::int64_t>();
-        if (!value) {
-            fail(node->source().begin.line, path(section, key), "wrong type", allowed);
-        } else if (*value < low || *value > high) {
-            fail(node->source().begin.line, path(section, key), "value out of range", allowed);
-        }
-        return value;
-    }
-
-    Endpoint endpoint(std::string_view section, std::string_view key)
-    {
-        const auto *node = find(section, key, EndpointRule, true);
-        return node == nullptr ? Endpoint {} : endpointOf(*node, path(section, key));
-    }
-
-    std::vector<Endpoint> endpoints(std::string_view section, std::string_view key, bool required)
-    {
-        const auto *node = find(section, key, "an array of \"a.b.c.d:port\"", required);
-        if (node == nullptr) {
-            return {};
-        }
-        const auto *array = node->as_array();
-        if (array == nullptr || (required && array->empty())) {
-            fail(node->source().begin.line, path(section, key), "wrong type or empty",
-                 "an array of \"a.b.c.d:port\"");
-            return {};
-        }
-        std::vector<Endpoint> parsed;
-        for (const auto &element : *array) {
-            parsed.push_back(endpointOf(element, path(section, key)));
-        }
-        return parsed;
-    }
-
-    std::map<std::uint32_t, std::string> secrets(std::string_view section, std::string_view key)
-    {
-        const auto *node = find(section, key, SecretsRule, true);
-        const auto *table = node == nullptr ? nullptr : node->as_table();
-        if (node != nullptr && (table == nullptr || table->empty())) {
-            fail(node->source().begin.line, path(section, key), "wrong type or empty", SecretsRule);
-        }
-        std::map<std::uint32_t, std::string> parsed;
-        if (table == nullptr) {
-            return parsed;
-        }
-        for (const auto &[name, value] : *table) {
-            std::uint32_t id = 0;
-            const auto text = name.str();
-            const auto *end = text.data() + text.size();
-            const auto read = std::from_chars(text.data(), end, id);
-            const auto secret = value.value_exact<std::string>();
-            if (read.ec != std::errc() || read.ptr != end || id == 0 || !secret
-                || secret->size() < MinSecretBytes) {
-                fail(value.source().begin.line, path(section, key) + "." + std::string(text),
-                     "wrong key id or secret", SecretsRule);
-                continue;
-            }
-            parsed.emplace(id, *secret);
-        }
-        return parsed;
-    }
-
-    void fail(std::size_t line, std::string_view key, std::string_view problem,
-              std::string_view allowed)
-    {
-        if (m_error) {
-            return;
-        }
-        std::ostringstream text;
-        text << m_source << ":" << line << ": key '" << key << "': " << problem
-             << "; allowed: " << allowed;
-        m_error = Error { "bad_settings", text.str() };
-    }
-
-    [[nodiscard]] std::size_t lineOf(std::string_view section, std::string_view key) const
-    {
-        const auto node = m_root[section][key];
-        return node ? node.node()->source().begin.line : 1;
-    }
-
-private:
-    static constexpr std::string_view SecretsRule =
-            "a table of key id (1 to 4294967295) = secret of at least 16 characters";
-    static constexpr std::string_view EndpointRule = "\"a.b.c.d:port\" with a port from 1 to 65535";
-
-    static std::string path(std::string_view section, std::string_view key)
-    {
-        return std::string(section) + "." + std::string(key);
-    }
-
-    void checkSection(std::string_view section, const toml::table &table,
-                      const std::vector<std::string_view> &keys)
-    {
-        for (const auto &[key, node] : table) {
-            if (std::ranges::find(keys, key.str()) == keys.end()) {
-                fail(node.source().begin.line, path(section, key.str()), "unknown key",
-                     joined(keys));
-            }
-        }
-    }
-
-    const toml::node *find(std::string_view section, std::string_view key, std::string_view allowed,
-                           bool required)
-    {
-        const auto *node = m_root[section][key].node();
-        if (node == nullptr && required) {
-            const auto *parent = m_root[section].node();
-            fail(parent == nullptr ? 1 : parent->source().begin.line, path(section, key), "missing",
-                 allowed);
-        }
-        return node;
-    }
-
-    Endpoint endpointOf(const toml::node &node, const std::string &key)
-    {
-        const auto text = node.value_exact<std::string>();
-        const auto parsed = text ? common::parseEndpoint(*text) : std::nullopt;
-        if (!parsed || parsed->port == 0) {
-            fail(node.source().begin.line, key, "not an address", EndpointRule);
-            return {};
-        }
-        return *parsed;
-    }
-
-    const toml::table &m_root;
-    std::string m_source;
-    std::optional<Error> m_error;
-};
-
-void readPeers(Reader &reader, Settings &settings)
+void readPeers(SettingsReader &reader, Settings &settings)
 {
     settings.seeds = reader.endpoints("peers", "seeds", false);
     settings.keys = reader.secrets("peers", "keys");
@@ -234,35 +30,17 @@
     }
 }
 
-void readLevelAndWorkers(Reader &reader, Settings &settings)
-{
-    const auto level = reader.string("log", "level", "trace, debug, info, warning or error", false);
-    if (!level.empty()) {
-        settings.logLevel = level;
-    }
-    if (std::ranges::find(LogLevels, settings.logLevel) == LogLevels.end()) {
-        reader.fail(reader.lineOf("log", "level"), "log.level", "unknown level",
-                    "trace, debug, info, warning or error");
-    }
-    const auto workers = reader.integer("workers", "count", 1, MaxWorkers, false);
-    settings.workers = static_cast<std::uint32_t>(workers.value_or(settings.workers));
-}
-
 } // namespace
 
 common::Result<Settings> parseSettings(std::string_view toml, std::string_view sourceName)
 {
-    toml::table root;
-    try {
-        root = toml::parse(toml, sourceName);
-    } catch (const toml::parse_error &error) {
-        return Error { "bad_settings",
-                       std::string(sourceName) + ":" + std::to_string(error.source().begin.line)
-                               + ": " + std::string(error.description()) };
+    const auto root = parseToml(toml, sourceName);
+    if (!common::isOk(root)) {
+        return common::errorOf(root);
     }
-    Reader reader(root, sourceName);
+    SettingsReader reader(common::valueOf(root), sourceName);
     Settings settings;
-    reader.checkKeys();
+    reader.checkKeys(Keys);
     settings.name = reader.string("instance", "name", "a name");
     settings.zone = reader.string("instance", "zone", "the name of an availability zone");
     settings.fabricListen = reader.endpoint("listen", "fabric");
@@ -272,7 +50,9 @@
     settings.fabric = reader.endpoint("fabric", "address");
     settings.storeEndpoints = reader.endpoints("store", "endpoints", true);
     readPeers(reader, settings);
-    readLevelAndWorkers(reader, settings);
+    settings.logLevel = reader.logLevel(settings.logLevel);
+    const auto workers = reader.integer("workers", "count", 1, MaxWorkers, false);
+    settings.workers = static_cast<std::uint32_t>(workers.value_or(settings.workers));
     if (reader.error()) {
         return *reader.error();
     }
@@ -281,13 +61,11 @@
 
 common::Result<Settings> loadSettings(const std::string &path)
 {
-    std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file) {
-        return Error { "bad_settings", path + ": cannot be read; allowed: a readable TOML file" };
+    const auto text = readSettingsFile(path);
+    if (!common::isOk(text)) {
+        return common::errorOf(text);
     }
-    return parseSettings(text.str(), path);
+    return parseSettings(common::valueOf(text), path);
 }
 
 } // namespace banyanwall::process
--- /dev/null
+++ b/src/process/settingsreader.cpp
@@ -0,0 +1,236 @@
+#include "process/settingsreader.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace banyanwall::process {
+
+using common::Endpoint;
+using common::Error;
+
+namespace {
+
+constexpr std::size_t MinSecretBytes = 16;
+constexpr std::array LogLevels { "trace", "debug", "info", "warning", "error" };
+constexpr std::string_view LogLevelRule = "trace, debug, info, warning or error";
+constexpr std::string_view SecretsRule =
+        "a table of key id (1 to 4294967295) = secret of at least 16 characters";
+constexpr std::string_view EndpointRule = "\"a.b.c.d:port\" with a port from 1 to 65535";
+
+std::string joined(const std::vector<std::string_view> &words)
+{
+    std::string text;
+    for (const auto word : words) {
+        text += (text.empty() ? "" : ", ") + std::string(word);
+    }
+    return text;
+}
+
+std::string path(std::string_view section, std::string_view key)
+{
+    return std::string(section) + "." + std::string(key);
+}
+
+} // namespace
+
+SettingsReader::SettingsReader(const toml::table &root, std::string_view sourceName)
+    : m_root(root)
+    , m_source(sourceName)
+{ }
+
+void SettingsReader::checkKeys(const KnownKeys &knownKeys)
+{
+    std::vector<std::string_view> sections;
+    sections.reserve(knownKeys.size());
+    for (const auto &[name, keys] : knownKeys) {
+        sections.push_back(name);
+    }
+    for (const auto &[name, node] : m_root) {
+        const auto known = knownKeys.find(name.str());
+        if (known == knownKeys.end()) {
+            fail(node.source().begin.line, name.str(), "unknown section", joined(sections));
+        } else if (!node.is_table()) {
+            fail(node.source().begin.line, name.str(), "wrong type", "a section");
+        } else {
+            checkSection(name.str(), *node.as_table(), known->second);
+        }
+    }
+}
+
+std::string SettingsReader::string(std::string_view section, std::string_view key,
+                                   std::string_view allowed, bool required)
+{
+    const auto *node = find(section, key, allowed, required);
+    if (node == nullptr) {
+        return {};
+    }
+    const auto value = node->value_exact<std::string>();
+    if (!value || value->empty()) {
+        fail(node->source().begin.line, path(section, key), "wrong type or empty", allowed);
+        return {};
+    }
+    return *value;
+}
+
+std::optional<std::int64_t> SettingsReader::integer(std::string_view section, std::string_view key,
+                                                    std::int64_t low, std::int64_t high,
+                                                    bool required)
+{
+    const auto allowed = "an integer from " + std::to_string(low) + " to " + std::to_string(high);
+    const auto *node = find(section, key, allowed, required);
+    if (node == nullptr) {
+        return std::nullopt;
+    }
+    const auto value = node->value_exact<std::int64_t>();
+    if (!value) {
+        fail(node->source().begin.line, path(section, key), "wrong type", allowed);
+    } else if (*value < low || *value > high) {
+        fail(node->source().begin.line, path(section, key), "value out of range", allowed);
+    }
+    return value;
+}
+
+Endpoint SettingsReader::endpoint(std::string_view section, std::string_view key)
+{
+    const auto *node = find(section, key, EndpointRule, true);
+    return node == nullptr ? Endpoint {} : endpointOf(*node, path(section, key));
+}
+
+std::vector<Endpoint> SettingsReader::endpoints(std::string_view section, std::string_view key,
+                                                bool required)
+{
+    const auto *node = find(section, key, "an array of \"a.b.c.d:port\"", required);
+    if (node == nullptr) {
+        return {};
+    }
+    const auto *array = node->as_array();
+    if (array == nullptr || (required && array->empty())) {
+        fail(node->source().begin.line, path(section, key), "wrong type or empty",
+             "an array of \"a.b.c.d:port\"");
+        return {};
+    }
+    std::vector<Endpoint> parsed;
+    for (const auto &element : *array) {
+        parsed.push_back(endpointOf(element, path(section, key)));
+    }
+    return parsed;
+}
+
+std::map<std::uint32_t, std::string> SettingsReader::secrets(std::string_view section,
+                                                             std::string_view key)
+{
+    const auto *node = find(section, key, SecretsRule, true);
+    const auto *table = node == nullptr ? nullptr : node->as_table();
+    if (node != nullptr && (table == nullptr || table->empty())) {
+        fail(node->source().begin.line, path(section, key), "wrong type or empty", SecretsRule);
+    }
+    std::map<std::uint32_t, std::string> parsed;
+    if (table == nullptr) {
+        return parsed;
+    }
+    for (const auto &[name, value] : *table) {
+        std::uint32_t id = 0;
+        const auto text = name.str();
+        const auto *end = text.data() + text.size();
+        const auto read = std::from_chars(text.data(), end, id);
+        const auto secret = value.value_exact<std::string>();
+        if (read.ec != std::errc() || read.ptr != end || id == 0 || !secret
+            || secret->size() < MinSecretBytes) {
+            fail(value.source().begin.line, path(section, key) + "." + std::string(text),
+                 "wrong key id or secret", SecretsRule);
+            continue;
+        }
+        parsed.emplace(id, *secret);
+    }
+    return parsed;
+}
+
+void SettingsReader::fail(std::size_t line, std::string_view key, std::string_view problem,
+                          std::string_view allowed)
+{
+    if (m_error) {
+        return;
+    }
+    std::ostringstream text;
+    text << m_source << ":" << line << ": key '" << key << "': " << problem
+         << "; allowed: " << allowed;
+    m_error = Error { "bad_settings", text.str() };
+}
+
+std::size_t SettingsReader::lineOf(std::string_view section, std::string_view key) const
+{
+    const auto node = m_root[section][key];
+    return node ? node.node()->source().begin.line : 1;
+}
+
+void SettingsReader::checkSection(std::string_view section, const toml::table &table,
+                                  const std::vector<std::string_view> &keys)
+{
+    for (const auto &[key, node] : table) {
+        if (std::ranges::find(keys, key.str()) == keys.end()) {
+            fail(node.source().begin.line, path(section, key.str()), "unknown key", joined(keys));
+        }
+    }
+}
+
+const toml::node *SettingsReader::find(std::string_view section, std::string_view key,
+                                       std::string_view allowed, bool required)
+{
+    const auto *node = m_root[section][key].node();
+    if (node == nullptr && required) {
+        const auto *parent = m_root[section].node();
+        fail(parent == nullptr ? 1 : parent->source().begin.line, path(section, key), "missing",
+             allowed);
+    }
+    return node;
+}
+
+Endpoint SettingsReader::endpointOf(const toml::node &node, const std::string &key)
+{
+    const auto text = node.value_exact<std::string>();
+    const auto parsed = text ? common::parseEndpoint(*text) : std::nullopt;
+    if (!parsed || parsed->port == 0) {
+        fail(node.source().begin.line, key, "not an address", EndpointRule);
+        return {};
+    }
+    return *parsed;
+}
+
+std::string SettingsReader::logLevel(std::string_view fallback)
+{
+    auto level = string("log", "level", LogLevelRule, false);
+    if (level.empty()) {
+        return std::string(fallback);
+    }
+    if (std::ranges::find(LogLevels, level) == LogLevels.end()) {
+        fail(lineOf("log", "level"), "log.level", "unknown level", LogLevelRule);
+    }
+    return level;
+}
+
+common::Result<toml::table> parseToml(std::string_view text, std::string_view sourceName)
+{
+    try {
+        return toml::parse(text, sourceName);
+    } catch (const toml::parse_error &error) {
+        return Error { "bad_settings",
+                       std::string(sourceName) + ":" + std::to_string(error.source().begin.line)
+                               + ": " + std::string(error.description()) };
+    }
+}
+
+common::Result<std::string> readSettingsFile(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        return Error { "bad_settings", path + ": cannot be read; allowed: a readable TOML file" };
+    }
+    return text.str();
+}
+
+} // namespace banyanwall::process
