Trial: verdicts on zones from reports of all instances

Cause looked for: a cut-off zone is noticed late by each instance alone. Trial: zone verdict after three silent upstreams, fed by reports of peers, and flows closed at their first packet.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace banyanwall::connection {
 
@@ -50,11 +51,11 @@
 PacketVerdict FlowForwarder::handle(const FlowPacket &packet, TimePoint now)
 {
     const auto seen = m_observer.observe(packet, now);
-    noteEvidence(seen, now);
+    noteEvidence(packet, seen, now);
     if (packet.opens) {
         return open(packet, seen, now);
     }
-    return forward(packet, seen, now);
+    return forward(packet, now);
 }
 
 void FlowForwarder::forgetOld(TimePoint now)
@@ -85,8 +86,7 @@
     return ForwardPacket { upstream->record.endpoint, upstream->record.serial, upstream->token };
 }
 
-PacketVerdict FlowForwarder::forward(const FlowPacket &packet, const FlowObservation &seen,
-                                     TimePoint now)
+PacketVerdict FlowForwarder::forward(const FlowPacket &packet, TimePoint now)
 {
     if (packet.token == common::FlowToken()) {
         return DropPacket { Reason::UnknownFlow };
@@ -97,8 +97,8 @@
     }
     const auto *route = routeOf(packet);
     const bool mayRunAgain = route != nullptr && route->record.repeatable;
-    if (mayRunAgain && seen.isRepeated && packet.payloadBytes > 0
-        && isUnreachable(*upstream, now)) {
+    // A caller with time left opens a new flow; other requests may run and are not broken off.
+    if (mayRunAgain && packet.payloadBytes > 0 && isUnreachable(*upstream, now)) {
         return ResetFlow { Reason::UpstreamSilent };
     }
     return ForwardPacket { upstream->record.endpoint, upstream->record.serial, packet.token };
@@ -119,15 +119,20 @@
     return DropPacket { Reason::UnknownFlow };
 }
 
-void FlowForwarder::noteEvidence(const FlowObservation &seen, TimePoint now)
+void FlowForwarder::noteEvidence(const FlowPacket &packet, const FlowObservation &seen,
+                                 TimePoint now)
 {
     auto *upstream = m_upstreams.find(seen.upstream);
     if (upstream == nullptr) {
         return;
     }
+    auto &zone = m_upstreams.zoneHealth(upstream->record.zone);
     if (seen.isHeard) {
+        if (zone.isUnreachable(now)) {
+            m_upstreams.clearEvidence(upstream->record.zone);
+        }
         upstream->health.onHeard(now);
-        m_upstreams.zoneHealth(upstream->record.zone).onHeard(now);
+        zone.onHeard(now);
     }
     if (seen.answerTime) {
         m_onAnswerTime(*seen.answerTime);
@@ -135,18 +140,45 @@
     if (!seen.isRepeated) {
         return;
     }
-    const bool wasSuspected = upstream->health.isSuspected(now);
-    upstream->health.onRepeated(now);
-    const bool isNewSuspect = !wasSuspected && upstream->health.isSuspected(now);
-    if (isNewSuspect && upstream->record.zone != m_options.ownZone) {
-        m_upstreams.zoneHealth(upstream->record.zone).onRepeated(now);
+    if (!upstream->health.isSuspected(now)) {
+        m_reports.push_back(upstream->record.serial);
+    }
+    if (packet.opens) {
+        upstream->health.onOpeningRepeated(now);
+    } else {
+        upstream->health.onDataRepeated(flowHashOf(packet), now);
+    }
+    noteZoneRepeat(*upstream, now);
+}
+
+void FlowForwarder::noteZoneRepeat(const KnownUpstream &upstream, TimePoint now)
+{
+    if (upstream.record.zone != m_options.ownZone) {
+        m_upstreams.zoneHealth(upstream.record.zone).onRepeated(upstream.token, now);
+    }
+}
+
+std::vector<common::UpstreamSerial> FlowForwarder::takeReports()
+{
+    return std::exchange(m_reports, {});
+}
+
+void FlowForwarder::onPeerReport(const std::vector<common::UpstreamSerial> &upstreams,
+                                 TimePoint now)
+{
+    for (const auto serial : upstreams) {
+        auto *upstream = m_upstreams.find(tokenOf(serial));
+        if (upstream != nullptr && upstream->record.serial == serial) {
+            upstream->health.onPeerReport(now);
+            noteZoneRepeat(*upstream, now);
+        }
     }
 }
 
 bool FlowForwarder::isUnreachable(KnownUpstream &upstream, TimePoint now)
 {
     return upstream.health.isSilent(now)
-            || m_upstreams.zoneHealth(upstream.record.zone).isSuspected(now);
+            || m_upstreams.zoneHealth(upstream.record.zone).isUnreachable(now);
 }
 
 bool FlowForwarder::isCurrent(TimePoint now) const
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -38,6 +38,11 @@
 
     PacketVerdict handle(const FlowPacket &packet, common::TimePoint now);
 
+    /// Upstreams whose callers repeated packets since the last call, for other instances.
+    [[nodiscard]] std::vector<common::UpstreamSerial> takeReports();
+    /// Other instances saw repeated packets to these upstreams.
+    void onPeerReport(const std::vector<common::UpstreamSerial> &upstreams, common::TimePoint now);
+
     /// Forgets what is too old to matter; called about once a second.
     void forgetOld(common::TimePoint now);
 
@@ -54,10 +59,11 @@
 
     PacketVerdict open(const FlowPacket &packet, const FlowObservation &seen,
                        common::TimePoint now);
-    PacketVerdict forward(const FlowPacket &packet, const FlowObservation &seen,
-                          common::TimePoint now);
+    PacketVerdict forward(const FlowPacket &packet, common::TimePoint now);
     PacketVerdict handleUnknown(const FlowPacket &packet, common::TimePoint now);
-    void noteEvidence(const FlowObservation &seen, common::TimePoint now);
+    void noteEvidence(const FlowPacket &packet, const FlowObservation &seen,
+                      common::TimePoint now);
+    void noteZoneRepeat(const KnownUpstream &upstream, common::TimePoint now);
     [[nodiscard]] bool isUnreachable(KnownUpstream &upstream, common::TimePoint now);
     [[nodiscard]] bool isCurrent(common::TimePoint now) const;
     [[nodiscard]] const Route *routeOf(const FlowPacket &packet) const;
@@ -73,6 +79,7 @@
     /// When packets with a token that no upstream has were first seen.
     std::unordered_map<common::FlowToken, common::TimePoint> m_unknownTokens;
     common::TimePoint m_assuredAt;
+    std::vector<common::UpstreamSerial> m_reports;
 };
 
 } // namespace banyanwall::connection
--- a/src/connection/upstreamhealth.h
+++ b/src/connection/upstreamhealth.h
@@ -6,34 +6,43 @@
 
 namespace banyanwall::connection {
 
-/// Evidence whether one upstream, or a whole availability zone, answers. It comes from packets of
-/// callers: a repeated packet shows that nothing came back, an acknowledgement of new data shows
-/// that the upstream lives. Not thread-safe.
+/// Evidence whether one upstream answers. It comes from packets of callers: a repeated packet shows
+/// that nothing came back, an acknowledgement of new data shows that the upstream lives. Not
+/// thread-safe.
 class UpstreamHealth
 {
 public:
     /// The upstream has answered a caller.
     void onHeard(common::TimePoint now);
-    /// A caller repeated a packet. weight is the number of repetitions that this one stands for.
-    void onRepeated(common::TimePoint now, std::uint32_t weight = 1);
-
-    /// Callers repeat packets and nothing was heard: new flows go elsewhere, but for one flow after
-    /// each probe interval, which tells whether the upstream is back.
+    /// A caller repeated the packet that opens a flow. A live upstream without room does not answer
+    /// it either.
+    void onOpeningRepeated(common::TimePoint now);
+    /// A caller repeated data on an open flow. flow tells flows apart.
+    void onDataRepeated(std::uint64_t flow, common::TimePoint now);
+    /// Another instance saw a repeated packet.
+    void onPeerReport(common::TimePoint now);
+
+    /// Nothing comes back: new flows go elsewhere, but for one flow after each probe interval, which
+    /// tells whether the upstream is back.
     [[nodiscard]] bool isSuspected(common::TimePoint now) const;
-    /// The evidence suffices to close flows.
+    /// Several flows wait in vain: their callers do better to open new flows.
     [[nodiscard]] bool isSilent(common::TimePoint now) const;
     [[nodiscard]] bool mayOpen(common::TimePoint now) const;
     /// A new flow goes to the upstream; spends the probe when it is suspected.
     void onOpened(common::TimePoint now);
 
-    [[nodiscard]] common::TimePoint lastHeard() const { return m_lastHeard; }
-
 private:
-    common::TimePoint m_lastHeard;
+    void noteRepeat(common::TimePoint now);
+
     common::TimePoint m_firstRepeated;
     common::TimePoint m_lastRepeated;
     common::TimePoint m_nextProbe;
+    std::uint64_t m_lastFlow = 0;
+    /// Repeated packets since the upstream was last heard.
     std::uint32_t m_repeats = 0;
+    std::uint32_t m_dataRepeats = 0;
+    /// Changes of flow among the repeated data packets.
+    std::uint32_t m_flows = 0;
 };
 
 } // namespace banyanwall::connection
--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -80,6 +80,15 @@
     return found != m_withdrawn.end() && found->second;
 }
 
+void UpstreamTable::clearEvidence(common::ZoneId zone)
+{
+    for (auto &[token, upstream] : m_upstreams) {
+        if (upstream->record.zone == zone) {
+            upstream->health = {};
+        }
+    }
+}
+
 const version::ServiceRecord *UpstreamTable::serviceRules(common::ServiceId service) const
 {
     const auto found = m_services.find(service);
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -3,6 +3,7 @@
 #include "common/ids.h"
 #include "common/time.h"
 #include "connection/upstreamhealth.h"
+#include "connection/zonehealth.h"
 #include "version/directory.h"
 
 #include <memory>
@@ -48,8 +49,9 @@
     [[nodiscard]] const Group &ofService(common::ServiceId service) const;
     [[nodiscard]] bool isWithdrawn(common::ZoneId zone) const;
 
-    /// Evidence about a whole zone.
-    [[nodiscard]] UpstreamHealth &zoneHealth(common::ZoneId zone) { return m_zoneHealth[zone]; }
+    /// Forgets the evidence against the upstreams of a zone that is reached again.
+    void clearEvidence(common::ZoneId zone);
+    [[nodiscard]] ZoneHealth &zoneHealth(common::ZoneId zone) { return m_zoneHealth[zone]; }
 
     [[nodiscard]] const version::ServiceRecord *serviceRules(common::ServiceId service) const;
 
@@ -70,7 +72,7 @@
     std::unordered_map<common::FlowToken, std::unique_ptr<KnownUpstream>> m_upstreams;
     std::unordered_map<common::ServiceId, Group> m_groups;
     std::unordered_map<common::ZoneId, bool> m_withdrawn;
-    std::unordered_map<common::ZoneId, UpstreamHealth> m_zoneHealth;
+    std::unordered_map<common::ZoneId, ZoneHealth> m_zoneHealth;
     std::unordered_map<common::ServiceId, version::ServiceRecord> m_services;
     std::size_t m_tokenCollisions = 0;
 };
--- /dev/null
+++ b/src/connection/zonehealth.cpp
@@ -0,0 +1,68 @@
+#include "connection/zonehealth.h"
+
+#include <algorithm>
+#include <span>
+
+namespace banyanwall::connection {
+
+using common::Duration;
+using common::TimePoint;
+using std::chrono::milliseconds;
+
+namespace {
+
+// A gap of this many usual ones is chance once in 400 times.
+constexpr int UnusualGaps = 6;
+// Callers repeat a packet after 200 ms; less silence cannot have been noticed by them.
+constexpr Duration ShortestSilence = milliseconds(200);
+constexpr Duration LongestSilence = milliseconds(1'000);
+// Weight of a new gap in the mean is 1 in this many.
+constexpr int GapMemory = 16;
+constexpr milliseconds ProbeInterval { 2'500 };
+// Older evidence says nothing about the path of today; see UpstreamHealth.
+constexpr std::chrono::seconds EvidenceAge { 3 };
+
+} // namespace
+
+void ZoneHealth::onHeard(TimePoint now)
+{
+    const auto gap = std::clamp<Duration>(now - m_lastHeard, Duration {}, LongestSilence);
+    m_usualGap += (gap - m_usualGap) / GapMemory;
+    m_lastHeard = now;
+    m_suspectCount = 0;
+}
+
+void ZoneHealth::onRepeated(common::FlowToken upstream, TimePoint now)
+{
+    if (now - m_lastRepeated > EvidenceAge) {
+        m_suspectCount = 0;
+    }
+    m_lastRepeated = now;
+    const auto known = std::span(m_suspects).first(m_suspectCount);
+    if (m_suspectCount < EnoughSuspects && std::ranges::find(known, upstream) == known.end()) {
+        m_suspects.at(m_suspectCount) = upstream;
+        ++m_suspectCount;
+        m_nextProbe = now + ProbeInterval;
+    }
+}
+
+bool ZoneHealth::isUnreachable(TimePoint now) const
+{
+    const auto silence = std::clamp(m_usualGap * UnusualGaps, ShortestSilence, LongestSilence);
+    return m_suspectCount >= EnoughSuspects && now - m_lastHeard > silence
+            && now - m_lastRepeated < EvidenceAge;
+}
+
+bool ZoneHealth::mayOpen(TimePoint now) const
+{
+    return !isUnreachable(now) || now >= m_nextProbe;
+}
+
+void ZoneHealth::onOpened(TimePoint now)
+{
+    if (isUnreachable(now)) {
+        m_nextProbe = now + ProbeInterval;
+    }
+}
+
+} // namespace banyanwall::connection
--- /dev/null
+++ b/src/connection/zonehealth.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "common/ids.h"
+#include "common/time.h"
+
+#include <array>
+#include <cstddef>
+
+namespace banyanwall::connection {
+
+/// Evidence whether any upstream of an availability zone answers this instance. A zone that is cut
+/// off shows sooner than each of its upstreams, because all of them fall silent at once. Not
+/// thread-safe.
+class ZoneHealth
+{
+public:
+    /// An upstream of the zone has answered a caller.
+    void onHeard(common::TimePoint now);
+    /// A caller repeated a packet to this upstream of the zone.
+    void onRepeated(common::FlowToken upstream, common::TimePoint now);
+
+    /// Several upstreams are silent and nothing was heard from any for much longer than usual.
+    [[nodiscard]] bool isUnreachable(common::TimePoint now) const;
+    /// False while the zone is unreachable, but for one flow after each probe interval.
+    [[nodiscard]] bool mayOpen(common::TimePoint now) const;
+    /// A new flow goes to the zone; spends the probe when it is unreachable.
+    void onOpened(common::TimePoint now);
+
+private:
+    static constexpr std::size_t EnoughSuspects = 3;
+
+    std::array<common::FlowToken, EnoughSuspects> m_suspects {};
+    std::size_t m_suspectCount = 0;
+    common::TimePoint m_lastHeard;
+    common::TimePoint m_lastRepeated;
+    common::TimePoint m_nextProbe;
+    /// Usual time between two signs of life.
+    common::Duration m_usualGap = std::chrono::milliseconds(100);
+};
+
+} // namespace banyanwall::connection
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/error.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <sstream>
 
@@ -27,6 +28,9 @@
 // Left of the grace time for the end of the process itself.
 constexpr std::chrono::milliseconds ExitMargin { 600 };
 constexpr std::chrono::seconds SweepInterval { 1 };
+// Packets wait in the socket until the directory is there. Callers repeat the first of them after
+// 200 ms, so that a longer wait gains little.
+constexpr std::chrono::milliseconds LongestLoad { 1'000 };
 constexpr double LogEventsPerSecond = 20.0;
 constexpr double LogBurst = 60.0;
 
@@ -86,13 +90,22 @@
             .with("store", common::toString(m_settings.store))
             .with("seeds", m_settings.seeds.size());
     waitForSignal();
-    receiveTraffic();
     receivePeers();
-    onTick(bootTimeNow());
+    m_startedAt = bootTimeNow();
+    onTick(m_startedAt);
     m_context.run();
     LogEvent(LogLevel::Info, "stopped").with("packets", m_metrics.value(Counter::FabricDatagrams));
 }
 
+void FlowDaemon::startTraffic(TimePoint now)
+{
+    if (m_isReceiving || (!m_directory.isLoaded() && now - m_startedAt < LongestLoad)) {
+        return;
+    }
+    m_isReceiving = true;
+    receiveTraffic();
+}
+
 void FlowDaemon::receiveTraffic()
 {
     m_traffic.async_wait(udp::socket::wait_read, [this](boost::system::error_code error) {
@@ -220,6 +233,13 @@
         }
         return;
     }
+    if (message.has_silence()) {
+        std::vector<common::UpstreamSerial> upstreams;
+        std::ranges::transform(message.silence().upstreams(), std::back_inserter(upstreams),
+                               [](auto serial) { return common::UpstreamSerial(serial); });
+        m_forwarder.onPeerReport(upstreams, now);
+        return;
+    }
     perform(m_sync.onMessage(fromAsio(from), message, now), now);
 }
 
@@ -252,14 +272,32 @@
         return;
     }
     perform(m_sync.onTick(now), now);
+    startTraffic(now);
     if (now - m_lastSweepAt >= SweepInterval) {
         m_lastSweepAt = now;
         m_forwarder.forgetOld(now);
     }
+    reportSilence();
     noteBeliefs();
     scheduleTick();
 }
 
+void FlowDaemon::reportSilence()
+{
+    const auto upstreams = m_forwarder.takeReports();
+    if (upstreams.empty()) {
+        return;
+    }
+    SendDirectoryMessage report;
+    for (const auto serial : upstreams) {
+        report.message.mutable_silence()->add_upstreams(serial.value());
+    }
+    for (const auto peer : m_sync.zonePeers()) {
+        report.to = peer;
+        sendToPeer(report);
+    }
+}
+
 void FlowDaemon::perform(const SyncActions &actions, TimePoint now)
 {
     for (const auto &action : actions) {
@@ -273,6 +311,7 @@
                    action);
     }
     m_forwarder.setAssuredAt(m_sync.assuredAt());
+    startTraffic(now);
 }
 
 void FlowDaemon::startRead()
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -38,6 +38,8 @@
     /// A full packet of the fabric and its prefix.
     static constexpr std::size_t BufferBytes = 2'048;
 
+    /// Reads packets as soon as they can be routed.
+    void startTraffic(common::TimePoint now);
     void receiveTraffic();
     bool receivePacket(common::TimePoint now);
     void onPacket(std::size_t bytes, common::TimePoint now);
@@ -57,6 +59,8 @@
     void startRegister(const RegisterMember &registration);
     void onStoreAnswer(const char *call, const StoreAnswer &answer);
     void onDirectoryChanged(const DirectoryChanged &change, common::TimePoint now);
+    /// Tells the instances of the zone about upstreams that seem silent.
+    void reportSilence();
     void noteBeliefs();
 
     void waitForSignal();
@@ -84,9 +88,11 @@
     boost::asio::signal_set m_signals;
     std::array<std::uint8_t, BufferBytes> m_buffer {};
     std::array<std::uint8_t, BufferBytes> m_peerBuffer {};
+    common::TimePoint m_startedAt;
     common::TimePoint m_lastPacketAt;
     common::TimePoint m_shutdownAt;
     common::TimePoint m_lastSweepAt;
+    bool m_isReceiving = false;
     bool m_isShuttingDown = false;
     bool m_wasWatching = false;
     bool m_wasStoreReachable = true;
