Notice zones that are cut off by all their upstreams, confirmed between instances

Cause: while a zone is cut off, callers wait for upstreams that cannot answer; an instance with 17 requests a second sees each of them fail too rarely. Change: data counts as repeated 150 ms after its first copy; a zone is unreachable after three silent upstreams and five usual gaps without an answer, or one when another instance of the zone says so; flows into it are closed at their first packet only when two instances agree.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -55,7 +55,7 @@
     if (packet.opens) {
         return open(packet, seen, now);
     }
-    return forward(packet, now);
+    return forward(packet, seen, now);
 }
 
 void FlowForwarder::forgetOld(TimePoint now)
@@ -86,7 +86,8 @@
     return ForwardPacket { upstream->record.endpoint, upstream->record.serial, upstream->token };
 }
 
-PacketVerdict FlowForwarder::forward(const FlowPacket &packet, TimePoint now)
+PacketVerdict FlowForwarder::forward(const FlowPacket &packet, const FlowObservation &seen,
+                                     TimePoint now)
 {
     if (packet.token == common::FlowToken()) {
         return DropPacket { Reason::UnknownFlow };
@@ -98,7 +99,7 @@
     const auto *route = routeOf(packet);
     const bool mayRunAgain = route != nullptr && route->record.repeatable;
     // A caller with time left opens a new flow; other requests may run and are not broken off.
-    if (mayRunAgain && packet.payloadBytes > 0 && isUnreachable(*upstream, now)) {
+    if (mayRunAgain && packet.payloadBytes > 0 && shouldClose(*upstream, seen.isRepeated, now)) {
         return ResetFlow { Reason::UpstreamSilent };
     }
     return ForwardPacket { upstream->record.endpoint, upstream->record.serial, packet.token };
@@ -135,13 +136,14 @@
         zone.onHeard(now);
     }
     if (seen.answerTime) {
+        zone.onAnswered(now);
         m_onAnswerTime(*seen.answerTime);
     }
     if (!seen.isRepeated) {
         return;
     }
     if (!upstream->health.isSuspected(now)) {
-        m_reports.push_back(upstream->record.serial);
+        m_reports.upstreams.push_back(upstream->record.serial);
     }
     if (packet.opens) {
         upstream->health.onOpeningRepeated(now);
@@ -153,32 +155,42 @@
 
 void FlowForwarder::noteZoneRepeat(const KnownUpstream &upstream, TimePoint now)
 {
-    if (upstream.record.zone != m_options.ownZone) {
-        m_upstreams.zoneHealth(upstream.record.zone).onRepeated(upstream.token, now);
+    if (upstream.record.zone == m_options.ownZone) {
+        return;
+    }
+    auto &zone = m_upstreams.zoneHealth(upstream.record.zone);
+    const bool wasUnreachable = zone.isUnreachable(now);
+    zone.onRepeated(upstream.token, now);
+    if (!wasUnreachable && zone.isUnreachable(now)) {
+        m_reports.zones.push_back(upstream.record.zone);
     }
 }
 
-std::vector<common::UpstreamSerial> FlowForwarder::takeReports()
+SilenceReports FlowForwarder::takeReports()
 {
     return std::exchange(m_reports, {});
 }
 
-void FlowForwarder::onPeerReport(const std::vector<common::UpstreamSerial> &upstreams,
-                                 TimePoint now)
+void FlowForwarder::onPeerReports(const SilenceReports &reports, TimePoint now)
 {
-    for (const auto serial : upstreams) {
+    for (const auto serial : reports.upstreams) {
         auto *upstream = m_upstreams.find(tokenOf(serial));
         if (upstream != nullptr && upstream->record.serial == serial) {
             upstream->health.onPeerReport(now);
-            noteZoneRepeat(*upstream, now);
         }
     }
+    for (const auto zone : reports.zones) {
+        m_upstreams.zoneHealth(zone).onPeerReport(now);
+    }
 }
 
-bool FlowForwarder::isUnreachable(KnownUpstream &upstream, TimePoint now)
+bool FlowForwarder::shouldClose(KnownUpstream &upstream, bool isRepeated, TimePoint now)
 {
-    return upstream.health.isSilent(now)
-            || m_upstreams.zoneHealth(upstream.record.zone).isUnreachable(now);
+    const auto &zone = m_upstreams.zoneHealth(upstream.record.zone);
+    if (!isRepeated) {
+        return zone.isConfirmedUnreachable(now);
+    }
+    return upstream.health.isSilent(now) || zone.isUnreachable(now);
 }
 
 bool FlowForwarder::isCurrent(TimePoint now) const
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -11,6 +11,15 @@
 
 namespace banyanwall::connection {
 
+/// Evidence of one instance for the other instances of its zone.
+struct SilenceReports
+{
+    /// Callers repeated packets to these upstreams.
+    std::vector<common::UpstreamSerial> upstreams;
+    /// No upstream of these zones answers.
+    std::vector<common::ZoneId> zones;
+};
+
 /// Decides where each packet of a caller goes on a fabric whose flows carry a token. An open flow
 /// needs no state here: its token names the upstream. Not thread-safe.
 class FlowForwarder
@@ -38,10 +47,9 @@
 
     PacketVerdict handle(const FlowPacket &packet, common::TimePoint now);
 
-    /// Upstreams whose callers repeated packets since the last call, for other instances.
-    [[nodiscard]] std::vector<common::UpstreamSerial> takeReports();
-    /// Other instances saw repeated packets to these upstreams.
-    void onPeerReport(const std::vector<common::UpstreamSerial> &upstreams, common::TimePoint now);
+    /// What this instance found since the last call, for other instances of its zone.
+    [[nodiscard]] SilenceReports takeReports();
+    void onPeerReports(const SilenceReports &reports, common::TimePoint now);
 
     /// Forgets what is too old to matter; called about once a second.
     void forgetOld(common::TimePoint now);
@@ -59,12 +67,15 @@
 
     PacketVerdict open(const FlowPacket &packet, const FlowObservation &seen,
                        common::TimePoint now);
-    PacketVerdict forward(const FlowPacket &packet, common::TimePoint now);
+    PacketVerdict forward(const FlowPacket &packet, const FlowObservation &seen,
+                          common::TimePoint now);
     PacketVerdict handleUnknown(const FlowPacket &packet, common::TimePoint now);
     void noteEvidence(const FlowPacket &packet, const FlowObservation &seen,
                       common::TimePoint now);
     void noteZoneRepeat(const KnownUpstream &upstream, common::TimePoint now);
-    [[nodiscard]] bool isUnreachable(KnownUpstream &upstream, common::TimePoint now);
+    /// Whether a caller does better to open a new flow than to wait for this one.
+    [[nodiscard]] bool shouldClose(KnownUpstream &upstream, bool isRepeated,
+                                   common::TimePoint now);
     [[nodiscard]] bool isCurrent(common::TimePoint now) const;
     [[nodiscard]] const Route *routeOf(const FlowPacket &packet) const;
     [[nodiscard]] static common::ServiceId serviceOf(const Route &route, std::uint64_t flowHash);
@@ -79,7 +90,7 @@
     /// When packets with a token that no upstream has were first seen.
     std::unordered_map<common::FlowToken, common::TimePoint> m_unknownTokens;
     common::TimePoint m_assuredAt;
-    std::vector<common::UpstreamSerial> m_reports;
+    SilenceReports m_reports;
 };
 
 } // namespace banyanwall::connection
--- a/src/connection/flowobserver.cpp
+++ b/src/connection/flowobserver.cpp
@@ -22,6 +22,9 @@
     return key == 0 ? 1 : key;
 }
 
+// Callers repeat data after 200 ms. Data that arrives again sooner was overtaken by later data.
+constexpr std::chrono::milliseconds ReorderingTime { 150 };
+
 /// Sequence numbers wrap around.
 bool isAfter(std::uint32_t left, std::uint32_t right)
 {
@@ -51,6 +54,7 @@
     flow = { .key = key,
              .lastSeen = now,
              .waitingSince = now,
+             .newDataAt = now,
              .upstream = packet.token,
              .sentUpTo = packet.sequence + packet.payloadBytes,
              .acknowledged = packet.acknowledgement,
@@ -65,7 +69,11 @@
     const auto key = keyOf(packet);
     auto *known = find(key);
     auto &flow = known == nullptr ? slotFor(key) : *known;
-    flow = { .key = key, .lastSeen = now, .waitingSince = now, .upstream = upstream };
+    flow = { .key = key,
+             .lastSeen = now,
+             .waitingSince = now,
+             .newDataAt = now,
+             .upstream = upstream };
 }
 
 FlowObservation FlowObserver::observeKnown(Flow &flow, const FlowPacket &packet, TimePoint now)
@@ -94,8 +102,9 @@
             flow.waitingSince = flow.isWaiting ? flow.waitingSince : now;
             flow.isWaiting = true;
             flow.sentUpTo = end;
+            flow.newDataAt = now;
         } else {
-            seen.isRepeated = true;
+            seen.isRepeated = now - flow.newDataAt > ReorderingTime;
         }
     } else if (packet.finishes) {
         seen.isRepeated = flow.isFinished;
--- a/src/connection/flowobserver.h
+++ b/src/connection/flowobserver.h
@@ -45,6 +45,8 @@
         common::TimePoint lastSeen;
         /// When the data that waits for an answer was first sent.
         common::TimePoint waitingSince;
+        /// When data was sent that had not been sent before.
+        common::TimePoint newDataAt;
         common::FlowToken upstream;
         std::uint32_t sentUpTo = 0;
         std::uint32_t acknowledged = 0;
--- a/src/connection/zonehealth.cpp
+++ b/src/connection/zonehealth.cpp
@@ -11,13 +11,15 @@
 
 namespace {
 
-// A gap of this many usual ones is chance once in 400 times.
-constexpr int UnusualGaps = 6;
+// A gap of this many usual ones is chance once in 150 times.
+constexpr int UnusualGaps = 5;
 // Callers repeat a packet after 200 ms; less silence cannot have been noticed by them.
-constexpr Duration ShortestSilence = milliseconds(200);
+constexpr Duration ShortestSilence = milliseconds(250);
 constexpr Duration LongestSilence = milliseconds(1'000);
 // Weight of a new gap in the mean is 1 in this many.
 constexpr int GapMemory = 16;
+// Losses further apart have different causes.
+constexpr milliseconds EvidenceGap { 1'000 };
 constexpr milliseconds ProbeInterval { 2'500 };
 // Older evidence says nothing about the path of today; see UpstreamHealth.
 constexpr std::chrono::seconds EvidenceAge { 3 };
@@ -26,15 +28,21 @@
 
 void ZoneHealth::onHeard(TimePoint now)
 {
-    const auto gap = std::clamp<Duration>(now - m_lastHeard, Duration {}, LongestSilence);
-    m_usualGap += (gap - m_usualGap) / GapMemory;
     m_lastHeard = now;
+    m_lastPeerReport = {};
     m_suspectCount = 0;
 }
 
+void ZoneHealth::onAnswered(TimePoint now)
+{
+    const auto gap = std::clamp<Duration>(now - m_lastAnswered, Duration {}, LongestSilence);
+    m_usualGap += (gap - m_usualGap) / GapMemory;
+    m_lastAnswered = now;
+}
+
 void ZoneHealth::onRepeated(common::FlowToken upstream, TimePoint now)
 {
-    if (now - m_lastRepeated > EvidenceAge) {
+    if (!isUnreachable(now) && now - m_lastRepeated > EvidenceGap) {
         m_suspectCount = 0;
     }
     m_lastRepeated = now;
@@ -46,13 +54,29 @@
     }
 }
 
+void ZoneHealth::onPeerReport(TimePoint now)
+{
+    m_lastPeerReport = now;
+}
+
 bool ZoneHealth::isUnreachable(TimePoint now) const
 {
     const auto silence = std::clamp(m_usualGap * UnusualGaps, ShortestSilence, LongestSilence);
-    return m_suspectCount >= EnoughSuspects && now - m_lastHeard > silence
+    const auto needed = hasPeerReport(now) ? 1 : EnoughSuspects;
+    return m_suspectCount >= needed && now - m_lastHeard > silence
             && now - m_lastRepeated < EvidenceAge;
 }
 
+bool ZoneHealth::isConfirmedUnreachable(TimePoint now) const
+{
+    return isUnreachable(now) && hasPeerReport(now);
+}
+
+bool ZoneHealth::hasPeerReport(TimePoint now) const
+{
+    return now - m_lastPeerReport < EvidenceAge;
+}
+
 bool ZoneHealth::mayOpen(TimePoint now) const
 {
     return !isUnreachable(now) || now >= m_nextProbe;
--- a/src/connection/zonehealth.h
+++ b/src/connection/zonehealth.h
@@ -16,11 +16,18 @@
 public:
     /// An upstream of the zone has answered a caller.
     void onHeard(common::TimePoint now);
+    /// An upstream of the zone has answered a request.
+    void onAnswered(common::TimePoint now);
     /// A caller repeated a packet to this upstream of the zone.
     void onRepeated(common::FlowToken upstream, common::TimePoint now);
+    /// Another instance of the own zone does not reach the zone.
+    void onPeerReport(common::TimePoint now);
 
-    /// Several upstreams are silent and nothing was heard from any for much longer than usual.
+    /// Several upstreams are silent and nothing was heard from any for much longer than usual. One
+    /// upstream is enough when another instance has reported the zone.
     [[nodiscard]] bool isUnreachable(common::TimePoint now) const;
+    /// Another instance has come to the same verdict.
+    [[nodiscard]] bool isConfirmedUnreachable(common::TimePoint now) const;
     /// False while the zone is unreachable, but for one flow after each probe interval.
     [[nodiscard]] bool mayOpen(common::TimePoint now) const;
     /// A new flow goes to the zone; spends the probe when it is unreachable.
@@ -29,13 +36,17 @@
 private:
     static constexpr std::size_t EnoughSuspects = 3;
 
+    [[nodiscard]] bool hasPeerReport(common::TimePoint now) const;
+
     std::array<common::FlowToken, EnoughSuspects> m_suspects {};
     std::size_t m_suspectCount = 0;
     common::TimePoint m_lastHeard;
+    common::TimePoint m_lastAnswered;
     common::TimePoint m_lastRepeated;
+    common::TimePoint m_lastPeerReport;
     common::TimePoint m_nextProbe;
-    /// Usual time between two signs of life.
-    common::Duration m_usualGap = std::chrono::milliseconds(100);
+    /// Usual time between two answers.
+    common::Duration m_usualGap = std::chrono::milliseconds(200);
 };
 
 } // namespace banyanwall::connection
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -234,10 +234,13 @@
         return;
     }
     if (message.has_silence()) {
-        std::vector<common::UpstreamSerial> upstreams;
-        std::ranges::transform(message.silence().upstreams(), std::back_inserter(upstreams),
+        connection::SilenceReports reports;
+        std::ranges::transform(message.silence().upstreams(),
+                               std::back_inserter(reports.upstreams),
                                [](auto serial) { return common::UpstreamSerial(serial); });
-        m_forwarder.onPeerReport(upstreams, now);
+        std::ranges::transform(message.silence().zones(), std::back_inserter(reports.zones),
+                               [](auto zone) { return common::ZoneId(zone); });
+        m_forwarder.onPeerReports(reports, now);
         return;
     }
     perform(m_sync.onMessage(fromAsio(from), message, now), now);
@@ -284,13 +287,20 @@
 
 void FlowDaemon::reportSilence()
 {
-    const auto upstreams = m_forwarder.takeReports();
-    if (upstreams.empty()) {
+    const auto reports = m_forwarder.takeReports();
+    if (reports.upstreams.empty() && reports.zones.empty()) {
         return;
     }
     SendDirectoryMessage report;
-    for (const auto serial : upstreams) {
-        report.message.mutable_silence()->add_upstreams(serial.value());
+    auto &silence = *report.message.mutable_silence();
+    for (const auto serial : reports.upstreams) {
+        silence.add_upstreams(serial.value());
+    }
+    for (const auto zone : reports.zones) {
+        silence.add_zones(zone.value());
+    }
+    if (auto event = m_log.event(LogLevel::Info, "silence_reported", bootTimeNow())) {
+        event->with("upstreams", reports.upstreams.size()).with("zones", reports.zones.size());
     }
     for (const auto peer : m_sync.zonePeers()) {
         report.to = peer;
