Feed zone verdicts from all instances, share probes, ignore late acknowledgements

Ruled out: late reports between instances; they arrive within 25 ms. Change: repeats seen by other instances of the zone count for the zone's verdict (four upstreams), a failed probe postpones those of the others, an acknowledgement that travels with data is no sign of life.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -32,6 +32,7 @@
 FlowForwarder::FlowForwarder(const Options &options, AnswerTimeSink onAnswerTime)
     : m_options(options)
     , m_onAnswerTime(std::move(onAnswerTime))
+    , m_upstreams(options.instance)
     , m_policy(m_upstreams)
     , m_observer(options.observedFlowSets)
 { }
@@ -127,30 +128,43 @@
     if (upstream == nullptr) {
         return;
     }
-    auto &zone = m_upstreams.zoneHealth(upstream->record.zone);
     if (seen.isHeard) {
-        if (zone.isUnreachable(now)) {
-            m_upstreams.clearEvidence(upstream->record.zone);
-        }
-        upstream->health.onHeard(now);
-        zone.onHeard(now);
+        noteHeard(*upstream, now);
     }
     if (seen.answerTime) {
-        zone.onAnswered(now);
+        m_upstreams.zoneHealth(upstream->record.zone).onAnswered(now);
         m_onAnswerTime(*seen.answerTime);
     }
-    if (!seen.isRepeated) {
-        return;
+    if (seen.isRepeated) {
+        noteRepeated(*upstream, packet, now);
     }
-    if (!upstream->health.isSuspected(now)) {
-        m_reports.upstreams.push_back(upstream->record.serial);
+}
+
+void FlowForwarder::noteHeard(KnownUpstream &upstream, TimePoint now)
+{
+    auto &zone = m_upstreams.zoneHealth(upstream.record.zone);
+    if (zone.isUnreachable(now)) {
+        m_upstreams.clearEvidence(upstream.record.zone);
+    }
+    if (upstream.health.isSuspected(now)) {
+        m_reports.recovered.push_back(upstream.record.serial);
+    }
+    upstream.health.onHeard(now);
+    zone.onHeard(now);
+}
+
+void FlowForwarder::noteRepeated(KnownUpstream &upstream, const FlowPacket &packet, TimePoint now)
+{
+    // A repeated opening packet of a suspected upstream is a probe that failed.
+    if (packet.opens || !upstream.health.isSuspected(now)) {
+        m_reports.upstreams.push_back(upstream.record.serial);
     }
     if (packet.opens) {
-        upstream->health.onOpeningRepeated(now);
+        upstream.health.onOpeningRepeated(now);
     } else {
-        upstream->health.onDataRepeated(flowHashOf(packet), now);
+        upstream.health.onDataRepeated(flowHashOf(packet), now);
     }
-    noteZoneRepeat(*upstream, now);
+    noteZoneRepeat(upstream, now);
 }
 
 void FlowForwarder::noteZoneRepeat(const KnownUpstream &upstream, TimePoint now)
@@ -166,6 +180,12 @@
     }
 }
 
+bool FlowForwarder::hasReports() const
+{
+    return !m_reports.upstreams.empty() || !m_reports.recovered.empty()
+            || !m_reports.zones.empty();
+}
+
 SilenceReports FlowForwarder::takeReports()
 {
     return std::exchange(m_reports, {});
@@ -177,6 +197,13 @@
         auto *upstream = m_upstreams.find(tokenOf(serial));
         if (upstream != nullptr && upstream->record.serial == serial) {
             upstream->health.onPeerReport(now);
+            noteZoneRepeat(*upstream, now);
+        }
+    }
+    for (const auto serial : reports.recovered) {
+        auto *upstream = m_upstreams.find(tokenOf(serial));
+        if (upstream != nullptr && upstream->record.serial == serial) {
+            upstream->health.onPeerHeard();
         }
     }
     for (const auto zone : reports.zones) {
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -16,6 +16,8 @@
 {
     /// Callers repeated packets to these upstreams.
     std::vector<common::UpstreamSerial> upstreams;
+    /// These upstreams were suspected and have answered.
+    std::vector<common::UpstreamSerial> recovered;
     /// No upstream of these zones answers.
     std::vector<common::ZoneId> zones;
 };
@@ -28,6 +30,8 @@
     struct Options
     {
         common::ZoneId ownZone;
+        /// Different for each instance.
+        std::uint64_t instance = 0;
         /// Sets of the memory that tells repeated packets; a power of two.
         std::size_t observedFlowSets = 1'024;
     };
@@ -47,6 +51,7 @@
 
     PacketVerdict handle(const FlowPacket &packet, common::TimePoint now);
 
+    [[nodiscard]] bool hasReports() const;
     /// What this instance found since the last call, for other instances of its zone.
     [[nodiscard]] SilenceReports takeReports();
     void onPeerReports(const SilenceReports &reports, common::TimePoint now);
@@ -72,6 +77,8 @@
     PacketVerdict handleUnknown(const FlowPacket &packet, common::TimePoint now);
     void noteEvidence(const FlowPacket &packet, const FlowObservation &seen,
                       common::TimePoint now);
+    void noteHeard(KnownUpstream &upstream, common::TimePoint now);
+    void noteRepeated(KnownUpstream &upstream, const FlowPacket &packet, common::TimePoint now);
     void noteZoneRepeat(const KnownUpstream &upstream, common::TimePoint now);
     /// Whether a caller does better to open a new flow than to wait for this one.
     [[nodiscard]] bool shouldClose(KnownUpstream &upstream, bool isRepeated,
--- a/src/connection/flowobserver.cpp
+++ b/src/connection/flowobserver.cpp
@@ -82,15 +82,17 @@
     flow.lastSeen = now;
     if (!flow.isOpen || flow.upstream != packet.token) {
         // The first packet after the opening one answers the upstream's own opening packet.
-        seen.isHeard = packet.token != common::FlowToken();
+        seen.isHeard = !flow.isOpen && packet.token != common::FlowToken();
         flow.upstream = packet.token;
         flow.isOpen = true;
         flow.sentUpTo = packet.sequence;
         flow.acknowledged = packet.acknowledgement;
     }
     if (isAfter(packet.acknowledgement, flow.acknowledged)) {
-        seen.isHeard = true;
-        if (flow.isWaiting) {
+        // Data and the end of a flow may carry the acknowledgement of an answer of long ago.
+        const bool isImmediate = packet.payloadBytes == 0 && !packet.finishes;
+        seen.isHeard = seen.isHeard || isImmediate;
+        if (flow.isWaiting && isImmediate) {
             seen.answerTime = now - flow.waitingSince;
         }
         flow.acknowledged = packet.acknowledgement;
--- a/src/connection/upstreamhealth.cpp
+++ b/src/connection/upstreamhealth.cpp
@@ -14,22 +14,24 @@
 constexpr std::chrono::milliseconds SilentTime { 150 };
 // Callers repeat after 200 ms and 400 ms; repetitions further apart are separate losses.
 constexpr std::chrono::milliseconds EvidenceGap { 1'000 };
-// Shorter than the time in which the list of upstreams drops one that crashed.
-constexpr std::chrono::milliseconds ProbeInterval { 2'500 };
-// Older evidence does not keep new flows away.
-constexpr std::chrono::seconds SuspicionAge { 6 };
+// A probe costs its caller 200 ms. Crashed upstreams leave the directory in about this time.
+constexpr std::chrono::milliseconds ProbeInterval { 2'000 };
+constexpr std::chrono::milliseconds ProbeSpread { 2'000 };
+// Older evidence does not keep new flows away; longer than the time between two probes.
+constexpr std::chrono::seconds SuspicionAge { 8 };
 // Older evidence does not close flows: the path may work again, and callers may count on it 4 s
 // after it does.
 constexpr std::chrono::seconds SilenceAge { 3 };
 
 } // namespace
 
+UpstreamHealth::UpstreamHealth(double probeSpread)
+    : m_probeSpread(probeSpread)
+{ }
+
 void UpstreamHealth::onHeard(TimePoint /*now*/)
 {
-    m_repeats = 0;
-    m_dataRepeats = 0;
-    m_flows = 0;
-    m_lastFlow = 0;
+    clear();
 }
 
 void UpstreamHealth::onOpeningRepeated(TimePoint now)
@@ -50,6 +52,12 @@
 void UpstreamHealth::onPeerReport(TimePoint now)
 {
     noteRepeat(now);
+    postponeProbe(now);
+}
+
+void UpstreamHealth::onPeerHeard()
+{
+    clear();
 }
 
 bool UpstreamHealth::isSuspected(TimePoint now) const
@@ -71,7 +79,7 @@
 void UpstreamHealth::onOpened(TimePoint now)
 {
     if (isSuspected(now)) {
-        m_nextProbe = now + ProbeInterval;
+        postponeProbe(now);
     }
 }
 
@@ -79,14 +87,28 @@
 {
     const bool wasSuspected = isSuspected(now);
     if (!wasSuspected && now - m_lastRepeated > EvidenceGap) {
-        onHeard(now);
+        clear();
         m_firstRepeated = now;
     }
     ++m_repeats;
     m_lastRepeated = now;
     if (!wasSuspected && isSuspected(now)) {
-        m_nextProbe = now + ProbeInterval;
+        postponeProbe(now);
     }
 }
 
+void UpstreamHealth::clear()
+{
+    m_repeats = 0;
+    m_dataRepeats = 0;
+    m_flows = 0;
+    m_lastFlow = 0;
+}
+
+void UpstreamHealth::postponeProbe(TimePoint now)
+{
+    const auto spread = std::chrono::duration_cast<common::Duration>(ProbeSpread * m_probeSpread);
+    m_nextProbe = now + ProbeInterval + spread;
+}
+
 } // namespace banyanwall::connection
--- a/src/connection/upstreamhealth.h
+++ b/src/connection/upstreamhealth.h
@@ -12,6 +12,10 @@
 class UpstreamHealth
 {
 public:
+    UpstreamHealth() = default;
+    /// probeSpread from 0 to 1 makes instances and upstreams probe at different times.
+    explicit UpstreamHealth(double probeSpread);
+
     /// The upstream has answered a caller.
     void onHeard(common::TimePoint now);
     /// A caller repeated the packet that opens a flow. A live upstream without room does not answer
@@ -19,8 +23,10 @@
     void onOpeningRepeated(common::TimePoint now);
     /// A caller repeated data on an open flow. flow tells flows apart.
     void onDataRepeated(std::uint64_t flow, common::TimePoint now);
-    /// Another instance saw a repeated packet.
+    /// Another instance saw a repeated packet; postpones the next probe, which that one has made.
     void onPeerReport(common::TimePoint now);
+    /// Another instance has heard the upstream.
+    void onPeerHeard();
 
     /// Nothing comes back: new flows go elsewhere, but for one flow after each probe interval, which
     /// tells whether the upstream is back.
@@ -33,10 +39,13 @@
 
 private:
     void noteRepeat(common::TimePoint now);
+    void clear();
+    void postponeProbe(common::TimePoint now);
 
     common::TimePoint m_firstRepeated;
     common::TimePoint m_lastRepeated;
     common::TimePoint m_nextProbe;
+    double m_probeSpread = 0.0;
     std::uint64_t m_lastFlow = 0;
     /// Repeated packets since the upstream was last heard.
     std::uint32_t m_repeats = 0;
--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -24,6 +24,10 @@
     return FlowToken(token == 0 ? 1 : token);
 }
 
+UpstreamTable::UpstreamTable(std::uint64_t instance)
+    : m_instance(instance)
+{ }
+
 void UpstreamTable::update(const version::Directory &directory,
                            const std::vector<version::EntryKey> &changed, TimePoint now)
 {
@@ -84,7 +88,7 @@
 {
     for (auto &[token, upstream] : m_upstreams) {
         if (upstream->record.zone == zone) {
-            upstream->health = {};
+            upstream->health = newHealth(upstream->record.serial);
         }
     }
 }
@@ -95,6 +99,12 @@
     return found == m_services.end() ? nullptr : &found->second;
 }
 
+UpstreamHealth UpstreamTable::newHealth(UpstreamSerial serial) const
+{
+    const auto hash = common::hashPair(m_instance, serial.value());
+    return UpstreamHealth(static_cast<double>(hash) / static_cast<double>(UINT64_MAX));
+}
+
 void UpstreamTable::updateUpstream(const version::Directory::Entry &entry, UpstreamSerial serial,
                                    TimePoint now)
 {
@@ -125,7 +135,7 @@
     known->isRegistered = true;
     known->coldUntil = std::max(known->coldUntil, now + record->coldFor);
     if (isNewLife) {
-        known->health = {};
+        known->health = newHealth(serial);
     }
 }
 
@@ -135,6 +145,7 @@
     upstream->record = record;
     upstream->token = tokenOf(record.serial);
     upstream->coldUntil = now + record.coldFor;
+    upstream->health = newHealth(record.serial);
     m_groups[record.service].push_back(upstream.get());
     m_upstreams.emplace(upstream->token, std::move(upstream));
 }
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -35,6 +35,9 @@
 class UpstreamTable
 {
 public:
+    /// instance differs for each instance of the fleet.
+    explicit UpstreamTable(std::uint64_t instance);
+
     using Group = std::vector<KnownUpstream *>;
 
     /// Takes over the entries of the directory that changed.
@@ -61,6 +64,7 @@
     [[nodiscard]] std::size_t tokenCollisions() const { return m_tokenCollisions; }
 
 private:
+    [[nodiscard]] UpstreamHealth newHealth(common::UpstreamSerial serial) const;
     void updateUpstream(const version::Directory::Entry &entry, common::UpstreamSerial serial,
                         common::TimePoint now);
     void addUpstream(const version::UpstreamRecord &record, common::TimePoint now);
@@ -69,6 +73,7 @@
     void updateRules(const version::Directory &directory);
     void leaveGroup(const KnownUpstream &upstream);
 
+    std::uint64_t m_instance;
     std::unordered_map<common::FlowToken, std::unique_ptr<KnownUpstream>> m_upstreams;
     std::unordered_map<common::ServiceId, Group> m_groups;
     std::unordered_map<common::ZoneId, bool> m_withdrawn;
--- a/src/connection/zonehealth.h
+++ b/src/connection/zonehealth.h
@@ -18,7 +18,7 @@
     void onHeard(common::TimePoint now);
     /// An upstream of the zone has answered a request.
     void onAnswered(common::TimePoint now);
-    /// A caller repeated a packet to this upstream of the zone.
+    /// A caller of this or another instance repeated a packet to this upstream of the zone.
     void onRepeated(common::FlowToken upstream, common::TimePoint now);
     /// Another instance of the own zone does not reach the zone.
     void onPeerReport(common::TimePoint now);
@@ -34,7 +34,7 @@
     void onOpened(common::TimePoint now);
 
 private:
-    static constexpr std::size_t EnoughSuspects = 3;
+    static constexpr std::size_t EnoughSuspects = 4;
 
     [[nodiscard]] bool hasPeerReport(common::TimePoint now) const;
 
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -28,6 +28,8 @@
 // Left of the grace time for the end of the process itself.
 constexpr std::chrono::milliseconds ExitMargin { 600 };
 constexpr std::chrono::seconds SweepInterval { 1 };
+// Evidence of several packets travels together.
+constexpr std::chrono::milliseconds ReportInterval { 20 };
 // Packets wait in the socket until the directory is there. Callers repeat the first of them after
 // 200 ms, so that a longer wait gains little.
 constexpr std::chrono::milliseconds LongestLoad { 1'000 };
@@ -44,6 +46,12 @@
     return { endpoint.address().to_v4().to_uint(), endpoint.port() };
 }
 
+/// Different for each instance of the fleet.
+std::uint64_t numberOf(const FlowSettings &settings)
+{
+    return (std::uint64_t { settings.peerListen.address } << 16U) | settings.peerListen.port;
+}
+
 DirectorySync::Options syncOptions(const FlowSettings &settings)
 {
     const auto zone = common::idFromName<common::ZoneId>(settings.zone);
@@ -67,7 +75,8 @@
     , m_metrics(metrics)
     , m_log(LogEventsPerSecond, LogBurst)
     , m_sync(syncOptions(m_settings), m_directory)
-    , m_forwarder({ .ownZone = common::idFromName<common::ZoneId>(m_settings.zone) },
+    , m_forwarder({ .ownZone = common::idFromName<common::ZoneId>(m_settings.zone),
+                    .instance = numberOf(m_settings) },
                   [this](common::Duration time) { m_metrics.observeLatency(time); })
     , m_traffic(context, toAsio(m_settings.trafficListen))
     , m_peers(context, toAsio(m_settings.peerListen))
@@ -114,6 +123,7 @@
         }
         const auto now = bootTimeNow();
         for (int packet = 0; packet < PacketsPerWakeup && receivePacket(now); ++packet) { }
+        reportSilence(now);
         receiveTraffic();
     });
 }
@@ -235,9 +245,11 @@
     }
     if (message.has_silence()) {
         connection::SilenceReports reports;
+        const auto toSerial = [](auto serial) { return common::UpstreamSerial(serial); };
         std::ranges::transform(message.silence().upstreams(),
-                               std::back_inserter(reports.upstreams),
-                               [](auto serial) { return common::UpstreamSerial(serial); });
+                               std::back_inserter(reports.upstreams), toSerial);
+        std::ranges::transform(message.silence().recovered(),
+                               std::back_inserter(reports.recovered), toSerial);
         std::ranges::transform(message.silence().zones(), std::back_inserter(reports.zones),
                                [](auto zone) { return common::ZoneId(zone); });
         m_forwarder.onPeerReports(reports, now);
@@ -280,27 +292,33 @@
         m_lastSweepAt = now;
         m_forwarder.forgetOld(now);
     }
-    reportSilence();
+    reportSilence(now);
     noteBeliefs();
     scheduleTick();
 }
 
-void FlowDaemon::reportSilence()
+void FlowDaemon::reportSilence(TimePoint now)
 {
-    const auto reports = m_forwarder.takeReports();
-    if (reports.upstreams.empty() && reports.zones.empty()) {
+    if (!m_forwarder.hasReports() || now - m_lastReportAt < ReportInterval) {
         return;
     }
+    m_lastReportAt = now;
+    const auto reports = m_forwarder.takeReports();
     SendDirectoryMessage report;
     auto &silence = *report.message.mutable_silence();
     for (const auto serial : reports.upstreams) {
         silence.add_upstreams(serial.value());
     }
+    for (const auto serial : reports.recovered) {
+        silence.add_recovered(serial.value());
+    }
     for (const auto zone : reports.zones) {
         silence.add_zones(zone.value());
     }
-    if (auto event = m_log.event(LogLevel::Info, "silence_reported", bootTimeNow())) {
-        event->with("upstreams", reports.upstreams.size()).with("zones", reports.zones.size());
+    if (auto event = m_log.event(LogLevel::Info, "silence_reported", now)) {
+        event->with("upstreams", reports.upstreams.size())
+                .with("recovered", reports.recovered.size())
+                .with("zones", reports.zones.size());
     }
     for (const auto peer : m_sync.zonePeers()) {
         report.to = peer;
@@ -369,8 +387,7 @@
 {
     m_forwarder.update(m_directory, change.keys, now);
     m_forwarder.setPosition({ .zone = common::idFromName<common::ZoneId>(m_settings.zone),
-                              .instance = (std::uint64_t { m_settings.peerListen.address } << 16U)
-                                      | m_settings.peerListen.port,
+                              .instance = numberOf(m_settings),
                               .instances = static_cast<std::uint32_t>(m_sync.memberCount() + 1) });
     if (auto event = m_log.event(LogLevel::Info, "directory_changed", now)) {
         const auto *rules = m_directory.rules();
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -60,7 +60,7 @@
     void onStoreAnswer(const char *call, const StoreAnswer &answer);
     void onDirectoryChanged(const DirectoryChanged &change, common::TimePoint now);
     /// Tells the instances of the zone about upstreams that seem silent.
-    void reportSilence();
+    void reportSilence(common::TimePoint now);
     void noteBeliefs();
 
     void waitForSignal();
@@ -92,6 +92,7 @@
     common::TimePoint m_lastPacketAt;
     common::TimePoint m_shutdownAt;
     common::TimePoint m_lastSweepAt;
+    common::TimePoint m_lastReportAt;
     bool m_isReceiving = false;
     bool m_isShuttingDown = false;
     bool m_wasWatching = false;
