--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -182,8 +182,7 @@
 
 bool FlowForwarder::hasReports() const
 {
-    return !m_reports.upstreams.empty() || !m_reports.recovered.empty()
-            || !m_reports.zones.empty();
+    return !m_reports.upstreams.empty() || !m_reports.recovered.empty() || !m_reports.zones.empty();
 }
 
 SilenceReports FlowForwarder::takeReports()
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -15,11 +15,11 @@
 struct SilenceReports
 {
     /// Callers repeated packets to these upstreams.
-    std::vector<common::UpstreamSerial> upstreams;
+    std::vector<common::UpstreamSerial> upstreams {};
     /// These upstreams were suspected and have answered.
-    std::vector<common::UpstreamSerial> recovered;
+    std::vector<common::UpstreamSerial> recovered {};
     /// No upstream of these zones answers.
-    std::vector<common::ZoneId> zones;
+    std::vector<common::ZoneId> zones {};
 };
 
 /// Decides where each packet of a caller goes on a fabric whose flows carry a token. An open flow
@@ -75,14 +75,12 @@
     PacketVerdict forward(const FlowPacket &packet, const FlowObservation &seen,
                           common::TimePoint now);
     PacketVerdict handleUnknown(const FlowPacket &packet, common::TimePoint now);
-    void noteEvidence(const FlowPacket &packet, const FlowObservation &seen,
-                      common::TimePoint now);
+    void noteEvidence(const FlowPacket &packet, const FlowObservation &seen, common::TimePoint now);
     void noteHeard(KnownUpstream &upstream, common::TimePoint now);
     void noteRepeated(KnownUpstream &upstream, const FlowPacket &packet, common::TimePoint now);
     void noteZoneRepeat(const KnownUpstream &upstream, common::TimePoint now);
     /// Whether a caller does better to open a new flow than to wait for this one.
-    [[nodiscard]] bool shouldClose(KnownUpstream &upstream, bool isRepeated,
-                                   common::TimePoint now);
+    [[nodiscard]] bool shouldClose(KnownUpstream &upstream, bool isRepeated, common::TimePoint now);
     [[nodiscard]] bool isCurrent(common::TimePoint now) const;
     [[nodiscard]] const Route *routeOf(const FlowPacket &packet) const;
     [[nodiscard]] static common::ServiceId serviceOf(const Route &route, std::uint64_t flowHash);
--- a/src/connection/flowobserver.cpp
+++ b/src/connection/flowobserver.cpp
@@ -69,11 +69,9 @@
     const auto key = keyOf(packet);
     auto *known = find(key);
     auto &flow = known == nullptr ? slotFor(key) : *known;
-    flow = { .key = key,
-             .lastSeen = now,
-             .waitingSince = now,
-             .newDataAt = now,
-             .upstream = upstream };
+    flow = {
+        .key = key, .lastSeen = now, .waitingSince = now, .newDataAt = now, .upstream = upstream
+    };
 }
 
 FlowObservation FlowObserver::observeKnown(Flow &flow, const FlowPacket &packet, TimePoint now)
--- a/src/connection/flowpacket.h
+++ b/src/connection/flowpacket.h
@@ -15,7 +15,7 @@
     common::Endpoint caller;
     /// Address that the caller uses.
     common::Endpoint service;
-    common::FlowToken token;
+    common::FlowToken token {};
     std::uint32_t sequence = 0;
     /// In a packet that opens a flow: how often it was sent before.
     std::uint32_t acknowledgement = 0;
--- a/src/connection/upstreamhealth.h
+++ b/src/connection/upstreamhealth.h
@@ -28,8 +28,8 @@
     /// Another instance has heard the upstream.
     void onPeerHeard();
 
-    /// Nothing comes back: new flows go elsewhere, but for one flow after each probe interval, which
-    /// tells whether the upstream is back.
+    /// Nothing comes back: new flows go elsewhere, but for one flow after each probe interval,
+    /// which tells whether the upstream is back.
     [[nodiscard]] bool isSuspected(common::TimePoint now) const;
     /// Several flows wait in vain: their callers do better to open new flows.
     [[nodiscard]] bool isSilent(common::TimePoint now) const;
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -54,6 +54,7 @@
 
     /// Forgets the evidence against the upstreams of a zone that is reached again.
     void clearEvidence(common::ZoneId zone);
+
     [[nodiscard]] ZoneHealth &zoneHealth(common::ZoneId zone) { return m_zoneHealth[zone]; }
 
     [[nodiscard]] const version::ServiceRecord *serviceRules(common::ServiceId service) const;
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -246,10 +246,10 @@
     if (message.has_silence()) {
         connection::SilenceReports reports;
         const auto toSerial = [](auto serial) { return common::UpstreamSerial(serial); };
-        std::ranges::transform(message.silence().upstreams(),
-                               std::back_inserter(reports.upstreams), toSerial);
-        std::ranges::transform(message.silence().recovered(),
-                               std::back_inserter(reports.recovered), toSerial);
+        std::ranges::transform(message.silence().upstreams(), std::back_inserter(reports.upstreams),
+                               toSerial);
+        std::ranges::transform(message.silence().recovered(), std::back_inserter(reports.recovered),
+                               toSerial);
         std::ranges::transform(message.silence().zones(), std::back_inserter(reports.zones),
                                [](auto zone) { return common::ZoneId(zone); });
         m_forwarder.onPeerReports(reports, now);
--- /dev/null
+++ b/src/tests/directorycodectest.cpp
@@ -0,0 +1,123 @@
+#include "wire/directorycodec.h"
+#include "process/fragmentassembler.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace banyanwall;
+using namespace std::chrono_literals;
+using common::StoreRevision;
+
+TEST_GROUP(DirectoryCodec) { static version::DirectoryDelta sample() {
+        const version::UpstreamRecord upstream { .serial = common::UpstreamSerial(0x7f3a91c2),
+                                                 .service = common::ServiceId(5),
+                                                 .endpoint = { 0x0a800009, 8080 },
+                                                 .zone = common::ZoneId(3),
+                                                 .slots = 3,
+                                                 .draining = true,
+                                                 .coldFor = 1500ms,
+                                                 .incarnation = common::Incarnation(99) };
+const version::RulesRecord rules {
+    .version = 7,
+    .routes = { { { 0xc6120001, 443 }, { { common::ServiceId(5), 90 } }, true } },
+    .services = { { common::ServiceId(5), 2s, 2.5, 4444 } },
+    .idleLimit = 15s,
+};
+const version::WithdrawalRecord withdrawal { common::ZoneId(3) };
+const version::MemberRecord member { { 0x0a010001, 7720 }, common::ZoneId(3) };
+return { StoreRevision(4),
+         StoreRevision(9),
+         true,
+         { { version::keyOf(upstream), StoreRevision(5), upstream },
+           { version::keyOf(rules), StoreRevision(6), rules },
+           { version::keyOf(withdrawal), StoreRevision(7), withdrawal },
+           { version::keyOf(member), StoreRevision(8), member },
+           { { version::EntryKind::Upstream, 1 }, StoreRevision(9), version::RemovedRecord {} } } };
+}
+}
+;
+
+TEST(DirectoryCodec, deltaSurvivesTheWayThroughBytes)
+{
+    const auto decoded = wire::decodeDelta(wire::encodeDelta(sample()));
+    CHECK(common::isOk(decoded));
+    const auto &delta = common::valueOf(decoded);
+    CHECK(delta.changes == sample().changes);
+    CHECK(delta.complete);
+    LONGS_EQUAL(4, delta.from.value());
+    LONGS_EQUAL(9, delta.to.value());
+}
+
+TEST(DirectoryCodec, truncatedDeltaIsAnError)
+{
+    const auto bytes = wire::encodeDelta(sample());
+    CHECK_FALSE(common::isOk(wire::decodeDelta(bytes.substr(0, bytes.size() - 3))));
+}
+
+// A value under another key would be a second record of one upstream.
+TEST(DirectoryCodec, keyThatDoesNotNameItsValueIsAnError)
+{
+    auto delta = sample();
+    delta.changes.front().key.id = 12;
+    CHECK_FALSE(common::isOk(wire::decodeDelta(wire::encodeDelta(delta))));
+}
+
+TEST_GROUP(FragmentAssembler)
+{
+    process::FragmentAssembler assembler;
+    common::TimePoint now { 100s };
+    std::string bytes = std::string(5'000, 'x') + "end";
+};
+
+TEST(FragmentAssembler, fragmentsMayArriveInAnyOrder)
+{
+    auto fragments = process::cutIntoFragments(bytes, 1);
+    LONGS_EQUAL(5, fragments.size());
+    std::ranges::reverse(fragments);
+    std::optional<std::string> whole;
+    for (const auto &message : fragments) {
+        CHECK_FALSE(whole.has_value());
+        whole = assembler.add(message.fragment(), now);
+    }
+    CHECK(whole == bytes);
+}
+
+TEST(FragmentAssembler, duplicatesDoNotComplete)
+{
+    const auto fragments = process::cutIntoFragments(bytes, 1);
+    for (int copy = 0; copy < 6; ++copy) {
+        CHECK_FALSE(assembler.add(fragments.front().fragment(), now).has_value());
+    }
+}
+
+TEST(FragmentAssembler, transfersDoNotMix)
+{
+    const auto first = process::cutIntoFragments(bytes, 1);
+    const auto second = process::cutIntoFragments(bytes, 2);
+    for (std::size_t index = 0; index < 4; ++index) {
+        assembler.add(first[index].fragment(), now);
+    }
+    CHECK_FALSE(assembler.add(second[4].fragment(), now).has_value());
+    CHECK(assembler.add(first[4].fragment(), now).has_value());
+}
+
+TEST(FragmentAssembler, incompleteTransfersAreDropped)
+{
+    const auto fragments = process::cutIntoFragments(bytes, 1);
+    for (std::size_t index = 0; index < 4; ++index) {
+        assembler.add(fragments[index].fragment(), now);
+    }
+    CHECK_FALSE(assembler.add(fragments[4].fragment(), now + 2s).has_value());
+}
+
+TEST(FragmentAssembler, senselessNumbersAreIgnored)
+{
+    wire::proto::DirectoryFragment fragment;
+    CHECK_FALSE(assembler.add(fragment, now).has_value());
+    fragment.set_count(UINT32_MAX);
+    CHECK_FALSE(assembler.add(fragment, now).has_value());
+    fragment.set_count(2);
+    fragment.set_index(2);
+    CHECK_FALSE(assembler.add(fragment, now).has_value());
+}
--- /dev/null
+++ b/src/tests/directorysynctest.cpp
@@ -0,0 +1,219 @@
+#include "tests/syncfleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+
+using namespace banyanwall;
+using namespace std::chrono_literals;
+using tests::SyncFleet;
+
+namespace {
+
+// In which a change has to be in force on all instances of the platform.
+constexpr common::Duration ChangeBound = 3s;
+
+} // namespace
+
+TEST_GROUP(DirectorySync)
+{
+    std::unique_ptr<SyncFleet> fleet;
+
+    void setup() override
+    {
+        startFleet(3, 7);
+    }
+
+    void startFleet(int zones, int instancesOfAZone)
+    {
+        fleet = std::make_unique<SyncFleet>(zones, instancesOfAZone);
+        fleet->changeRules();
+        fleet->run(5s);
+    }
+
+    void checkChangeArrives() const
+    {
+        fleet->changeRules();
+        fleet->run(ChangeBound);
+        LONGS_EQUAL(0, fleet->outdated());
+        CHECK_FALSE(fleet->hasReverted());
+    }
+};
+
+TEST(DirectorySync, oneInstanceOfEachZoneWatches)
+{
+    LONGS_EQUAL(0, fleet->outdated());
+    LONGS_EQUAL(3, fleet->watchers().size());
+}
+
+TEST(DirectorySync, changeIsInForceWithinHalfASecond)
+{
+    fleet->changeRules();
+    fleet->run(500ms);
+    LONGS_EQUAL(0, fleet->outdated());
+}
+
+// Store calls follow the zones and not the instances: the budget of issue 8 is 411 calls a day of
+// 57 s for 20 instances.
+TEST(DirectorySync, quietMinuteCostsFewCallsAtAnySize)
+{
+    for (const int instances : { 7, 45 }) {
+        startFleet(3, instances);
+        const auto before = fleet->calls();
+        fleet->run(57s);
+        CHECK(fleet->calls() - before <= 3 * 57);
+    }
+}
+
+TEST(DirectorySync, watcherKilledJustBeforeAChange)
+{
+    for (const auto watcher : fleet->watchers()) {
+        fleet->kill(watcher);
+    }
+    checkChangeArrives();
+    LONGS_EQUAL(3, fleet->watchers().size());
+}
+
+// Mass kill: more than half of each zone at once, the best ranked ones first.
+TEST(DirectorySync, mostInstancesKilledJustBeforeAChange)
+{
+    for (int round = 0; round < 4; ++round) {
+        for (const auto watcher : fleet->watchers()) {
+            fleet->kill(watcher);
+        }
+        fleet->run(2s);
+    }
+    checkChangeArrives();
+}
+
+TEST(DirectorySync, watcherCutFromTheStoreInSilence)
+{
+    for (const auto watcher : fleet->watchers()) {
+        fleet->cutFromStore.insert(watcher);
+    }
+    checkChangeArrives();
+}
+
+TEST(DirectorySync, watcherTurnedAwayByTheStore)
+{
+    for (const auto watcher : fleet->watchers()) {
+        fleet->refusedByStore.insert(watcher);
+    }
+    checkChangeArrives();
+}
+
+// A zone whose instances all lost the store hears of the change from another zone.
+TEST(DirectorySync, zoneWithoutTheStoreIsServedByOtherZones)
+{
+    for (int index = 0; index < 7; ++index) {
+        fleet->cutFromStore.insert(SyncFleet::memberAt(1, index).endpoint);
+    }
+    checkChangeArrives();
+}
+
+TEST(DirectorySync, zonesCutOffFromEachOtherStayCurrentByTheStore)
+{
+    using Zones = std::pair<common::ZoneId, common::ZoneId>;
+    fleet->cutZones = { Zones { 1, 2 }, Zones { 1, 3 }, Zones { 2, 3 } };
+    checkChangeArrives();
+}
+
+TEST(DirectorySync, lostMessagesAreFetched)
+{
+    fleet->messageLoss = 3;
+    checkChangeArrives();
+}
+
+TEST(DirectorySync, lostHistoryIsReadAnew)
+{
+    fleet->historyIsLost = true;
+    fleet->changeRules();
+    fleet->run(1s);
+    fleet->historyIsLost = false;
+    fleet->run(2s);
+    LONGS_EQUAL(0, fleet->outdated());
+}
+
+// Watches hear nothing for a second, then the history is gone.
+TEST(DirectorySync, deafWatchesCatchUp)
+{
+    fleet->watchesAreDeaf = true;
+    fleet->changeRules();
+    fleet->run(1s);
+    fleet->watchesAreDeaf = false;
+    fleet->historyIsLost = true;
+    fleet->run(1s);
+    fleet->historyIsLost = false;
+    fleet->run(1s);
+    LONGS_EQUAL(0, fleet->outdated());
+    CHECK_FALSE(fleet->hasReverted());
+}
+
+TEST(DirectorySync, slowStoreDelaysChangesByItsLatencyOnly)
+{
+    fleet->storeLatency = 400ms;
+    fleet->run(5s);
+    checkChangeArrives();
+}
+
+// Outage: the instances do not press the store, and recover soon after its return.
+TEST(DirectorySync, outageOfTheStoreCostsBoundedCalls)
+{
+    startFleet(3, 45);
+    fleet->storeIsDown = true;
+    const auto before = fleet->calls();
+    fleet->run(10s);
+    // About one call in two seconds for each instance that watches in the end.
+    CHECK(fleet->calls() - before <= 5 * fleet->size());
+    fleet->storeIsDown = false;
+    fleet->run(3s);
+    checkChangeArrives();
+    fleet->run(5s);
+    LONGS_EQUAL(3, fleet->watchers().size());
+}
+
+// Restart while the store is away: the state comes from the seeds.
+TEST(DirectorySync, restartedInstanceLearnsFromPeersDuringAnOutage)
+{
+    fleet->storeIsDown = true;
+    const auto restarted = SyncFleet::memberAt(2, 3);
+    fleet->kill(restarted.endpoint);
+    fleet->start(restarted);
+    fleet->run(1s);
+    LONGS_EQUAL(fleet->rulesVersion(), fleet->versionAt(restarted.endpoint));
+}
+
+// New instance during the outage: its peers know it although the directory does not.
+TEST(DirectorySync, addedInstanceIsServedDuringAnOutage)
+{
+    fleet->storeIsDown = true;
+    const auto added = SyncFleet::memberAt(1, 20);
+    fleet->start(added);
+    fleet->run(1s);
+    LONGS_EQUAL(fleet->rulesVersion(), fleet->versionAt(added.endpoint));
+}
+
+// All processes killed at once: everything is read from the store again.
+TEST(DirectorySync, allInstancesRestartAtOnce)
+{
+    for (int zone = 0; zone < 3; ++zone) {
+        for (int index = 0; index < 7; ++index) {
+            fleet->start(SyncFleet::memberAt(zone, index));
+        }
+    }
+    fleet->run(300ms);
+    LONGS_EQUAL(0, fleet->outdated());
+    fleet->run(2s);
+    LONGS_EQUAL(3, fleet->watchers().size());
+}
+
+TEST(DirectorySync, quickSuccessionOfContractsNeverReverts)
+{
+    for (int change = 0; change < 40; ++change) {
+        fleet->changeRules();
+        fleet->run(100ms);
+    }
+    fleet->run(1s);
+    LONGS_EQUAL(0, fleet->outdated());
+    CHECK_FALSE(fleet->hasReverted());
+}
--- /dev/null
+++ b/src/tests/directorytest.cpp
@@ -0,0 +1,148 @@
+#include "version/directory.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace banyanwall;
+using namespace std::chrono_literals;
+using common::StoreRevision;
+using version::Directory;
+using version::DirectoryChange;
+using version::DirectoryDelta;
+using version::UpstreamRecord;
+
+TEST_GROUP(Directory)
+{
+    Directory directory;
+    common::TimePoint now { 100s };
+
+    static DirectoryChange upstream(std::uint64_t serial, std::uint64_t revision,
+                                    common::Duration coldFor = {})
+    {
+        const UpstreamRecord record { .serial = common::UpstreamSerial(serial),
+                                      .coldFor = coldFor };
+        return { version::keyOf(record), StoreRevision(revision), record };
+    }
+
+    static DirectoryChange removal(std::uint64_t serial, std::uint64_t revision)
+    {
+        return { upstream(serial, 0).key, StoreRevision(revision), version::RemovedRecord {} };
+    }
+
+    static DirectoryChange rules(std::uint64_t version, std::uint64_t revision)
+    {
+        const version::RulesRecord record { .version = version };
+        return { version::keyOf(record), StoreRevision(revision), record };
+    }
+
+    static DirectoryDelta complete(std::uint64_t to, std::vector<DirectoryChange> changes)
+    {
+        return { {}, StoreRevision(to), true, std::move(changes) };
+    }
+
+    static DirectoryDelta delta(std::uint64_t from, std::uint64_t to,
+                                std::vector<DirectoryChange> changes)
+    {
+        return { StoreRevision(from), StoreRevision(to), false, std::move(changes) };
+    }
+
+    bool holds(std::uint64_t serial) const
+    {
+        const auto found = directory.entries().find(upstream(serial, 0).key);
+        return found != directory.entries().end()
+                && std::holds_alternative<UpstreamRecord>(found->second.value);
+    }
+};
+
+// A peer that is behind must not bring back a former contract.
+TEST(Directory, olderRevisionOfAnEntryIsIgnored)
+{
+    directory.apply(complete(10, { rules(7, 9) }), now);
+    directory.apply(complete(8, { rules(6, 8) }), now);
+    LONGS_EQUAL(7, directory.rules()->version);
+    LONGS_EQUAL(10, directory.revision().value());
+}
+
+// A contract whose own version is lower is not accepted even at a higher revision.
+TEST(Directory, lowerContractVersionIsIgnored)
+{
+    directory.apply(complete(10, { rules(7, 9) }), now);
+    directory.apply(delta(10, 11, { rules(5, 11) }), now);
+    LONGS_EQUAL(7, directory.rules()->version);
+}
+
+// Changes before the first complete state, or after a gap, would leave entries unknown.
+TEST(Directory, deltaThatLeavesAGapChangesNothing)
+{
+    CHECK(directory.apply(delta(5, 6, { upstream(1, 6) }), now).empty());
+    CHECK_FALSE(directory.isLoaded());
+    directory.apply(complete(10, { upstream(1, 3) }), now);
+    CHECK(directory.apply(delta(12, 13, { upstream(2, 13) }), now).empty());
+    CHECK_FALSE(holds(2));
+    LONGS_EQUAL(10, directory.revision().value());
+}
+
+// Deltas of several peers overlap.
+TEST(Directory, overlappingDeltasApplyOnce)
+{
+    directory.apply(complete(10, { upstream(1, 3) }), now);
+    LONGS_EQUAL(1, directory.apply(delta(8, 12, { upstream(2, 12) }), now).size());
+    LONGS_EQUAL(0, directory.apply(delta(9, 12, { upstream(2, 12) }), now).size());
+}
+
+// Removals during a gap of the watch are seen only by what a full read no longer names.
+TEST(Directory, completeDeltaRemovesWhatItDoesNotName)
+{
+    directory.apply(complete(10, { upstream(1, 3), upstream(2, 4) }), now);
+    const auto changed = directory.apply(complete(20, { upstream(1, 3) }), now);
+    LONGS_EQUAL(1, changed.size());
+    CHECK(holds(1));
+    CHECK_FALSE(holds(2));
+}
+
+// A full read is no snapshot: entries written while it ran are newer than its revision.
+TEST(Directory, completeDeltaKeepsNewerEntries)
+{
+    directory.apply(complete(10, { upstream(1, 3) }), now);
+    directory.apply(delta(10, 25, { upstream(2, 25) }), now);
+    directory.apply(complete(20, { upstream(1, 3) }), now);
+    CHECK(holds(2));
+    LONGS_EQUAL(25, directory.revision().value());
+}
+
+TEST(Directory, changesSinceHoldRemovals)
+{
+    directory.apply(complete(10, { upstream(1, 3), upstream(2, 4) }), now);
+    directory.apply(delta(10, 12, { removal(2, 12) }), now);
+    Directory peer;
+    peer.apply(complete(10, { upstream(1, 3), upstream(2, 4) }), now);
+    const auto changes = directory.changesSince(StoreRevision(10), now);
+    CHECK_FALSE(changes.complete);
+    LONGS_EQUAL(1, changes.changes.size());
+    peer.apply(changes, now);
+    LONGS_EQUAL(1, std::ranges::count_if(peer.entries(), [](const auto &item) {
+                    return std::holds_alternative<UpstreamRecord>(item.second.value);
+                }));
+}
+
+// Once a removal is forgotten only a complete delta tells a peer about it.
+TEST(Directory, forgottenRemovalsAreToldByACompleteDelta)
+{
+    directory.apply(complete(10, { upstream(1, 3), upstream(2, 4) }), now);
+    directory.apply(delta(10, 12, { removal(2, 12) }), now);
+    directory.apply(delta(12, 13, {}), now + 120s);
+    CHECK(directory.changesSince(StoreRevision(10), now + 120s).complete);
+    CHECK_FALSE(directory.changesSince(StoreRevision(12), now + 120s).complete);
+}
+
+// A peer that gets an entry late must not take the upstream for colder than it is, and not warmer.
+TEST(Directory, timeToStayColdShrinksWithAge)
+{
+    directory.apply(complete(10, { upstream(1, 3, 2s) }), now);
+    const auto later = directory.changesSince({}, now + 500ms);
+    const auto &record = std::get<UpstreamRecord>(later.changes.front().value);
+    LONGS_EQUAL(1'500'000, record.coldFor.count());
+    const auto muchLater = directory.changesSince({}, now + 5s);
+    LONGS_EQUAL(0, std::get<UpstreamRecord>(muchLater.changes.front().value).coldFor.count());
+}
--- /dev/null
+++ b/src/tests/flowforwardertest.cpp
@@ -0,0 +1,289 @@
+#include "connection/flowforwarder.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace banyanwall;
+using namespace std::chrono_literals;
+using common::FlowToken;
+using common::Reason;
+using common::ServiceId;
+using common::StoreRevision;
+using common::UpstreamSerial;
+using common::ZoneId;
+using connection::DropPacket;
+using connection::FlowForwarder;
+using connection::FlowPacket;
+using connection::ForwardPacket;
+using connection::PacketVerdict;
+using connection::ResetFlow;
+
+namespace {
+
+const ServiceId Bancada { 1 };
+const ServiceId Certidao { 2 };
+const ZoneId OwnZone { 10 };
+const ZoneId OtherZone { 20 };
+const common::Endpoint FeedAddress { 0xc6120001, 443 };
+const common::Endpoint SubmissionAddress { 0xc6120001, 8443 };
+const common::Endpoint UnknownAddress { 0xc6120009, 443 };
+
+} // namespace
+
+TEST_GROUP(FlowForwarder)
+{
+    version::Directory directory;
+    FlowForwarder forwarder { { .ownZone = OwnZone, .instance = 1 }, [](common::Duration) {} };
+    common::TimePoint now { 100s };
+
+    static version::UpstreamRecord upstream(std::uint64_t serial, ServiceId service, ZoneId zone)
+    {
+        return { .serial = UpstreamSerial(serial),
+                 .service = service,
+                 .endpoint = { 0x0a000000U + static_cast<std::uint32_t>(serial), 8080 },
+                 .zone = zone,
+                 .slots = 3 };
+    }
+
+    static version::DirectoryChange entry(const auto &record)
+    {
+        return { version::keyOf(record), StoreRevision(1), record };
+    }
+
+    static version::RulesRecord rules()
+    {
+        return { .version = 1,
+                 .routes = { { FeedAddress, { { Bancada, 1 } }, true },
+                             { SubmissionAddress, { { Bancada, 1 } }, false } },
+                 .services = { { .service = Bancada } } };
+    }
+
+    void setup() override
+    {
+        version::DirectoryDelta delta { {}, StoreRevision(1), true, { entry(rules()) } };
+        for (std::uint64_t serial = 1; serial <= 3; ++serial) {
+            delta.changes.push_back(entry(upstream(serial, Bancada, OwnZone)));
+        }
+        for (std::uint64_t serial = 11; serial <= 16; ++serial) {
+            delta.changes.push_back(entry(upstream(serial, Bancada, OtherZone)));
+        }
+        delta.changes.push_back(entry(upstream(30, Certidao, OwnZone)));
+        update(delta);
+        forwarder.setAssuredAt(now);
+    }
+
+    void update(const version::DirectoryDelta &delta)
+    {
+        forwarder.update(directory, directory.apply(delta, now), now);
+    }
+
+    static FlowPacket opening(common::Endpoint service, std::uint16_t port, std::uint32_t copy = 0)
+    {
+        return { .caller = { 0x64400007, port },
+                 .service = service,
+                 .sequence = 1000,
+                 .acknowledgement = copy,
+                 .opens = true };
+    }
+
+    static FlowPacket data(common::Endpoint service, std::uint16_t port, FlowToken token,
+                           std::uint32_t acknowledgement = 5000)
+    {
+        return { .caller = { 0x64400007, port },
+                 .service = service,
+                 .token = token,
+                 .sequence = 1000,
+                 .acknowledgement = acknowledgement,
+                 .payloadBytes = 200,
+                 .acknowledges = true };
+    }
+
+    template<typename Verdict>
+    static Verdict as(const PacketVerdict &verdict)
+    {
+        CHECK(std::holds_alternative<Verdict>(verdict));
+        return std::get<Verdict>(verdict);
+    }
+
+    static FlowToken tokenOf(std::uint64_t serial)
+    {
+        return connection::tokenOf(UpstreamSerial(serial));
+    }
+
+    /// Flows of three callers wait in vain for an upstream.
+    void silence(std::uint64_t serial)
+    {
+        for (std::uint16_t port = 1; port <= 3; ++port) {
+            forwarder.handle(data(FeedAddress, 100 + port, tokenOf(serial)), now);
+        }
+        for (std::uint16_t port = 1; port <= 3; ++port) {
+            now += 200ms;
+            forwarder.handle(data(FeedAddress, 100 + port, tokenOf(serial)), now);
+        }
+    }
+};
+
+TEST(FlowForwarder, openingPacketGetsAnUpstreamOfItsService)
+{
+    for (std::uint16_t port = 1; port < 300; ++port) {
+        const auto forward = as<ForwardPacket>(forwarder.handle(opening(FeedAddress, port), now));
+        CHECK(forward.serial != UpstreamSerial(30));
+        CHECK(forward.token == connection::tokenOf(forward.serial));
+    }
+}
+
+// Restart of all instances: packets of open flows need no state.
+TEST(FlowForwarder, tokenNamesTheUpstreamWithoutState)
+{
+    const auto forward =
+            as<ForwardPacket>(forwarder.handle(data(FeedAddress, 9, tokenOf(12)), now));
+    CHECK(forward.serial == UpstreamSerial(12));
+    CHECK(forward.token == tokenOf(12));
+}
+
+// Drain: flows stay when their upstream takes no new ones, and after its entry went.
+TEST(FlowForwarder, openFlowsStayWithALeavingUpstream)
+{
+    auto leaving = upstream(12, Bancada, OtherZone);
+    leaving.draining = true;
+    update({ StoreRevision(1),
+             StoreRevision(2),
+             false,
+             { { version::keyOf(leaving), StoreRevision(2), leaving } } });
+    as<ForwardPacket>(forwarder.handle(data(FeedAddress, 9, tokenOf(12)), now));
+    update({ StoreRevision(2),
+             StoreRevision(3),
+             false,
+             { { version::keyOf(leaving), StoreRevision(3), version::RemovedRecord {} } } });
+    as<ForwardPacket>(forwarder.handle(data(FeedAddress, 9, tokenOf(12)), now));
+    forwarder.forgetOld(now + 30s);
+    as<ForwardPacket>(forwarder.handle(data(FeedAddress, 9, tokenOf(12)), now));
+}
+
+TEST(FlowForwarder, unknownAddressIsRejectedAtOnce)
+{
+    const auto reset = as<ResetFlow>(forwarder.handle(opening(UnknownAddress, 9), now));
+    CHECK(reset.reason == Reason::UnknownService);
+}
+
+// Contract with a new address: an instance that is behind must not reject its callers.
+TEST(FlowForwarder, unknownAddressWaitsWhileTheNewsAreOld)
+{
+    as<DropPacket>(forwarder.handle(opening(UnknownAddress, 9), now + 5s));
+}
+
+// Contract without an address that was there: its flows are not opened any more.
+TEST(FlowForwarder, removedAddressIsRejected)
+{
+    auto shorter = rules();
+    shorter.version = 2;
+    shorter.routes.pop_back();
+    update({ StoreRevision(1),
+             StoreRevision(2),
+             false,
+             { { version::keyOf(shorter), StoreRevision(2), shorter } } });
+    as<ResetFlow>(forwarder.handle(opening(SubmissionAddress, 9), now));
+    as<ForwardPacket>(forwarder.handle(data(SubmissionAddress, 10, tokenOf(1)), now));
+}
+
+// Another instance knows an upstream that this one does not know yet.
+TEST(FlowForwarder, unknownTokenIsNeverGuessedAndNotClosedAtOnce)
+{
+    const FlowToken unknown { 4711 };
+    as<DropPacket>(forwarder.handle(data(FeedAddress, 9, unknown), now));
+    now += 1s;
+    // The news are from before the first packet.
+    as<DropPacket>(forwarder.handle(data(FeedAddress, 9, unknown), now));
+    forwarder.setAssuredAt(now);
+    as<ResetFlow>(forwarder.handle(data(FeedAddress, 9, unknown), now));
+}
+
+TEST(FlowForwarder, unknownTokenOfASubmissionIsNeverClosed)
+{
+    const FlowToken unknown { 4711 };
+    forwarder.handle(data(SubmissionAddress, 9, unknown), now);
+    now += 2s;
+    forwarder.setAssuredAt(now);
+    as<DropPacket>(forwarder.handle(data(SubmissionAddress, 9, unknown), now));
+}
+
+TEST(FlowForwarder, packetWithoutTokenIsDropped)
+{
+    as<DropPacket>(forwarder.handle(data(FeedAddress, 9, {}), now));
+}
+
+// Crashed upstream: callers that can ask again are told, submissions wait for their answer.
+TEST(FlowForwarder, flowsOfASilentUpstreamAreClosedWhenTheirRequestsMayRunAgain)
+{
+    forwarder.handle(data(SubmissionAddress, 200, tokenOf(2)), now);
+    silence(2);
+    as<ResetFlow>(forwarder.handle(data(FeedAddress, 101, tokenOf(2)), now + 200ms));
+    as<ForwardPacket>(forwarder.handle(data(SubmissionAddress, 200, tokenOf(2)), now + 200ms));
+    // The first packet of another flow may still be answered.
+    as<ForwardPacket>(forwarder.handle(data(FeedAddress, 300, tokenOf(2)), now + 200ms));
+}
+
+// Wrong verdict: an answer to any caller ends it.
+TEST(FlowForwarder, answerKeepsFlowsOpen)
+{
+    silence(2);
+    auto acknowledgement = data(FeedAddress, 103, tokenOf(2), 6000);
+    acknowledgement.sequence = 1200;
+    acknowledgement.payloadBytes = 0;
+    forwarder.handle(acknowledgement, now + 10ms);
+    as<ForwardPacket>(forwarder.handle(data(FeedAddress, 101, tokenOf(2)), now + 200ms));
+}
+
+// Zone cut off: its flows are closed at their first packet once another instance agrees.
+TEST(FlowForwarder, flowsIntoAnUnreachableZoneAreClosedAtOnce)
+{
+    for (std::uint64_t serial = 11; serial <= 16; ++serial) {
+        forwarder.handle(data(FeedAddress, static_cast<std::uint16_t>(serial), tokenOf(serial)),
+                         now);
+    }
+    now += 250ms;
+    for (std::uint64_t serial = 11; serial <= 16; ++serial) {
+        forwarder.handle(data(FeedAddress, static_cast<std::uint16_t>(serial), tokenOf(serial)),
+                         now);
+    }
+    now += 800ms;
+    as<ForwardPacket>(forwarder.handle(data(FeedAddress, 90, tokenOf(13)), now));
+    CHECK(std::ranges::count(forwarder.takeReports().zones, OtherZone) == 1);
+    forwarder.onPeerReports({ .zones = { OtherZone } }, now);
+    as<ResetFlow>(forwarder.handle(data(FeedAddress, 91, tokenOf(13)), now));
+    as<ForwardPacket>(forwarder.handle(data(FeedAddress, 92, tokenOf(1)), now));
+}
+
+TEST(FlowForwarder, nothingThatCanTakeTheFlowMeansRejectionAtOnce)
+{
+    version::DirectoryDelta empty { StoreRevision(1),
+                                    StoreRevision(2),
+                                    true,
+                                    { { version::keyOf(rules()), StoreRevision(1), rules() } } };
+    update(empty);
+    now += 3s;
+    forwarder.setAssuredAt(now);
+    const auto reset = as<ResetFlow>(forwarder.handle(opening(FeedAddress, 9), now));
+    CHECK(reset.reason == Reason::NoUpstream);
+}
+
+// Split route: the weights decide, the same way for copies.
+TEST(FlowForwarder, splitRouteFollowsItsWeights)
+{
+    auto split = rules();
+    split.version = 2;
+    split.routes.front().shares = { { Bancada, 3 }, { Certidao, 1 } };
+    update({ StoreRevision(1),
+             StoreRevision(2),
+             false,
+             { { version::keyOf(split), StoreRevision(2), split } } });
+    int certidao = 0;
+    for (std::uint16_t port = 1; port <= 4'000; ++port) {
+        const auto verdict = forwarder.handle(opening(FeedAddress, port), now);
+        certidao += as<ForwardPacket>(verdict).serial == UpstreamSerial(30) ? 1 : 0;
+    }
+    // Four standard deviations of 1,000.
+    CHECK(certidao > 890);
+    CHECK(certidao < 1'110);
+}
--- /dev/null
+++ b/src/tests/flowsettingstest.cpp
@@ -0,0 +1,112 @@
+#include "process/flowsettings.h"
+#include "process/eventlog.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanwall;
+using namespace std::chrono_literals;
+
+TEST_GROUP(FlowSettings)
+{
+    std::string text = R"([instance]
+name = "front-1"
+zone = "galpao-a"
+[listen]
+traffic = "10.1.0.10:8172"
+peer = "10.1.0.10:7720"
+admin = "10.1.0.10:8167"
+[store]
+endpoint = "10.200.1.7:8169"
+[peers]
+seeds = ["10.2.0.40:8166"]
+[shutdown]
+grace_ms = 6000
+)";
+
+    void replace(const std::string &from, const std::string &to)
+    {
+        text.replace(text.find(from), from.size(), to);
+    }
+
+    void checkError(const char *expected) const
+    {
+        const auto settings = process::parseFlowSettings(text, "front.toml");
+        CHECK_FALSE(common::isOk(settings));
+        STRCMP_CONTAINS(expected, common::errorOf(settings).message.c_str());
+    }
+};
+
+TEST(FlowSettings, wholeFileIsRead)
+{
+    const auto parsed = process::parseFlowSettings(text, "front.toml");
+    CHECK(common::isOk(parsed));
+    const auto &settings = common::valueOf(parsed);
+    STRCMP_EQUAL("galpao-a", settings.zone.c_str());
+    CHECK(settings.shutdownGrace == 6s);
+    STRCMP_EQUAL("10.200.1.7:8169", common::toString(settings.store).c_str());
+}
+
+// Other instances listen on the own peer port, whatever port the list names.
+TEST(FlowSettings, seedsGetThePeerPort)
+{
+    const auto parsed = process::parseFlowSettings(text, "front.toml");
+    STRCMP_EQUAL("10.2.0.40:7720", common::toString(common::valueOf(parsed).seeds.front()).c_str());
+}
+
+TEST(FlowSettings, unknownKeyIsAnErrorWithItsLine)
+{
+    replace("zone =", "zoen =");
+    checkError("front.toml:3: key 'instance.zoen': unknown key");
+}
+
+TEST(FlowSettings, missingStoreIsAnError)
+{
+    replace("endpoint = \"10.200.1.7:8169\"", "");
+    checkError("key 'store.endpoint': missing");
+}
+
+TEST(FlowSettings, badAddressIsAnError)
+{
+    replace("10.1.0.10:8172", "10.1.0.10");
+    checkError("key 'listen.traffic': not an address");
+}
+
+TEST(FlowSettings, graceOutOfRangeIsAnError)
+{
+    replace("6000", "10");
+    checkError("an integer from 1000 to 600000");
+}
+
+TEST(FlowSettings, brokenFileIsAnErrorWithItsLine)
+{
+    replace("[store]", "[store");
+    checkError("front.toml:8");
+}
+
+TEST_GROUP(EventLog)
+{
+    process::EventLog log { 10.0, 5.0 };
+    common::TimePoint now { 100s };
+
+    int written(int events)
+    {
+        int count = 0;
+        for (int event = 0; event < events; ++event) {
+            count += log.event(process::LogLevel::Trace, "flow_reset", now) != nullptr ? 1 : 0;
+        }
+        return count;
+    }
+};
+
+// Flood of refusals: the log stays bounded.
+TEST(EventLog, burstIsBounded)
+{
+    LONGS_EQUAL(5, written(1'000));
+}
+
+TEST(EventLog, rateIsBounded)
+{
+    written(1'000);
+    now += 300ms;
+    LONGS_EQUAL(3, written(1'000));
+}
--- /dev/null
+++ b/src/tests/openingpolicytest.cpp
@@ -0,0 +1,327 @@
+#include "connection/openingpolicy.h"
+
+#include "common/hash.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <ranges>
+
+using namespace banyanwall;
+using namespace std::chrono_literals;
+using common::FlowToken;
+using common::ServiceId;
+using common::StoreRevision;
+using common::UpstreamSerial;
+using common::ZoneId;
+using connection::OpeningPolicy;
+using connection::UpstreamTable;
+using version::Directory;
+using version::UpstreamRecord;
+
+namespace {
+
+const ServiceId Bancada { 1 };
+const ServiceId Certidao { 2 };
+const ZoneId OwnZone { 10 };
+const ZoneId OtherZone { 20 };
+
+} // namespace
+
+TEST_GROUP(OpeningPolicy)
+{
+    Directory directory;
+    UpstreamTable upstreams { 1 };
+    OpeningPolicy policy { upstreams };
+    common::TimePoint now { 100s };
+    std::uint64_t revision = 0;
+
+    void setup() override
+    {
+        policy.setPosition({ .zone = OwnZone, .instance = 1, .instances = 1 });
+        apply(true, {});
+    }
+
+    void apply(bool complete, std::vector<version::DirectoryChange> changes)
+    {
+        const StoreRevision from(revision);
+        ++revision;
+        std::ranges::for_each(changes,
+                              [&](auto &change) { change.revision = StoreRevision(revision); });
+        const auto changed = directory.apply(
+                { from, StoreRevision(revision), complete, std::move(changes) }, now);
+        upstreams.update(directory, changed, now);
+    }
+
+    void put(const UpstreamRecord &record)
+    {
+        apply(false, { { version::keyOf(record), {}, record } });
+    }
+
+    static UpstreamRecord upstream(std::uint64_t serial, ZoneId zone = OwnZone)
+    {
+        return { .serial = UpstreamSerial(serial),
+                 .service = Bancada,
+                 .endpoint = { 0x0a000000U + static_cast<std::uint32_t>(serial), 8080 },
+                 .zone = zone,
+                 .slots = 3 };
+    }
+
+    void putMany(std::uint64_t first, std::uint64_t count, ZoneId zone = OwnZone)
+    {
+        for (auto serial = first; serial < first + count; ++serial) {
+            put(upstream(serial, zone));
+        }
+    }
+
+    void remove(std::uint64_t serial)
+    {
+        apply(false, { { version::keyOf(upstream(serial)), {}, version::RemovedRecord {} } });
+    }
+
+    void withdraw(ZoneId zone, bool isWithdrawn)
+    {
+        const version::WithdrawalRecord record { zone };
+        auto value = isWithdrawn ? version::DirectoryValue(record)
+                                 : version::DirectoryValue(version::RemovedRecord {});
+        apply(false, { { version::keyOf(record), {}, value } });
+    }
+
+    void putRules(double coldOpensPerSecond)
+    {
+        const version::RulesRecord rules { .version = revision + 1,
+                                           .services = {
+                                                   { .service = Bancada,
+                                                     .coldPeriod = 2s,
+                                                     .coldOpensPerSecond = coldOpensPerSecond } } };
+        apply(false, { { version::keyOf(rules), {}, rules } });
+    }
+
+    /// Opens of each upstream after many flows.
+    std::map<std::uint64_t, int> spread(int flows)
+    {
+        std::map<std::uint64_t, int> opens;
+        for (int flow = 0; flow < flows; ++flow) {
+            const auto *chosen = policy.choose(Bancada, common::mixBits(flow), 0, {}, now);
+            if (chosen != nullptr) {
+                ++opens[chosen->record.serial.value()];
+            }
+        }
+        return opens;
+    }
+
+    connection::KnownUpstream &known(std::uint64_t serial)
+    {
+        return *upstreams.find(connection::tokenOf(UpstreamSerial(serial)));
+    }
+
+    void suspect(std::uint64_t serial)
+    {
+        known(serial).health.onDataRepeated(1, now);
+        known(serial).health.onDataRepeated(2, now);
+    }
+};
+
+TEST(OpeningPolicy, calmLoadIsSpreadEvenly)
+{
+    putMany(1, 14);
+    const auto opens = spread(28'000);
+    LONGS_EQUAL(14, opens.size());
+    const auto [least, most] = std::ranges::minmax(opens | std::views::values);
+    // Four standard deviations of 2,000 flows.
+    CHECK(least > 1'820);
+    CHECK(most < 2'180);
+}
+
+// All instances come to the same upstream, so that copies of a packet reach one.
+TEST(OpeningPolicy, instancesAgreeWithoutTalking)
+{
+    putMany(1, 14);
+    UpstreamTable others { 2 };
+    OpeningPolicy other { others };
+    others.update(
+            directory,
+            [&] {
+                std::vector<version::EntryKey> keys;
+                std::ranges::copy(directory.entries() | std::views::keys, std::back_inserter(keys));
+                return keys;
+            }(),
+            now);
+    for (std::uint64_t flow = 0; flow < 200; ++flow) {
+        CHECK(policy.choose(Bancada, flow, 0, {}, now)->record.serial
+              == other.choose(Bancada, flow, 0, {}, now)->record.serial);
+    }
+}
+
+// Change of one upstream: flows that it does not get stay where they are.
+TEST(OpeningPolicy, lostUpstreamMovesOnlyItsOwnFlows)
+{
+    putMany(1, 14);
+    std::map<std::uint64_t, std::uint64_t> before;
+    for (std::uint64_t flow = 0; flow < 500; ++flow) {
+        before[flow] = policy.choose(Bancada, flow, 0, {}, now)->record.serial.value();
+    }
+    auto gone = upstream(3);
+    gone.draining = true;
+    put(gone);
+    for (const auto &[flow, serial] : before) {
+        const auto after = policy.choose(Bancada, flow, 0, {}, now)->record.serial.value();
+        CHECK(after == serial || serial == 3);
+        CHECK(after != 3);
+    }
+}
+
+TEST(OpeningPolicy, otherServicesGetNothing)
+{
+    auto certidao = upstream(9);
+    certidao.service = Certidao;
+    put(certidao);
+    POINTERS_EQUAL(nullptr, policy.choose(Bancada, 5, 0, {}, now));
+    CHECK(policy.choose(Certidao, 5, 0, {}, now) != nullptr);
+}
+
+TEST(OpeningPolicy, withdrawnZoneGetsNothing)
+{
+    putMany(1, 3);
+    putMany(11, 3, OtherZone);
+    withdraw(OtherZone, true);
+    CHECK(std::ranges::all_of(spread(300), [](const auto &item) { return item.first < 10; }));
+}
+
+// Returned zone: its upstreams are cold and say so only with their next record.
+TEST(OpeningPolicy, returnedZoneIsColdForTheColdPeriod)
+{
+    putRules(0.0);
+    putMany(1, 3);
+    putMany(11, 3, OtherZone);
+    withdraw(OtherZone, true);
+    withdraw(OtherZone, false);
+    CHECK(std::ranges::all_of(spread(300), [](const auto &item) { return item.first < 10; }));
+    now += 2100ms;
+    LONGS_EQUAL(6, spread(300).size());
+}
+
+TEST(OpeningPolicy, coldUpstreamGetsNothingWhenItBearsNothing)
+{
+    putRules(0.0);
+    putMany(1, 3);
+    auto cold = upstream(4);
+    cold.coldFor = 2s;
+    put(cold);
+    LONGS_EQUAL(0, spread(1'000).count(4));
+    now += 2100ms;
+    CHECK(spread(1'000).contains(4));
+}
+
+// Restart under the former serial: a new life is cold although the serial is known.
+TEST(OpeningPolicy, restartedUpstreamIsColdAgain)
+{
+    putRules(0.0);
+    putMany(1, 3);
+    auto restarted = upstream(3);
+    restarted.incarnation = common::Incarnation(2);
+    restarted.coldFor = 2s;
+    put(restarted);
+    LONGS_EQUAL(0, spread(1'000).count(3));
+}
+
+// The whole fleet stays under the bound, although its instances do not talk about it.
+TEST(OpeningPolicy, coldOpensOfTheFleetStayUnderTheBound)
+{
+    putRules(12.0);
+    auto cold = upstream(1);
+    cold.coldFor = 60s;
+    put(cold);
+    for (const std::uint32_t fleet : { 1U, 5U, 20U, 136U }) {
+        int opens = 0;
+        for (std::uint32_t instance = 0; instance < fleet; ++instance) {
+            OpeningPolicy member { upstreams };
+            member.setPosition(
+                    { .zone = OwnZone, .instance = common::mixBits(instance), .instances = fleet });
+            for (std::uint64_t flow = 0; flow < 50; ++flow) {
+                opens += member.choose(Bancada, flow, 0, {}, now) != nullptr ? 1 : 0;
+            }
+        }
+        // The bound of the contract with the tolerance of 1.5 times and 5 that upstreams have.
+        CHECK(opens <= 12 * 1.5 + 5);
+    }
+}
+
+TEST(OpeningPolicy, suspectedUpstreamIsAvoided)
+{
+    putMany(1, 4);
+    suspect(2);
+    LONGS_EQUAL(0, spread(500).count(2));
+}
+
+// Everything silent, as when this instance is cut off: better a guess than no service.
+TEST(OpeningPolicy, allSuspectedMeansAllAreUsed)
+{
+    putMany(1, 3);
+    for (std::uint64_t serial = 1; serial <= 3; ++serial) {
+        suspect(serial);
+    }
+    LONGS_EQUAL(3, spread(500).size());
+}
+
+// Silent or full upstream: the copy of the opening packet finds another one.
+TEST(OpeningPolicy, copyGoesToAnotherUpstream)
+{
+    putMany(1, 6);
+    for (std::uint64_t flow = 0; flow < 100; ++flow) {
+        const auto *first = policy.choose(Bancada, flow, 0, {}, now);
+        const auto *second = policy.choose(Bancada, flow, 1, first->token, now);
+        CHECK(first != second);
+        // Another instance that did not see the first packet avoids the same upstream.
+        CHECK(policy.choose(Bancada, flow, 1, {}, now) != first);
+    }
+}
+
+// Zone cut off: the copy stays in the zone that is surely reached.
+TEST(OpeningPolicy, copyPrefersTheOwnZone)
+{
+    putMany(1, 3);
+    putMany(11, 9, OtherZone);
+    for (std::uint64_t flow = 0; flow < 100; ++flow) {
+        CHECK(policy.choose(Bancada, flow, 1, {}, now)->record.zone == OwnZone);
+    }
+}
+
+TEST(OpeningPolicy, onlyUpstreamGetsTheCopyToo)
+{
+    put(upstream(1));
+    CHECK(policy.choose(Bancada, 5, 1, connection::tokenOf(UpstreamSerial(1)), now) != nullptr);
+}
+
+// Store back after an outage: entries of live upstreams lapsed and return within two seconds.
+TEST(OpeningPolicy, lapsedEntriesAreUsedForTwoSecondsWhenMostAreGone)
+{
+    putMany(1, 4);
+    for (std::uint64_t serial = 1; serial <= 4; ++serial) {
+        remove(serial);
+    }
+    LONGS_EQUAL(4, spread(500).size());
+    now += 2100ms;
+    LONGS_EQUAL(0, spread(500).size());
+}
+
+TEST(OpeningPolicy, singleUpstreamThatLeftGetsNothing)
+{
+    putMany(1, 4);
+    remove(4);
+    LONGS_EQUAL(0, spread(500).count(4));
+}
+
+// An upstream that was draining and went has ended.
+TEST(OpeningPolicy, drainedUpstreamsAreNotTakenForLapsedOnes)
+{
+    for (std::uint64_t serial = 1; serial <= 3; ++serial) {
+        auto leaving = upstream(serial);
+        leaving.draining = true;
+        put(leaving);
+        remove(serial);
+    }
+    LONGS_EQUAL(0, spread(500).size());
+}
--- /dev/null
+++ b/src/tests/syncfleet.h
@@ -0,0 +1,338 @@
+#pragma once
+
+#include "common/result.h"
+#include "process/directorysync.h"
+#include "version/directory.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <vector>
+
+namespace banyanwall::tests {
+
+/// Store and instances of several zones in one process, with a clock of their own. Store calls and
+/// messages take a few milliseconds unless a fault is set.
+class SyncFleet
+{
+public:
+    using Endpoint = common::Endpoint;
+
+    static constexpr common::Duration Step = std::chrono::milliseconds(10);
+
+    SyncFleet(int zones, int instancesOfAZone)
+    {
+        for (int zone = 0; zone < zones; ++zone) {
+            for (int index = 0; index < instancesOfAZone; ++index) {
+                start(memberAt(zone, index));
+            }
+        }
+    }
+
+    static version::MemberRecord memberAt(int zone, int index)
+    {
+        return { { 0x0a000000U + static_cast<std::uint32_t>(zone) * 256
+                           + static_cast<std::uint32_t>(index) + 1,
+                   7720 },
+                 common::ZoneId(static_cast<std::uint32_t>(zone) + 1) };
+    }
+
+    /// Starts an instance that knows nothing.
+    void start(const version::MemberRecord &member)
+    {
+        auto &instance = m_instances[member.endpoint];
+        instance = std::make_unique<Instance>(member, seeds());
+        instance->waiting.clear();
+    }
+
+    void kill(Endpoint endpoint) { m_instances.erase(endpoint); }
+
+    /// Writes a contract of the next version.
+    void changeRules()
+    {
+        ++m_rulesVersion;
+        const version::RulesRecord rules { .version = m_rulesVersion };
+        write({ version::keyOf(rules), {}, rules });
+    }
+
+    void run(common::Duration time)
+    {
+        const auto end = m_now + time;
+        while (m_now < end) {
+            m_now += Step;
+            step();
+        }
+    }
+
+    [[nodiscard]] common::TimePoint now() const { return m_now; }
+
+    [[nodiscard]] std::uint64_t calls() const { return m_calls; }
+
+    [[nodiscard]] std::uint64_t messages() const { return m_messages; }
+
+    [[nodiscard]] std::size_t size() const { return m_instances.size(); }
+
+    [[nodiscard]] std::uint64_t rulesVersion() const { return m_rulesVersion; }
+
+    [[nodiscard]] std::vector<Endpoint> watchers() const
+    {
+        std::vector<Endpoint> watchers;
+        for (const auto &[endpoint, instance] : m_instances) {
+            if (instance->sync.isWatching()) {
+                watchers.push_back(endpoint);
+            }
+        }
+        return watchers;
+    }
+
+    /// Contract version that an instance routes by; 0 when it knows none.
+    [[nodiscard]] std::uint64_t versionAt(Endpoint endpoint) const
+    {
+        const auto *rules = m_instances.at(endpoint)->directory.rules();
+        return rules == nullptr ? 0 : rules->version;
+    }
+
+    [[nodiscard]] std::vector<Endpoint> endpoints() const
+    {
+        std::vector<Endpoint> endpoints;
+        for (const auto &[endpoint, instance] : m_instances) {
+            endpoints.push_back(endpoint);
+        }
+        return endpoints;
+    }
+
+    /// Instances that do not route by the newest contract.
+    [[nodiscard]] std::size_t outdated() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(endpoints(), [&](Endpoint endpoint) {
+            return versionAt(endpoint) != m_rulesVersion;
+        }));
+    }
+
+    /// Whether a contract ever went back at an instance within one life.
+    [[nodiscard]] bool hasReverted() const { return m_hasReverted; }
+
+    // Faults.
+    /// Calls of these instances get no answer.
+    std::set<Endpoint> cutFromStore;
+    /// Calls of these instances are refused at once.
+    std::set<Endpoint> refusedByStore;
+    bool storeIsDown = false;
+    common::Duration storeLatency = std::chrono::milliseconds(4);
+    /// Watches continue only from newer revisions.
+    bool historyIsLost = false;
+    /// Watches get no events until they time out.
+    bool watchesAreDeaf = false;
+    /// Messages between these two zones are lost.
+    std::set<std::pair<common::ZoneId, common::ZoneId>> cutZones;
+    /// One message in this many is lost; 0 for none.
+    std::uint32_t messageLoss = 0;
+
+private:
+    struct Waiting
+    {
+        common::StoreRevision after;
+        common::TimePoint until;
+        common::TimePoint answersFrom;
+        bool isRead = false;
+        bool isLost = false;
+        bool isRefused = false;
+    };
+
+    struct Instance
+    {
+        Instance(const version::MemberRecord &self, std::vector<Endpoint> seeds)
+            : member(self)
+            , sync({ .self = self, .seeds = std::move(seeds), .seed = self.endpoint.address },
+                   directory)
+        { }
+
+        version::MemberRecord member;
+        version::Directory directory;
+        process::DirectorySync sync;
+        std::vector<Waiting> waiting;
+        std::uint64_t seenVersion = 0;
+        common::TimePoint nextTick;
+    };
+
+    struct Message
+    {
+        common::TimePoint at;
+        Endpoint from;
+        Endpoint to;
+        wire::proto::DirectoryMessage content;
+
+        bool operator>(const Message &other) const { return at > other.at; }
+    };
+
+    [[nodiscard]] std::vector<Endpoint> seeds() const
+    {
+        return { memberAt(0, 0).endpoint, memberAt(1, 0).endpoint };
+    }
+
+    void write(version::DirectoryChange change)
+    {
+        change.revision = common::StoreRevision(++m_revision);
+        m_store[change.key] = change;
+    }
+
+    [[nodiscard]] version::DirectoryDelta changesAfter(common::StoreRevision after) const
+    {
+        version::DirectoryDelta delta { after, common::StoreRevision(m_revision), false };
+        for (const auto &[key, change] : m_store) {
+            if (change.revision > after) {
+                delta.changes.push_back(change);
+            }
+        }
+        delta.complete = after == common::StoreRevision();
+        return delta;
+    }
+
+    void step()
+    {
+        while (!m_inFlight.empty() && m_inFlight.top().at <= m_now) {
+            const auto message = m_inFlight.top();
+            m_inFlight.pop();
+            const auto found = m_instances.find(message.to);
+            if (found != m_instances.end()) {
+                auto &instance = *found->second;
+                perform(instance, instance.sync.onMessage(message.from, message.content, m_now));
+            }
+        }
+        for (auto &[endpoint, instance] : m_instances) {
+            answerCalls(*instance);
+            if (m_now >= instance->nextTick) {
+                instance->nextTick = m_now + std::chrono::milliseconds(100);
+                perform(*instance, instance->sync.onTick(m_now));
+            }
+            noteVersion(*instance);
+        }
+    }
+
+    void answerCalls(Instance &instance)
+    {
+        const auto waiting = std::exchange(instance.waiting, {});
+        for (const auto &call : waiting) {
+            if (!answer(instance, call)) {
+                instance.waiting.push_back(call);
+            }
+        }
+    }
+
+    bool answer(Instance &instance, const Waiting &call)
+    {
+        if (call.isRefused) {
+            perform(instance,
+                    instance.sync.onStoreAnswer(process::StoreFailure { "status 503" }, m_now));
+            return true;
+        }
+        const bool isCut = call.isLost || cutFromStore.contains(instance.member.endpoint);
+        const auto timeout = std::chrono::milliseconds(700);
+        if (isCut) {
+            if (m_now < call.until + timeout) {
+                return false;
+            }
+            perform(instance,
+                    instance.sync.onStoreAnswer(process::StoreFailure { "timeout" }, m_now));
+            return true;
+        }
+        if (m_now < call.answersFrom) {
+            return false;
+        }
+        if (!call.isRead && historyIsLost) {
+            perform(instance, instance.sync.onStoreAnswer(process::HistoryLost {}, m_now));
+            return true;
+        }
+        const bool hasNews = m_revision > call.after.value() && !watchesAreDeaf;
+        if (!call.isRead && !hasNews && m_now < call.until) {
+            return false;
+        }
+        auto delta = watchesAreDeaf && !call.isRead
+                ? version::DirectoryDelta { call.after, call.after, false }
+                : changesAfter(call.isRead ? common::StoreRevision() : call.after);
+        perform(instance, instance.sync.onStoreAnswer(std::move(delta), m_now));
+        return true;
+    }
+
+    void call(Instance &instance, bool isRead, common::StoreRevision after, common::Duration wait)
+    {
+        ++m_calls;
+        instance.waiting.push_back(
+                { .after = after,
+                  .until = m_now + wait,
+                  .answersFrom = m_now + storeLatency,
+                  .isRead = isRead,
+                  .isLost = storeIsDown,
+                  .isRefused = refusedByStore.contains(instance.member.endpoint) });
+    }
+
+    void perform(Instance &instance, const process::SyncActions &actions)
+    {
+        for (const auto &action : actions) {
+            std::visit(common::Overloaded {
+                               [&](const process::ReadStore &) { call(instance, true, {}, {}); },
+                               [&](const process::WatchStore &watch) {
+                                   call(instance, false, watch.after, watch.wait);
+                               },
+                               [&](const process::RegisterMember &registration) {
+                                   registerMember(instance, registration.member);
+                               },
+                               [&](const process::SendDirectoryMessage &send) {
+                                   deliver(instance, send);
+                               },
+                               [](const process::DirectoryChanged &) {},
+                       },
+                       action);
+        }
+    }
+
+    void registerMember(Instance &instance, const version::MemberRecord &member)
+    {
+        ++m_calls;
+        const bool isReached = !storeIsDown && !cutFromStore.contains(member.endpoint)
+                && !refusedByStore.contains(member.endpoint);
+        if (isReached && !m_store.contains(version::keyOf(member))) {
+            write({ version::keyOf(member), {}, member });
+        }
+        perform(instance, instance.sync.onRegistered(isReached, m_now));
+    }
+
+    void deliver(const Instance &from, const process::SendDirectoryMessage &send)
+    {
+        ++m_messages;
+        const auto to = m_instances.find(send.to);
+        if (to == m_instances.end()) {
+            return;
+        }
+        const auto zones = std::minmax(from.member.zone, to->second->member.zone);
+        const bool isLost = messageLoss > 0 && m_messages % messageLoss == 0;
+        if (isLost || cutZones.contains({ zones.first, zones.second })) {
+            return;
+        }
+        m_inFlight.push({ m_now + std::chrono::milliseconds(1), from.member.endpoint, send.to,
+                          send.message });
+    }
+
+    void noteVersion(Instance &instance)
+    {
+        const auto *rules = instance.directory.rules();
+        const auto version = rules == nullptr ? 0 : rules->version;
+        m_hasReverted = m_hasReverted || version < instance.seenVersion;
+        instance.seenVersion = version;
+    }
+
+    common::TimePoint m_now { std::chrono::seconds(100) };
+    std::map<Endpoint, std::unique_ptr<Instance>> m_instances;
+    std::map<version::EntryKey, version::DirectoryChange> m_store;
+    std::priority_queue<Message, std::vector<Message>, std::greater<>> m_inFlight;
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_rulesVersion = 0;
+    std::uint64_t m_calls = 0;
+    std::uint64_t m_messages = 0;
+    bool m_hasReverted = false;
+};
+
+} // namespace banyanwall::tests
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -15,10 +15,10 @@
 /// An upstream as it registered itself.
 struct UpstreamRecord
 {
-    common::UpstreamSerial serial;
-    common::ServiceId service;
-    common::Endpoint endpoint;
-    common::ZoneId zone;
+    common::UpstreamSerial serial {};
+    common::ServiceId service {};
+    common::Endpoint endpoint {};
+    common::ZoneId zone {};
     /// Requests that it runs at the same time.
     std::uint32_t slots = 1;
     /// It keeps its flows and takes no new ones.
@@ -26,7 +26,7 @@
     /// How much longer it is cold, counted from when the record was received.
     common::Duration coldFor {};
     /// Differs for each start under the same serial.
-    common::Incarnation incarnation;
+    common::Incarnation incarnation {};
 
     bool operator==(const UpstreamRecord &) const = default;
 };
