Prefer the second upstream in rank where the first answers much slower

Change: the time to an answer, seen from callers' acknowledgements, is kept for each upstream; the second in rank takes a new flow when the first one's is 1.5 times longer.

--- /dev/null
+++ b/src/connection/answertime.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "common/time.h"
+
+namespace banyanwall::connection {
+
+/// Running mean of the time to an answer. Recent samples count most, and without samples the mean
+/// returns to a given usual value, so that an upstream that got no flows is tried again. Not
+/// thread-safe.
+class AnswerTime
+{
+public:
+    void add(common::Duration sample, common::TimePoint now);
+    /// Mean in microseconds; usual when there are no samples.
+    [[nodiscard]] double estimate(double usual, common::TimePoint now) const;
+    [[nodiscard]] bool hasSamples() const { return m_samples > 0; }
+
+private:
+    double m_mean = 0.0;
+    int m_samples = 0;
+    common::TimePoint m_lastSample;
+};
+
+} // namespace banyanwall::connection
--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -133,6 +133,8 @@
     }
     if (seen.answerTime) {
         m_upstreams.zoneHealth(upstream->record.zone).onAnswered(now);
+        m_upstreams.serviceAnswerTime(upstream->record.service).add(*seen.answerTime, now);
+        upstream->answerTime.add(*seen.answerTime, now);
         m_onAnswerTime(*seen.answerTime);
     }
     if (seen.isRepeated) {
--- a/src/connection/openingpolicy.cpp
+++ b/src/connection/openingpolicy.cpp
@@ -15,6 +15,8 @@
 // of the store's return.
 constexpr std::chrono::milliseconds LapseGrace { 2'000 };
 constexpr std::chrono::seconds ColdWindow { 1 };
+// Work differs from request to request; a smaller ratio would be chance.
+constexpr double MuchSlower = 1.5;
 
 std::uint64_t scoreOf(std::uint64_t flowHash, const KnownUpstream &upstream)
 {
@@ -37,6 +39,9 @@
         avoided = first == nullptr ? FlowToken() : first->token;
     }
     auto *chosen = bestOf(m_candidates.healthy, flowHash, copy, avoided);
+    if (chosen != nullptr && copy == 0) {
+        chosen = fasterOf(chosen, bestOf(m_candidates.healthy, flowHash, 0, chosen->token), now);
+    }
     if (chosen == nullptr) {
         chosen = bestOf(m_candidates.suspected, flowHash, copy, avoided);
     }
@@ -109,6 +114,19 @@
     }
 }
 
+KnownUpstream *OpeningPolicy::fasterOf(KnownUpstream *first, KnownUpstream *second,
+                                       TimePoint now) const
+{
+    if (second == nullptr || second == first) {
+        return first;
+    }
+    auto &service = m_upstreams.serviceAnswerTime(first->record.service);
+    const auto usual = service.estimate(0.0, now);
+    const auto firstTime = first->answerTime.estimate(usual, now);
+    const auto secondTime = second->answerTime.estimate(usual, now);
+    return firstTime > secondTime * MuchSlower ? second : first;
+}
+
 KnownUpstream *OpeningPolicy::bestOf(const UpstreamTable::Group &group, std::uint64_t flowHash,
                                      std::uint32_t copy, FlowToken avoided) const
 {
--- a/src/connection/openingpolicy.h
+++ b/src/connection/openingpolicy.h
@@ -19,7 +19,8 @@
     std::uint32_t instances = 1;
 };
 
-/// Chooses the upstream of a new flow by rendezvous hashing over the upstreams that may take it.
+/// Chooses the upstream of a new flow by rendezvous hashing over the upstreams that may take it,
+/// and the second in rank where the first has become slow.
 /// Repeated opening packets get another upstream, because the first did not answer in time.
 class OpeningPolicy
 {
@@ -47,6 +48,9 @@
     void noteOpened(KnownUpstream &upstream, common::TimePoint now);
     [[nodiscard]] KnownUpstream *bestOf(const UpstreamTable::Group &group, std::uint64_t flowHash,
                                         std::uint32_t copy, common::FlowToken avoided) const;
+    /// The second upstream in rank instead of the first one, when that answers much slower.
+    [[nodiscard]] KnownUpstream *fasterOf(KnownUpstream *first, KnownUpstream *second,
+                                          common::TimePoint now) const;
 
     UpstreamTable &m_upstreams;
     FleetPosition m_position;
--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -135,6 +135,7 @@
     known->isRegistered = true;
     known->coldUntil = std::max(known->coldUntil, now + record->coldFor);
     if (isNewLife) {
+        known->answerTime = {};
         known->health = newHealth(serial);
     }
 }
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -2,6 +2,7 @@
 
 #include "common/ids.h"
 #include "common/time.h"
+#include "connection/answertime.h"
 #include "connection/upstreamhealth.h"
 #include "connection/zonehealth.h"
 #include "version/directory.h"
@@ -23,6 +24,7 @@
     common::TimePoint removedAt;
     common::TimePoint coldUntil;
     UpstreamHealth health;
+    AnswerTime answerTime;
 
     [[nodiscard]] bool isCold(common::TimePoint now) const { return now < coldUntil; }
 };
@@ -57,6 +59,11 @@
 
     [[nodiscard]] ZoneHealth &zoneHealth(common::ZoneId zone) { return m_zoneHealth[zone]; }
 
+    /// Time to an answer of all upstreams of a service.
+    [[nodiscard]] AnswerTime &serviceAnswerTime(common::ServiceId service)
+    {
+        return m_serviceAnswerTimes[service];
+    }
     [[nodiscard]] const version::ServiceRecord *serviceRules(common::ServiceId service) const;
 
     [[nodiscard]] std::size_t size() const { return m_upstreams.size(); }
@@ -80,6 +87,7 @@
     std::unordered_map<common::ZoneId, bool> m_withdrawn;
     std::unordered_map<common::ZoneId, ZoneHealth> m_zoneHealth;
     std::unordered_map<common::ServiceId, version::ServiceRecord> m_services;
+    std::unordered_map<common::ServiceId, AnswerTime> m_serviceAnswerTimes;
     std::size_t m_tokenCollisions = 0;
 };
 
