Let other instances refute a wrong verdict on a zone

With 45 instances a zone some instance always hears nothing for five usual gaps, and losses seen by all its peers counted as silent upstreams; another such instance then confirmed it. Ruled out: wrong repeats; they are real losses, about one a second in the fleet. Change: a verdict is reported and holds only when no instance of the zone objects within 60 ms; an instance that heard the zone in the last 150 ms does.

--- a/src/connection/answertime.h
+++ b/src/connection/answertime.h
@@ -13,6 +13,7 @@
     void add(common::Duration sample, common::TimePoint now);
     /// Mean in microseconds; usual when there are no samples.
     [[nodiscard]] double estimate(double usual, common::TimePoint now) const;
+
     [[nodiscard]] bool hasSamples() const { return m_samples > 0; }
 
 private:
--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -174,25 +174,17 @@
     if (upstream.record.zone == m_options.ownZone) {
         return;
     }
-    auto &zone = m_upstreams.zoneHealth(upstream.record.zone);
-    const bool wasUnreachable = zone.isUnreachable(now);
-    zone.onRepeated(upstream.token, now);
-    if (!wasUnreachable && zone.isUnreachable(now)) {
-        m_reports.zones.push_back(upstream.record.zone);
-    }
+    m_upstreams.zoneHealth(upstream.record.zone).onRepeated(upstream.token, now);
 }
 
-bool FlowForwarder::hasReports() const
+SilenceReports FlowForwarder::takeReports(TimePoint now)
 {
-    return !m_reports.upstreams.empty() || !m_reports.recovered.empty() || !m_reports.zones.empty();
+    auto reports = std::exchange(m_reports, {});
+    reports.zones = m_upstreams.zonesToReport(now);
+    return reports;
 }
 
-SilenceReports FlowForwarder::takeReports()
-{
-    return std::exchange(m_reports, {});
-}
-
-void FlowForwarder::onPeerReports(const SilenceReports &reports, TimePoint now)
+SilenceReports FlowForwarder::onPeerReports(const SilenceReports &reports, TimePoint now)
 {
     for (const auto serial : reports.upstreams) {
         auto *upstream = m_upstreams.find(tokenOf(serial));
@@ -207,9 +199,19 @@
             upstream->health.onPeerHeard();
         }
     }
+    for (const auto zone : reports.heardZones) {
+        m_upstreams.zoneHealth(zone).onPeerHeard(now);
+    }
+    SilenceReports objections;
     for (const auto zone : reports.zones) {
-        m_upstreams.zoneHealth(zone).onPeerReport(now);
+        auto &health = m_upstreams.zoneHealth(zone);
+        if (health.wasJustHeard(now)) {
+            objections.heardZones.push_back(zone);
+        } else {
+            health.onPeerReport(now);
+        }
     }
+    return objections;
 }
 
 bool FlowForwarder::shouldClose(KnownUpstream &upstream, bool isRepeated, TimePoint now)
@@ -218,7 +220,7 @@
     if (!isRepeated) {
         return zone.isConfirmedUnreachable(now);
     }
-    return upstream.health.isSilent(now) || zone.isUnreachable(now);
+    return upstream.health.isSilent(now) || zone.isUncontested(now);
 }
 
 bool FlowForwarder::isCurrent(TimePoint now) const
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -20,6 +20,13 @@
     std::vector<common::UpstreamSerial> recovered {};
     /// No upstream of these zones answers.
     std::vector<common::ZoneId> zones {};
+    /// Upstreams of these zones have just answered.
+    std::vector<common::ZoneId> heardZones {};
+
+    [[nodiscard]] bool isEmpty() const
+    {
+        return upstreams.empty() && recovered.empty() && zones.empty() && heardZones.empty();
+    }
 };
 
 /// Decides where each packet of a caller goes on a fabric whose flows carry a token. An open flow
@@ -51,10 +58,11 @@
 
     PacketVerdict handle(const FlowPacket &packet, common::TimePoint now);
 
-    [[nodiscard]] bool hasReports() const;
     /// What this instance found since the last call, for other instances of its zone.
-    [[nodiscard]] SilenceReports takeReports();
-    void onPeerReports(const SilenceReports &reports, common::TimePoint now);
+    [[nodiscard]] SilenceReports takeReports(common::TimePoint now);
+    /// Takes the evidence of another instance and returns the objections to it.
+    [[nodiscard]] SilenceReports onPeerReports(const SilenceReports &reports,
+                                               common::TimePoint now);
 
     /// Forgets what is too old to matter; called about once a second.
     void forgetOld(common::TimePoint now);
--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -84,6 +84,17 @@
     return found != m_withdrawn.end() && found->second;
 }
 
+std::vector<common::ZoneId> UpstreamTable::zonesToReport(TimePoint now)
+{
+    std::vector<common::ZoneId> zones;
+    for (auto &[zone, health] : m_zoneHealth) {
+        if (health.takeReport(now)) {
+            zones.push_back(zone);
+        }
+    }
+    return zones;
+}
+
 void UpstreamTable::clearEvidence(common::ZoneId zone)
 {
     for (auto &[token, upstream] : m_upstreams) {
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -57,6 +57,9 @@
     /// Forgets the evidence against the upstreams of a zone that is reached again.
     void clearEvidence(common::ZoneId zone);
 
+    /// Unreachable zones that other instances are to be told about.
+    [[nodiscard]] std::vector<common::ZoneId> zonesToReport(common::TimePoint now);
+
     [[nodiscard]] ZoneHealth &zoneHealth(common::ZoneId zone) { return m_zoneHealth[zone]; }
 
     /// Time to an answer of all upstreams of a service.
@@ -64,6 +67,7 @@
     {
         return m_serviceAnswerTimes[service];
     }
+
     [[nodiscard]] const version::ServiceRecord *serviceRules(common::ServiceId service) const;
 
     [[nodiscard]] std::size_t size() const { return m_upstreams.size(); }
--- a/src/connection/zonehealth.cpp
+++ b/src/connection/zonehealth.cpp
@@ -23,6 +23,13 @@
 constexpr milliseconds ProbeInterval { 2'500 };
 // Older evidence says nothing about the path of today; see UpstreamHealth.
 constexpr std::chrono::seconds EvidenceAge { 3 };
+// Objections of instances of the own zone arrive within a few milliseconds.
+constexpr milliseconds ObjectionTime { 60 };
+// A report reaches the instances that hear the zone again.
+constexpr milliseconds ReportInterval { 400 };
+// How long the objection of another instance counts as a sign of life.
+constexpr milliseconds ObjectionAge { 1'000 };
+constexpr milliseconds JustHeard { 150 };
 
 } // namespace
 
@@ -30,6 +37,15 @@
 {
     m_lastHeard = now;
     m_lastPeerReport = {};
+    m_firstReport = {};
+    m_suspectCount = 0;
+}
+
+void ZoneHealth::onPeerHeard(TimePoint now)
+{
+    m_lastPeerHeard = now;
+    m_lastPeerReport = {};
+    m_firstReport = {};
     m_suspectCount = 0;
 }
 
@@ -64,12 +80,38 @@
     const auto silence = std::clamp(m_usualGap * UnusualGaps, ShortestSilence, LongestSilence);
     const auto needed = hasPeerReport(now) ? 1 : EnoughSuspects;
     return m_suspectCount >= needed && now - m_lastHeard > silence
-            && now - m_lastRepeated < EvidenceAge;
+            && now - m_lastPeerHeard > ObjectionAge && now - m_lastRepeated < EvidenceAge;
+}
+
+bool ZoneHealth::isUncontested(TimePoint now) const
+{
+    return isUnreachable(now) && m_firstReport != TimePoint()
+            && now - m_firstReport >= ObjectionTime;
 }
 
 bool ZoneHealth::isConfirmedUnreachable(TimePoint now) const
 {
-    return isUnreachable(now) && hasPeerReport(now);
+    return isUncontested(now) && hasPeerReport(now);
+}
+
+bool ZoneHealth::takeReport(TimePoint now)
+{
+    if (!isUnreachable(now)) {
+        m_firstReport = {};
+        return false;
+    }
+    if (m_firstReport == TimePoint()) {
+        m_firstReport = now;
+    } else if (now < m_nextReport) {
+        return false;
+    }
+    m_nextReport = now + ReportInterval;
+    return true;
+}
+
+bool ZoneHealth::wasJustHeard(TimePoint now) const
+{
+    return now - m_lastHeard < JustHeard;
 }
 
 bool ZoneHealth::hasPeerReport(TimePoint now) const
--- a/src/connection/zonehealth.h
+++ b/src/connection/zonehealth.h
@@ -22,12 +22,21 @@
     void onRepeated(common::FlowToken upstream, common::TimePoint now);
     /// Another instance of the own zone does not reach the zone.
     void onPeerReport(common::TimePoint now);
+    /// Another instance of the own zone has just heard the zone.
+    void onPeerHeard(common::TimePoint now);
 
-    /// Several upstreams are silent and nothing was heard from any for much longer than usual. One
-    /// upstream is enough when another instance has reported the zone.
+    /// Several upstreams are silent, nothing was heard from any for much longer than usual, and no
+    /// other instance says otherwise. One upstream is enough when another instance has reported the
+    /// zone.
     [[nodiscard]] bool isUnreachable(common::TimePoint now) const;
-    /// Another instance has come to the same verdict.
+    /// The verdict was reported to other instances, which had time to object.
+    [[nodiscard]] bool isUncontested(common::TimePoint now) const;
+    /// Uncontested, and another instance has come to the same verdict.
     [[nodiscard]] bool isConfirmedUnreachable(common::TimePoint now) const;
+    /// True when the verdict is to be reported to other instances; the next report is due later.
+    [[nodiscard]] bool takeReport(common::TimePoint now);
+    /// The zone was heard so lately that a report of another instance is wrong.
+    [[nodiscard]] bool wasJustHeard(common::TimePoint now) const;
     /// False while the zone is unreachable, but for one flow after each probe interval.
     [[nodiscard]] bool mayOpen(common::TimePoint now) const;
     /// A new flow goes to the zone; spends the probe when it is unreachable.
@@ -44,6 +53,9 @@
     common::TimePoint m_lastAnswered;
     common::TimePoint m_lastRepeated;
     common::TimePoint m_lastPeerReport;
+    common::TimePoint m_lastPeerHeard;
+    common::TimePoint m_firstReport;
+    common::TimePoint m_nextReport;
     common::TimePoint m_nextProbe;
     /// Usual time between two answers.
     common::Duration m_usualGap = std::chrono::milliseconds(200);
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "common/hash.h"
 #include "process/boottimeclock.h"
+#include "wire/silencecodec.h"
 
 #include <boost/asio/error.hpp>
 
@@ -244,15 +245,11 @@
         return;
     }
     if (message.has_silence()) {
-        connection::SilenceReports reports;
-        const auto toSerial = [](auto serial) { return common::UpstreamSerial(serial); };
-        std::ranges::transform(message.silence().upstreams(), std::back_inserter(reports.upstreams),
-                               toSerial);
-        std::ranges::transform(message.silence().recovered(), std::back_inserter(reports.recovered),
-                               toSerial);
-        std::ranges::transform(message.silence().zones(), std::back_inserter(reports.zones),
-                               [](auto zone) { return common::ZoneId(zone); });
-        m_forwarder.onPeerReports(reports, now);
+        const auto objections =
+                m_forwarder.onPeerReports(wire::decodeSilence(message.silence()), now);
+        if (!objections.isEmpty()) {
+            sendToPeer({ fromAsio(from), wire::encodeSilence(objections) });
+        }
         return;
     }
     perform(m_sync.onMessage(fromAsio(from), message, now), now);
@@ -299,30 +296,22 @@
 
 void FlowDaemon::reportSilence(TimePoint now)
 {
-    if (!m_forwarder.hasReports() || now - m_lastReportAt < ReportInterval) {
+    if (now - m_lastReportAt < ReportInterval) {
         return;
     }
     m_lastReportAt = now;
-    const auto reports = m_forwarder.takeReports();
-    SendDirectoryMessage report;
-    auto &silence = *report.message.mutable_silence();
-    for (const auto serial : reports.upstreams) {
-        silence.add_upstreams(serial.value());
-    }
-    for (const auto serial : reports.recovered) {
-        silence.add_recovered(serial.value());
-    }
-    for (const auto zone : reports.zones) {
-        silence.add_zones(zone.value());
+    const auto reports = m_forwarder.takeReports(now);
+    if (reports.isEmpty()) {
+        return;
     }
     if (auto event = m_log.event(LogLevel::Info, "silence_reported", now)) {
         event->with("upstreams", reports.upstreams.size())
                 .with("recovered", reports.recovered.size())
                 .with("zones", reports.zones.size());
     }
+    const auto message = wire::encodeSilence(reports);
     for (const auto peer : m_sync.zonePeers()) {
-        report.to = peer;
-        sendToPeer(report);
+        sendToPeer({ peer, message });
     }
 }
 
