Compare ways to choose upstreams without network; fuzz the new decoders

Change: callers, instances and upstreams as discrete events around the real packet path; the opening benchmark compares hash alone, the better of two and the packet path on ten loads, flowloadtest bounds each pattern.

--- /dev/null
+++ b/src/benchmarks/flowbalancer.cpp
@@ -0,0 +1,117 @@
+#include "benchmarks/flowbalancer.h"
+
+#include "common/hash.h"
+#include "common/result.h"
+
+#include <algorithm>
+
+namespace banyanwall::benchmarks {
+
+using common::Overloaded;
+using connection::FlowPacket;
+using connection::PacketVerdict;
+
+namespace {
+
+std::uint64_t hashOf(const FlowPacket &packet)
+{
+    return common::hashPair(std::hash<common::Endpoint> {}(packet.caller), packet.service.port);
+}
+
+} // namespace
+
+FlowBalancer::FlowBalancer(const ChoiceKind &kind, common::ZoneId zone, std::uint64_t instance,
+                           std::uint32_t instances)
+    : m_kind(kind)
+    , m_forwarder({ .ownZone = zone, .instance = instance }, [](common::Duration) {})
+{
+    m_forwarder.setPosition({ .zone = zone, .instance = instance, .instances = instances });
+}
+
+void FlowBalancer::update(const version::DirectoryDelta &delta, common::TimePoint now)
+{
+    m_forwarder.update(m_directory, m_directory.apply(delta, now), now);
+    m_forwarder.setAssuredAt(now);
+}
+
+PacketVerdict FlowBalancer::handle(const FlowPacket &packet, common::TimePoint now)
+{
+    return std::visit(
+            Overloaded {
+                    [&](const RendezvousChoice &) {
+                        return packet.opens ? chooseByHash(packet) : follow(packet);
+                    },
+                    [&](const TwoChoices &) {
+                        return packet.opens ? chooseOfTwo(packet) : follow(packet);
+                    },
+                    [&](const EvidenceChoice &) { return m_forwarder.handle(packet, now); },
+            },
+            m_kind);
+}
+
+connection::SilenceReports FlowBalancer::takeReports(common::TimePoint now)
+{
+    return m_forwarder.takeReports(now);
+}
+
+connection::SilenceReports FlowBalancer::onReports(const connection::SilenceReports &reports,
+                                                   common::TimePoint now)
+{
+    return m_forwarder.onPeerReports(reports, now);
+}
+
+PacketVerdict FlowBalancer::chooseByHash(const FlowPacket &packet)
+{
+    const auto upstreams = ranked(packet);
+    if (upstreams.empty()) {
+        return connection::ResetFlow { common::Reason::NoUpstream };
+    }
+    return forwardTo(upstreams.front());
+}
+
+PacketVerdict FlowBalancer::chooseOfTwo(const FlowPacket &packet)
+{
+    const auto upstreams = ranked(packet);
+    if (upstreams.size() < 2) {
+        return chooseByHash(packet);
+    }
+    const bool takeSecond = m_opened[upstreams[1].serial] < m_opened[upstreams[0].serial];
+    const auto &chosen = upstreams[takeSecond ? 1 : 0];
+    ++m_opened[chosen.serial];
+    return forwardTo(chosen);
+}
+
+PacketVerdict FlowBalancer::follow(const FlowPacket &packet) const
+{
+    for (const auto &[key, entry] : m_directory.entries()) {
+        const auto *upstream = std::get_if<version::UpstreamRecord>(&entry.value);
+        if (upstream != nullptr && connection::tokenOf(upstream->serial) == packet.token) {
+            return forwardTo(*upstream);
+        }
+    }
+    return connection::DropPacket { common::Reason::UnknownFlow };
+}
+
+FlowBalancer::Upstreams FlowBalancer::ranked(const FlowPacket &packet) const
+{
+    Upstreams upstreams;
+    for (const auto &[key, entry] : m_directory.entries()) {
+        const auto *upstream = std::get_if<version::UpstreamRecord>(&entry.value);
+        if (upstream != nullptr && upstream->coldFor == common::Duration()) {
+            upstreams.push_back(*upstream);
+        }
+    }
+    const auto hash = hashOf(packet);
+    std::ranges::sort(upstreams, std::greater {}, [hash](const auto &upstream) {
+        return common::hashPair(upstream.serial.value(), hash);
+    });
+    return upstreams;
+}
+
+PacketVerdict FlowBalancer::forwardTo(const version::UpstreamRecord &upstream)
+{
+    return connection::ForwardPacket { upstream.endpoint, upstream.serial,
+                                       connection::tokenOf(upstream.serial) };
+}
+
+} // namespace banyanwall::benchmarks
--- /dev/null
+++ b/src/benchmarks/flowbalancer.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "connection/flowforwarder.h"
+#include "connection/flowpacket.h"
+#include "version/directory.h"
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace banyanwall::benchmarks {
+
+/// Baseline: the upstream of a flow follows from the hash of the flow alone.
+struct RendezvousChoice
+{ };
+
+/// Baseline: the one of two upstreams that got fewer flows from this instance lately.
+struct TwoChoices
+{ };
+
+/// The product's packet path.
+struct EvidenceChoice
+{ };
+
+using ChoiceKind = std::variant<RendezvousChoice, TwoChoices, EvidenceChoice>;
+
+/// One instance that forwards packets by one of the ways to choose.
+class FlowBalancer
+{
+public:
+    FlowBalancer(const ChoiceKind &kind, common::ZoneId zone, std::uint64_t instance,
+                 std::uint32_t instances);
+
+    void update(const version::DirectoryDelta &delta, common::TimePoint now);
+    connection::PacketVerdict handle(const connection::FlowPacket &packet, common::TimePoint now);
+    /// Evidence for the other instances of the zone.
+    [[nodiscard]] connection::SilenceReports takeReports(common::TimePoint now);
+    /// Returns the objections.
+    connection::SilenceReports onReports(const connection::SilenceReports &reports,
+                                         common::TimePoint now);
+
+private:
+    using Upstreams = std::vector<version::UpstreamRecord>;
+
+    connection::PacketVerdict chooseByHash(const connection::FlowPacket &packet);
+    connection::PacketVerdict chooseOfTwo(const connection::FlowPacket &packet);
+    connection::PacketVerdict follow(const connection::FlowPacket &packet) const;
+    [[nodiscard]] Upstreams ranked(const connection::FlowPacket &packet) const;
+    static connection::PacketVerdict forwardTo(const version::UpstreamRecord &upstream);
+
+    ChoiceKind m_kind;
+    version::Directory m_directory;
+    connection::FlowForwarder m_forwarder;
+    std::unordered_map<common::UpstreamSerial, std::uint64_t> m_opened;
+};
+
+} // namespace banyanwall::benchmarks
--- /dev/null
+++ b/src/benchmarks/flowupstreamfake.cpp
@@ -0,0 +1,51 @@
+#include "benchmarks/flowupstreamfake.h"
+
+#include <utility>
+
+namespace banyanwall::benchmarks {
+
+FlowUpstreamFake::FlowUpstreamFake(EventQueue &events, version::UpstreamRecord record)
+    : m_events(events)
+    , m_record(std::move(record))
+{ }
+
+void FlowUpstreamFake::serve(common::Duration work, Answer answer)
+{
+    if (m_queue.size() >= QueueLimit) {
+        answer(false);
+        return;
+    }
+    m_queue.push_back({ work, std::move(answer) });
+    startNext();
+}
+
+void FlowUpstreamFake::setSilent(bool isSilent)
+{
+    m_isSilent = isSilent;
+    if (isSilent) {
+        ++m_life;
+        m_queue.clear();
+        m_running = 0;
+    }
+}
+
+void FlowUpstreamFake::startNext()
+{
+    if (m_queue.empty() || m_running >= m_record.slots) {
+        return;
+    }
+    auto request = std::move(m_queue.front());
+    m_queue.pop_front();
+    ++m_running;
+    const auto time = std::chrono::duration_cast<common::Duration>(request.work * m_slowness);
+    m_events.after(time, [this, life = m_life, answer = std::move(request.answer)] {
+        if (life != m_life) {
+            return;
+        }
+        --m_running;
+        answer(true);
+        startNext();
+    });
+}
+
+} // namespace banyanwall::benchmarks
--- a/src/tests/fuzz/corpusdriver.cpp
+++ b/src/tests/fuzz/corpusdriver.cpp
@@ -1,12 +1,11 @@
 // Runs a fuzz target without libFuzzer: over a fixed corpus of valid messages and over their
 // mutations from a fixed seed. With a folder as argument it writes the corpus there instead, as the
 // start of libFuzzer.
-#include "tests/fuzz/fuzztarget.h"
+#include "tests/fuzz/mutations.h"
 #include "wire/peercodec.h"
 
 #include <fstream>
 #include <iostream>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -14,9 +13,6 @@
 
 using namespace banyanwall;
 
-constexpr int Mutations = 20'000;
-constexpr std::uint64_t Seed = 20261204;
-
 std::vector<std::string> corpus()
 {
     wire::proto::CallerMessage caller;
@@ -37,36 +33,6 @@
              wire::encode(upstream), '\0' + codec.encode(peer), '\1' + peer.SerializeAsString() };
 }
 
-std::string mutated(std::string input, std::mt19937_64 &random)
-{
-    const auto below = [&random](std::size_t limit) {
-        return std::uniform_int_distribution<std::size_t>(0, limit - 1)(random);
-    };
-    const auto changes = 1 + below(4);
-    for (std::size_t change = 0; change < changes && !input.empty(); ++change) {
-        const auto position = below(input.size());
-        switch (below(4)) {
-        case 0:
-            input[position] = static_cast<char>(below(256));
-            break;
-        case 1:
-            input.resize(position);
-            break;
-        case 2:
-            input.insert(position, 1, static_cast<char>(below(256)));
-            break;
-        default:
-            input += input.substr(position);
-        }
-    }
-    return input;
-}
-
-void drive(const std::string &input)
-{
-    LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t *>(input.data()), input.size());
-}
-
 } // namespace
 
 int main(int argc, char **argv)
@@ -78,13 +44,7 @@
         }
         return 0;
     }
-    std::mt19937_64 random(Seed);
-    for (const auto &input : inputs) {
-        drive(input);
-    }
-    for (int round = 0; round < Mutations; ++round) {
-        drive(mutated(inputs[static_cast<std::size_t>(round) % inputs.size()], random));
-    }
-    std::cout << "inputs=" << inputs.size() + Mutations << std::endl;
+    tests::driveAll(inputs);
+    std::cout << "inputs=" << inputs.size() + tests::Mutations << std::endl;
     return 0;
 }
--- /dev/null
+++ b/src/tests/fuzz/directorycorpusdriver.cpp
@@ -0,0 +1,30 @@
+// Runs the fuzz target of the directory's messages over valid messages and their mutations.
+#include "process/fragmentassembler.h"
+#include "tests/fuzz/mutations.h"
+#include "wire/directorycodec.h"
+
+#include <iostream>
+
+using namespace banyanwall;
+
+int main()
+{
+    const version::UpstreamRecord upstream { .serial = common::UpstreamSerial(12),
+                                             .endpoint = { 0x0a800009, 8080 },
+                                             .slots = 3 };
+    const version::RulesRecord rules {
+        .version = 7,
+        .routes = { { { 0xc6120001, 443 }, { { common::ServiceId(5), 90 } }, true } },
+    };
+    const version::DirectoryDelta delta {
+        common::StoreRevision(4),
+        common::StoreRevision(9),
+        true,
+        { { version::keyOf(upstream), common::StoreRevision(5), upstream },
+          { version::keyOf(rules), common::StoreRevision(6), rules } },
+    };
+    const auto bytes = wire::encodeDelta(delta);
+    tests::driveAll({ bytes, process::cutIntoFragments(bytes, 3).front().SerializeAsString() });
+    std::cout << "inputs=" << 2 + tests::Mutations << std::endl;
+    return 0;
+}
