Log opened flows and requests with their ids, at bounded rates

Cause: a failed request could not be followed from its id, since only refusals were logged. Change: lines flow_opened and request_forwarded, at most 40 a second for each instance, and one line for each report of silence.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -84,7 +84,8 @@
         return ResetFlow { Reason::NoUpstream };
     }
     m_observer.noteOpening(packet, upstream->token, now);
-    return ForwardPacket { upstream->record.endpoint, upstream->record.serial, upstream->token };
+    return ForwardPacket { upstream->record.endpoint, upstream->record.serial, upstream->token,
+                           upstream->record.zone };
 }
 
 PacketVerdict FlowForwarder::forward(const FlowPacket &packet, const FlowObservation &seen,
@@ -103,7 +104,8 @@
     if (mayRunAgain && packet.payloadBytes > 0 && shouldClose(*upstream, seen.isRepeated, now)) {
         return ResetFlow { Reason::UpstreamSilent };
     }
-    return ForwardPacket { upstream->record.endpoint, upstream->record.serial, packet.token };
+    return ForwardPacket { upstream->record.endpoint, upstream->record.serial, packet.token,
+                           upstream->record.zone, packet.payloadBytes > 0 && !seen.isRepeated };
 }
 
 PacketVerdict FlowForwarder::handleUnknown(const FlowPacket &packet, TimePoint now)
--- a/src/connection/flowpacket.h
+++ b/src/connection/flowpacket.h
@@ -32,6 +32,9 @@
     common::Endpoint upstream;
     common::UpstreamSerial serial;
     common::FlowToken token;
+    common::ZoneId zone {};
+    /// The packet carries data that was not sent before.
+    bool hasNewData = false;
 };
 
 /// The caller is told that its flow does not exist.
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -35,6 +35,8 @@
 // 200 ms, so that a longer wait gains little.
 constexpr std::chrono::milliseconds LongestLoad { 1'000 };
 constexpr double LogEventsPerSecond = 20.0;
+// An instance of today's deployments gets 20 requests a second, some on flows of their own.
+constexpr double FlowEventsPerSecond = 40.0;
 constexpr double LogBurst = 60.0;
 
 udp::endpoint toAsio(Endpoint endpoint)
@@ -75,6 +77,7 @@
     , m_format(format)
     , m_metrics(metrics)
     , m_log(LogEventsPerSecond, LogBurst)
+    , m_flowLog(FlowEventsPerSecond, LogBurst)
     , m_sync(syncOptions(m_settings), m_directory)
     , m_forwarder({ .ownZone = common::idFromName<common::ZoneId>(m_settings.zone),
                     .instance = numberOf(m_settings) },
@@ -162,8 +165,10 @@
                        const connection::PacketVerdict &verdict, std::size_t bytes)
 {
     boost::system::error_code error;
+    const auto received = std::span(m_buffer).subspan(PacketFormat::PrefixBytes, bytes);
     std::visit(Overloaded {
                        [&](const connection::ForwardPacket &forward) {
+                           logForward(packet, forward, received);
                            const auto whole =
                                    std::span(m_buffer).first(PacketFormat::PrefixBytes + bytes);
                            m_format.address(whole, forward.serial, forward.token);
@@ -179,11 +184,11 @@
                                              error);
                            m_metrics.count(Counter::FlowsReset);
                            m_metrics.countRefusal(reset.reason);
-                           logRefusal(packet, "flow_reset", reset.reason);
+                           logRefusal(packet, "flow_reset", reset.reason, received);
                        },
                        [&](const connection::DropPacket &drop) {
                            m_metrics.countRefusal(drop.reason);
-                           logRefusal(packet, "packet_dropped", drop.reason);
+                           logRefusal(packet, "packet_dropped", drop.reason, received);
                        },
                },
                verdict);
@@ -192,16 +197,44 @@
     }
 }
 
+void FlowDaemon::logForward(const connection::FlowPacket &packet,
+                            const connection::ForwardPacket &forward,
+                            std::span<const std::uint8_t> bytes)
+{
+    const bool isDecision = packet.opens || forward.hasNewData;
+    if (!isDecision) {
+        return;
+    }
+    const auto request = packet.opens ? std::string_view() : m_format.requestIdOf(bytes);
+    if (!packet.opens && request.empty()) {
+        return;
+    }
+    auto line = m_flowLog.event(LogLevel::Info,
+                                packet.opens ? "flow_opened" : "request_forwarded",
+                                m_lastPacketAt);
+    if (!line) {
+        return;
+    }
+    line->with("caller", common::toString(packet.caller))
+            .with("service", common::toString(packet.service))
+            .with("upstream", common::toString(forward.upstream))
+            .with("token", forward.token.value());
+    if (packet.opens) {
+        line->with("copy", packet.acknowledgement)
+                .with("revision", m_directory.revision().value())
+                .with("news_age_ms", newsAge().count());
+    } else {
+        line->with("request", request);
+    }
+}
+
 void FlowDaemon::logRefusal(const connection::FlowPacket &packet, std::string_view event,
-                            common::Reason reason)
+                            common::Reason reason, std::span<const std::uint8_t> bytes)
 {
-    const auto now = m_lastPacketAt;
-    auto line = m_log.event(LogLevel::Info, event, now);
+    auto line = m_log.event(LogLevel::Info, event, m_lastPacketAt);
     if (!line) {
         return;
     }
-    const auto age =
-            std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sync.assuredAt());
     line->with("reason", toString(reason))
             .with("caller", common::toString(packet.caller))
             .with("service", common::toString(packet.service))
@@ -210,7 +243,16 @@
             .with("copy", packet.opens ? packet.acknowledgement : 0)
             .with("payload_bytes", packet.payloadBytes)
             .with("revision", m_directory.revision().value())
-            .with("news_age_ms", age.count());
+            .with("news_age_ms", newsAge().count());
+    if (const auto request = m_format.requestIdOf(bytes); !request.empty()) {
+        line->with("request", request);
+    }
+}
+
+std::chrono::milliseconds FlowDaemon::newsAge() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_lastPacketAt
+                                                                 - m_sync.assuredAt());
 }
 
 void FlowDaemon::receivePeers()
@@ -304,17 +346,27 @@
     if (reports.isEmpty()) {
         return;
     }
-    if (auto event = m_log.event(LogLevel::Info, "silence_reported", now)) {
-        event->with("upstreams", reports.upstreams.size())
-                .with("recovered", reports.recovered.size())
-                .with("zones", reports.zones.size());
-    }
+    logReports(reports, now);
     const auto message = wire::encodeSilence(reports);
     for (const auto peer : m_sync.zonePeers()) {
         sendToPeer({ peer, message });
     }
 }
 
+void FlowDaemon::logReports(const connection::SilenceReports &reports, TimePoint now)
+{
+    const auto logAll = [&](std::string_view name, std::string_view key, const auto &ids) {
+        for (const auto id : ids) {
+            if (auto event = m_log.event(LogLevel::Info, name, now)) {
+                event->with(key, id.value());
+            }
+        }
+    };
+    logAll("upstream_unanswered", "serial", reports.upstreams);
+    logAll("upstream_recovered", "serial", reports.recovered);
+    logAll("zone_unreachable", "zone_id", reports.zones);
+}
+
 void FlowDaemon::perform(const SyncActions &actions, TimePoint now)
 {
     for (const auto &action : actions) {
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -17,6 +17,7 @@
 
 #include <array>
 #include <functional>
+#include <span>
 
 namespace banyanwall::process {
 
@@ -45,8 +46,13 @@
     void onPacket(std::size_t bytes, common::TimePoint now);
     void apply(const connection::FlowPacket &packet, const connection::PacketVerdict &verdict,
                std::size_t bytes);
+    void logForward(const connection::FlowPacket &packet,
+                    const connection::ForwardPacket &forward,
+                    std::span<const std::uint8_t> bytes);
     void logRefusal(const connection::FlowPacket &packet, std::string_view event,
-                    common::Reason reason);
+                    common::Reason reason, std::span<const std::uint8_t> bytes);
+    void logReports(const connection::SilenceReports &reports, common::TimePoint now);
+    [[nodiscard]] std::chrono::milliseconds newsAge() const;
     void receivePeers();
     void onPeerDatagram(std::size_t bytes, const boost::asio::ip::udp::endpoint &from);
     void sendToPeer(const SendDirectoryMessage &send);
@@ -78,6 +84,8 @@
     const PacketFormat &m_format;
     Metrics &m_metrics;
     EventLog m_log;
+    /// Decisions on flows that are served; apart, so that they do not displace refusals.
+    EventLog m_flowLog;
     version::Directory m_directory;
     DirectorySync m_sync;
     connection::FlowForwarder m_forwarder;
--- a/src/process/packetformat.h
+++ b/src/process/packetformat.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 
 namespace banyanwall::process {
 
@@ -26,6 +27,9 @@
     /// as prefix and header.
     virtual void address(std::span<std::uint8_t> prefixed, common::UpstreamSerial upstream,
                          common::FlowToken token) const = 0;
+    /// Id of the request whose first bytes the packet carries; empty when it shows none.
+    [[nodiscard]] virtual std::string_view
+    requestIdOf(std::span<const std::uint8_t> packet) const = 0;
     /// The packet that tells the caller that its flow does not exist.
     [[nodiscard]] virtual Reset resetOf(const connection::FlowPacket &packet) const = 0;
 };
