Send contracts as patches, let strong instances watch, judge only while others answer

The instance that closed them watched the store through a link of 10 Mbit/s: a contract of 1,016 routes went whole to 45 peers, several times a second; its own packets were lost, and all zones seemed silent. Ruled out: objections that come late; the instance's resets did not arrive either (its callers repeated the same requests). Change: peers get the routes that changed; after a large answer the next watch waits in proportion to it, up to 1.3 s; instances are ranked for watching by processor share and link; a verdict needs answers from elsewhere meanwhile.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -18,6 +18,8 @@
 // An upstream that this instance does not know yet, but another one does, is known by then.
 constexpr std::chrono::milliseconds UnknownTokenWait { 800 };
 constexpr std::chrono::seconds UnknownTokenMemory { 10 };
+// The smallest instances of today get 14 requests a second.
+constexpr std::chrono::milliseconds OwnSilence { 500 };
 // Bounds the memory that forged tokens can take.
 constexpr std::size_t MaxUnknownTokens = 1'024;
 
@@ -146,15 +148,15 @@
 
 void FlowForwarder::noteHeard(KnownUpstream &upstream, TimePoint now)
 {
-    auto &zone = m_upstreams.zoneHealth(upstream.record.zone);
-    if (zone.isUnreachable(now)) {
+    if (m_upstreams.zoneHealth(upstream.record.zone).isUnreachable(now)) {
         m_upstreams.clearEvidence(upstream.record.zone);
     }
     if (upstream.health.isSuspected(now)) {
         m_reports.recovered.push_back(upstream.record.serial);
     }
     upstream.health.onHeard(now);
-    zone.onHeard(now);
+    m_upstreams.noteHeard(upstream.record.zone, now);
+    m_lastHeardAt = now;
 }
 
 void FlowForwarder::noteRepeated(KnownUpstream &upstream, const FlowPacket &packet, TimePoint now)
@@ -222,7 +224,9 @@
     if (!isRepeated) {
         return zone.isConfirmedUnreachable(now);
     }
-    return upstream.health.isSilent(now) || zone.isUncontested(now);
+    // An instance that hears nobody learns nothing about a single upstream.
+    const bool isReached = now - m_lastHeardAt < OwnSilence;
+    return (isReached && upstream.health.isSilent(now)) || zone.isUncontested(now);
 }
 
 bool FlowForwarder::isCurrent(TimePoint now) const
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -103,6 +103,8 @@
     /// When packets with a token that no upstream has were first seen.
     std::unordered_map<common::FlowToken, common::TimePoint> m_unknownTokens;
     common::TimePoint m_assuredAt;
+    /// When any upstream last answered a caller.
+    common::TimePoint m_lastHeardAt;
     SilenceReports m_reports;
 };
 
--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -95,6 +95,16 @@
     return zones;
 }
 
+void UpstreamTable::noteHeard(common::ZoneId zone, TimePoint now)
+{
+    for (auto &[other, health] : m_zoneHealth) {
+        if (other != zone) {
+            health.onHeardElsewhere();
+        }
+    }
+    m_zoneHealth[zone].onHeard(now);
+}
+
 void UpstreamTable::clearEvidence(common::ZoneId zone)
 {
     for (auto &[token, upstream] : m_upstreams) {
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -60,6 +60,9 @@
     /// Unreachable zones that other instances are to be told about.
     [[nodiscard]] std::vector<common::ZoneId> zonesToReport(common::TimePoint now);
 
+    /// An upstream of this zone has answered a caller.
+    void noteHeard(common::ZoneId zone, common::TimePoint now);
+
     [[nodiscard]] ZoneHealth &zoneHealth(common::ZoneId zone) { return m_zoneHealth[zone]; }
 
     /// Time to an answer of all upstreams of a service.
--- a/src/connection/zonehealth.cpp
+++ b/src/connection/zonehealth.cpp
@@ -18,6 +18,8 @@
 constexpr Duration LongestSilence = milliseconds(1'000);
 // Weight of a new gap in the mean is 1 in this many.
 constexpr int GapMemory = 16;
+// An instance whose own link is full or cut hears nobody.
+constexpr std::uint32_t EnoughElsewhere = 3;
 // Losses further apart have different causes.
 constexpr milliseconds EvidenceGap { 1'000 };
 constexpr milliseconds ProbeInterval { 2'500 };
@@ -36,6 +38,7 @@
 void ZoneHealth::onHeard(TimePoint now)
 {
     m_lastHeard = now;
+    m_heardElsewhere = 0;
     m_lastPeerReport = {};
     m_firstReport = {};
     m_suspectCount = 0;
@@ -49,6 +52,11 @@
     m_suspectCount = 0;
 }
 
+void ZoneHealth::onHeardElsewhere()
+{
+    ++m_heardElsewhere;
+}
+
 void ZoneHealth::onAnswered(TimePoint now)
 {
     const auto gap = std::clamp<Duration>(now - m_lastAnswered, Duration {}, LongestSilence);
@@ -79,8 +87,9 @@
 {
     const auto silence = std::clamp(m_usualGap * UnusualGaps, ShortestSilence, LongestSilence);
     const auto needed = hasPeerReport(now) ? 1 : EnoughSuspects;
-    return m_suspectCount >= needed && now - m_lastHeard > silence
-            && now - m_lastPeerHeard > ObjectionAge && now - m_lastRepeated < EvidenceAge;
+    return m_suspectCount >= needed && m_heardElsewhere >= EnoughElsewhere
+            && now - m_lastHeard > silence && now - m_lastPeerHeard > ObjectionAge
+            && now - m_lastRepeated < EvidenceAge;
 }
 
 bool ZoneHealth::isUncontested(TimePoint now) const
--- a/src/connection/zonehealth.h
+++ b/src/connection/zonehealth.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 
 namespace banyanwall::connection {
 
@@ -16,6 +17,8 @@
 public:
     /// An upstream of the zone has answered a caller.
     void onHeard(common::TimePoint now);
+    /// An upstream of another zone has answered a caller: this instance itself is reached.
+    void onHeardElsewhere();
     /// An upstream of the zone has answered a request.
     void onAnswered(common::TimePoint now);
     /// A caller of this or another instance repeated a packet to this upstream of the zone.
@@ -49,6 +52,8 @@
 
     std::array<common::FlowToken, EnoughSuspects> m_suspects {};
     std::size_t m_suspectCount = 0;
+    /// Signs of life of other zones since the last one of this zone.
+    std::uint32_t m_heardElsewhere = 0;
     common::TimePoint m_lastHeard;
     common::TimePoint m_lastAnswered;
     common::TimePoint m_lastRepeated;
--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -22,6 +22,10 @@
 constexpr milliseconds WatchWait { 1'200 };
 // Changes that come within this time cost one call.
 constexpr milliseconds ChangeBatch { 250 };
+// Large answers in quick succession would fill a link of 10 Mbit/s and the processor of a small
+// instance; 3 s are left to put a change in force.
+constexpr std::size_t NewsBytesPerSecond = 200'000;
+constexpr milliseconds LongestBatch { 1'300 };
 constexpr milliseconds AssuranceInterval { 300 };
 // Zones hear of each other often enough to help one that has lost the store within its 3 s.
 constexpr milliseconds RemoteAssuranceInterval { 600 };
@@ -52,6 +56,14 @@
     return std::clamp(backoff * 2, FirstBackoff, LongestBackoff);
 }
 
+/// Orders the instances of a zone for duties: by capacity, then the same way at all instances.
+std::pair<std::uint32_t, std::uint64_t> rankOf(Endpoint member, common::ZoneId zone,
+                                               std::uint32_t capacity)
+{
+    const auto number = (std::uint64_t { member.address } << 16U) | member.port;
+    return { capacity, common::hashPair(number, zone.value()) };
+}
+
 } // namespace
 
 DirectorySync::DirectorySync(Options options, version::Directory &directory)
@@ -82,17 +94,7 @@
     SyncActions actions;
     m_isCalling = false;
     std::visit(Overloaded {
-                       [&](const version::DirectoryDelta &delta) {
-                           m_backoff = {};
-                           m_needsFullRead = false;
-                           const bool changed = delta.to > m_directory.revision();
-                           m_nextCall = now + (changed ? ChangeBatch : milliseconds());
-                           // A stale answer is no proof that the directory is current.
-                           if (delta.to >= m_directory.revision()) {
-                               m_assuredAt = now;
-                           }
-                           applyDelta(delta, now, actions);
-                       },
+                       [&](const StoreNews &news) { onNews(news, now, actions); },
                        [&](const HistoryLost & /*none*/) {
                            m_needsFullRead = true;
                            m_nextCall = now;
@@ -111,6 +113,22 @@
     return actions;
 }
 
+void DirectorySync::onNews(const StoreNews &news, TimePoint now, SyncActions &actions)
+{
+    m_backoff = {};
+    m_needsFullRead = false;
+    const auto revision = m_directory.revision();
+    const milliseconds transfer(news.bytes * 1'000 / NewsBytesPerSecond);
+    const bool hasChanges = news.delta.to > revision;
+    m_nextCall =
+            now + (hasChanges ? std::clamp(transfer, ChangeBatch, LongestBatch) : milliseconds());
+    // A stale answer is no proof that the directory is current.
+    if (news.delta.to >= revision) {
+        m_assuredAt = now;
+    }
+    applyDelta(news.delta, now, actions);
+}
+
 SyncActions DirectorySync::onRegistered(bool accepted, TimePoint now)
 {
     m_isRegistering = false;
@@ -284,7 +302,7 @@
     const auto confirmedAt = now - milliseconds(assurance.age_ms());
     if (assurance.leaving()) {
         m_watchers.erase(from);
-        if (rankKey(from) > rankKey(m_options.self.endpoint)) {
+        if (isBetter(from)) {
             m_betterHeardAt = std::min(m_betterHeardAt, now - WatcherSilence);
         }
         return;
@@ -292,9 +310,7 @@
     if (assurance.watching()) {
         const common::ZoneId zone(assurance.zone());
         m_watchers[from] = { zone, now, revision };
-        const bool isBetter =
-                zone == m_options.self.zone && rankKey(from) > rankKey(m_options.self.endpoint);
-        if (isBetter) {
+        if (zone == m_options.self.zone && isBetter(from)) {
             m_betterHeardAt = now;
             m_betterAssuredAt = std::max(m_betterAssuredAt, confirmedAt);
         }
@@ -341,21 +357,20 @@
     std::erase_if(m_askers, [&](const auto &item) { return now - item.second.at > AskerMemory; });
     m_members.clear();
     for (const auto &member : m_directory.members()) {
-        m_members[member.endpoint] = member.zone;
+        m_members[member.endpoint] = { member.zone, member.capacity };
     }
     for (const auto &[endpoint, heard] : m_askers) {
-        m_members[endpoint] = heard.zone;
+        m_members.try_emplace(endpoint, Peer { heard.zone });
     }
     m_members.erase(m_options.self.endpoint);
     m_zonePeers.clear();
-    for (const auto &[endpoint, zone] : m_members) {
-        if (zone == m_options.self.zone) {
+    for (const auto &[endpoint, peer] : m_members) {
+        if (peer.zone == m_options.self.zone) {
             m_zonePeers.push_back(endpoint);
         }
     }
-    const auto ownKey = rankKey(m_options.self.endpoint);
-    m_ownRank = static_cast<std::size_t>(std::ranges::count_if(
-            m_zonePeers, [&](Endpoint peer) { return rankKey(peer) > ownKey; }));
+    m_ownRank = static_cast<std::size_t>(
+            std::ranges::count_if(m_zonePeers, [&](Endpoint peer) { return isBetter(peer); }));
 }
 
 DirectoryMessage DirectorySync::assurance(TimePoint now, bool leaving) const
@@ -371,26 +386,27 @@
     return message;
 }
 
-std::uint64_t DirectorySync::rankKey(Endpoint member) const
+bool DirectorySync::isBetter(Endpoint member) const
 {
-    return common::hashPair((std::uint64_t { member.address } << 16U) | member.port,
-                            m_options.self.zone.value());
+    const auto &self = m_options.self;
+    const auto found = m_members.find(member);
+    const auto capacity = found == m_members.end() ? 0 : found->second.capacity;
+    return rankOf(member, self.zone, capacity) > rankOf(self.endpoint, self.zone, self.capacity);
 }
 
 std::vector<Endpoint> DirectorySync::remoteWatchers(TimePoint now) const
 {
     // Where no watching instance is known, the highest ranked member of the zone should be one.
     std::map<common::ZoneId, Endpoint> best;
-    for (const auto &[endpoint, zone] : m_members) {
-        if (zone == m_options.self.zone) {
+    for (const auto &[endpoint, peer] : m_members) {
+        if (peer.zone == m_options.self.zone) {
             continue;
         }
-        const auto rankIn = [zone = zone](Endpoint member) {
-            return common::hashPair((std::uint64_t { member.address } << 16U) | member.port,
-                                    zone.value());
-        };
-        const auto [known, isNew] = best.try_emplace(zone, endpoint);
-        if (!isNew && rankIn(endpoint) > rankIn(known->second)) {
+        const auto [known, isNew] = best.try_emplace(peer.zone, endpoint);
+        const auto knownCapacity = m_members.at(known->second).capacity;
+        if (!isNew
+            && rankOf(endpoint, peer.zone, peer.capacity)
+                    > rankOf(known->second, peer.zone, knownCapacity)) {
             known->second = endpoint;
         }
     }
--- a/src/process/directorysync.h
+++ b/src/process/directorysync.h
@@ -61,7 +61,15 @@
     std::string reason;
 };
 
-using StoreAnswer = std::variant<version::DirectoryDelta, HistoryLost, StoreFailure>;
+/// Entries of the store.
+struct StoreNews
+{
+    version::DirectoryDelta delta;
+    /// Size of the answer that held them.
+    std::size_t bytes = 0;
+};
+
+using StoreAnswer = std::variant<StoreNews, HistoryLost, StoreFailure>;
 
 /// Keeps the directory of an instance current at few calls to the store. In each availability zone
 /// the highest ranked instance watches the store, passes changes on and tells regularly how old its
@@ -104,6 +112,12 @@
     [[nodiscard]] const std::vector<common::Endpoint> &zonePeers() const { return m_zonePeers; }
 
 private:
+    struct Peer
+    {
+        common::ZoneId zone;
+        std::uint32_t capacity = 0;
+    };
+
     struct Heard
     {
         common::ZoneId zone;
@@ -132,7 +146,8 @@
     void updateMembers(common::TimePoint now);
     [[nodiscard]] wire::proto::DirectoryMessage assurance(common::TimePoint now,
                                                           bool leaving) const;
-    [[nodiscard]] std::uint64_t rankKey(common::Endpoint member) const;
+    void onNews(const StoreNews &news, common::TimePoint now, SyncActions &actions);
+    [[nodiscard]] bool isBetter(common::Endpoint member) const;
     [[nodiscard]] std::vector<common::Endpoint> remoteWatchers(common::TimePoint now) const;
 
     Options m_options;
@@ -146,7 +161,7 @@
     bool m_isLeaving = false;
 
     /// Other instances, by rank within the own zone and by zone elsewhere.
-    std::map<common::Endpoint, common::ZoneId> m_members;
+    std::map<common::Endpoint, Peer> m_members;
     std::vector<common::Endpoint> m_zonePeers;
     std::size_t m_ownRank = 0;
     /// Instances that asked for changes and are not in the directory yet.
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -60,7 +60,7 @@
     const auto zone = common::idFromName<common::ZoneId>(settings.zone);
     const auto seed = common::hashBytes(common::toString(settings.peerListen))
             ^ static_cast<std::uint64_t>(bootTimeNow().time_since_epoch().count());
-    return { .self = { settings.peerListen, zone },
+    return { .self = { settings.peerListen, zone, settings.capacity },
              .seeds = settings.seeds,
              .seed = static_cast<std::uint32_t>(seed) };
 }
@@ -209,8 +209,7 @@
     if (!packet.opens && request.empty()) {
         return;
     }
-    auto line = m_flowLog.event(LogLevel::Info,
-                                packet.opens ? "flow_opened" : "request_forwarded",
+    auto line = m_flowLog.event(LogLevel::Info, packet.opens ? "flow_opened" : "request_forwarded",
                                 m_lastPacketAt);
     if (!line) {
         return;
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -46,8 +46,7 @@
     void onPacket(std::size_t bytes, common::TimePoint now);
     void apply(const connection::FlowPacket &packet, const connection::PacketVerdict &verdict,
                std::size_t bytes);
-    void logForward(const connection::FlowPacket &packet,
-                    const connection::ForwardPacket &forward,
+    void logForward(const connection::FlowPacket &packet, const connection::ForwardPacket &forward,
                     std::span<const std::uint8_t> bytes);
     void logRefusal(const connection::FlowPacket &packet, std::string_view event,
                     common::Reason reason, std::span<const std::uint8_t> bytes);
--- a/src/process/flowsettings.cpp
+++ b/src/process/flowsettings.cpp
@@ -9,14 +9,30 @@
 namespace {
 
 const KnownKeys Keys {
-    { "instance", { "name", "zone" } }, { "listen", { "traffic", "peer", "admin" } },
-    { "store", { "endpoint" } },        { "peers", { "seeds" } },
-    { "shutdown", { "grace_ms" } },     { "log", { "level" } },
+    { "instance", { "name", "zone", "processor_share", "link_mbps" } },
+    { "listen", { "traffic", "peer", "admin" } },
+    { "store", { "endpoint" } },
+    { "peers", { "seeds" } },
+    { "shutdown", { "grace_ms" } },
+    { "log", { "level" } },
 };
 
 // Below, callers' packets would be lost before the fabric looks elsewhere.
 constexpr std::int64_t MinGraceMs = 1'000;
 constexpr std::int64_t MaxGraceMs = 600'000;
+// An instance of this size bears the duties of its zone without effort.
+constexpr double DefaultProcessorShare = 0.1;
+constexpr double DefaultLinkMbps = 50.0;
+constexpr double CapacitySteps = 10.0;
+
+/// Instances of the same kind get the same value, so that a small difference moves no duty.
+std::uint32_t capacityOf(SettingsReader &reader)
+{
+    const auto share = reader.fraction("instance", "processor_share", DefaultProcessorShare);
+    const auto link = reader.fraction("instance", "link_mbps", DefaultLinkMbps);
+    const auto weakest = std::min(share / DefaultProcessorShare, link / DefaultLinkMbps);
+    return static_cast<std::uint32_t>(std::clamp(weakest, 0.0, 1.0) * CapacitySteps);
+}
 
 } // namespace
 
@@ -38,6 +54,7 @@
     settings.seeds = reader.endpoints("peers", "seeds", false);
     std::ranges::for_each(settings.seeds,
                           [&](auto &seed) { seed.port = settings.peerListen.port; });
+    settings.capacity = capacityOf(reader);
     const auto grace = reader.integer("shutdown", "grace_ms", MinGraceMs, MaxGraceMs, true);
     settings.shutdownGrace = std::chrono::milliseconds(grace.value_or(MinGraceMs));
     settings.logLevel = reader.logLevel(settings.logLevel);
--- a/src/process/flowsettings.h
+++ b/src/process/flowsettings.h
@@ -4,6 +4,7 @@
 #include "common/result.h"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,8 @@
     std::vector<common::Endpoint> seeds;
     /// Time between the request to stop and the end of the process.
     std::chrono::milliseconds shutdownGrace {};
+    /// How well this instance bears duties for others; larger is better.
+    std::uint32_t capacity = 0;
     /// One of trace, debug, info, warning, error.
     std::string logLevel = "info";
 };
--- a/src/process/settingsreader.cpp
+++ b/src/process/settingsreader.cpp
@@ -93,6 +93,21 @@
     return value;
 }
 
+double SettingsReader::fraction(std::string_view section, std::string_view key, double fallback)
+{
+    constexpr std::string_view Allowed = "a number that is not negative";
+    const auto *node = find(section, key, Allowed, false);
+    if (node == nullptr) {
+        return fallback;
+    }
+    const auto value = node->value<double>();
+    if (!value || *value < 0.0) {
+        fail(node->source().begin.line, path(section, key), "wrong type or range", Allowed);
+        return fallback;
+    }
+    return *value;
+}
+
 Endpoint SettingsReader::endpoint(std::string_view section, std::string_view key)
 {
     const auto *node = find(section, key, EndpointRule, true);
--- a/src/process/settingsreader.h
+++ b/src/process/settingsreader.h
@@ -34,6 +34,8 @@
                        bool required = true);
     std::optional<std::int64_t> integer(std::string_view section, std::string_view key,
                                         std::int64_t low, std::int64_t high, bool required);
+    /// A number that is not negative; fallback when the key is not set.
+    double fraction(std::string_view section, std::string_view key, double fallback);
     common::Endpoint endpoint(std::string_view section, std::string_view key);
     std::vector<common::Endpoint> endpoints(std::string_view section, std::string_view key,
                                             bool required);
--- a/src/tests/directorytest.cpp
+++ b/src/tests/directorytest.cpp
@@ -146,3 +146,37 @@
     const auto muchLater = directory.changesSince({}, now + 5s);
     LONGS_EQUAL(0, std::get<UpstreamRecord>(muchLater.changes.front().value).coldFor.count());
 }
+
+// Contracts in quick succession with a thousand routes: peers get what changed, not the whole
+// contract each time.
+TEST(Directory, rulesTravelAsWhatChanged)
+{
+    const auto route = [](std::uint16_t port, std::uint32_t weight) {
+        return version::RouteRecord { { 1, port }, { { common::ServiceId(1), weight } }, true };
+    };
+    const auto change = [](const version::RulesRecord &record, std::uint64_t revision) {
+        return DirectoryChange { version::keyOf(record), StoreRevision(revision), record };
+    };
+    version::RulesRecord first { .version = 1 };
+    for (std::uint16_t port = 1; port <= 1'000; ++port) {
+        first.routes.push_back(route(port, 1));
+    }
+    directory.apply(complete(10, { change(first, 10) }), now);
+    Directory peer;
+    peer.apply(directory.changesSince({}, now), now);
+    LONGS_EQUAL(1'000, peer.rules()->routes.size());
+
+    auto second = first;
+    second.version = 2;
+    second.routes.erase(second.routes.begin());
+    second.routes.back() = route(1'000, 2);
+    second.routes.push_back(route(2'000, 1));
+    directory.apply(delta(10, 11, { change(second, 11) }), now);
+    const auto changes = directory.changesSince(StoreRevision(10), now);
+    const auto &patch = std::get<version::RulesPatch>(changes.changes.front().value);
+    LONGS_EQUAL(2, patch.routes.size());
+    LONGS_EQUAL(1, patch.removedAddresses.size());
+    peer.apply(changes, now);
+    LONGS_EQUAL(2, peer.rules()->version);
+    CHECK(peer.rules()->routes == second.routes);
+}
--- a/src/tests/upstreamhealthtest.cpp
+++ b/src/tests/upstreamhealthtest.cpp
@@ -115,8 +115,16 @@
         }
     }
 
+    void hearElsewhere()
+    {
+        for (int answer = 0; answer < 3; ++answer) {
+            health.onHeardElsewhere();
+        }
+    }
+
     void repeatAll(common::TimePoint at)
     {
+        hearElsewhere();
         for (std::uint32_t upstream = 1; upstream <= 4; ++upstream) {
             health.onRepeated(FlowToken(upstream), at);
         }
@@ -186,12 +194,22 @@
 // An instance that sees little traffic relies on its peers, but never against its own answers.
 TEST(ZoneHealth, reportOfAPeerNeedsOneOwnSuspect)
 {
+    hearElsewhere();
     health.onPeerReport(start + 1s);
     CHECK_FALSE(health.isUnreachable(start + 1s));
     health.onRepeated(FlowToken(1), start + 1s);
     CHECK(health.isUnreachable(start + 1s));
 }
 
+// Full link of the instance itself: all zones fall silent at once, and none is at fault.
+TEST(ZoneHealth, silenceEverywhereIsNoVerdictOnAZone)
+{
+    for (std::uint32_t upstream = 1; upstream <= 4; ++upstream) {
+        health.onRepeated(FlowToken(upstream), start + 300ms);
+    }
+    CHECK_FALSE(health.isUnreachable(start + 1s));
+}
+
 // Cut that has healed: no flow is closed by evidence of before.
 TEST(ZoneHealth, oldEvidenceIsForgotten)
 {
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -1,6 +1,8 @@
 #include "version/directory.h"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <set>
 
 namespace banyanwall::version {
@@ -37,6 +39,11 @@
     return { EntryKind::Rules, 0 };
 }
 
+EntryKey keyOf(const RulesPatch & /*patch*/)
+{
+    return { EntryKind::Rules, 0 };
+}
+
 EntryKey keyOf(const WithdrawalRecord &record)
 {
     return { EntryKind::Withdrawal, record.zone.value() };
@@ -78,7 +85,10 @@
     for (const auto &[key, entry] : m_entries) {
         const bool isRemoved = std::holds_alternative<RemovedRecord>(entry.value);
         if (delta.complete ? !isRemoved : entry.revision > since) {
-            delta.changes.push_back({ key, entry.revision, valueAt(entry, now) });
+            auto value = key.kind == EntryKind::Rules && !isRemoved
+                    ? DirectoryValue(patchSince(since, delta.complete))
+                    : valueAt(entry, now);
+            delta.changes.push_back({ key, entry.revision, std::move(value) });
         }
     }
     return delta;
@@ -108,15 +118,92 @@
     if (change.revision <= entry.revision) {
         return false;
     }
-    const auto *newRules = std::get_if<RulesRecord>(&change.value);
-    const auto *oldRules = std::get_if<RulesRecord>(&entry.value);
-    if (newRules != nullptr && oldRules != nullptr && newRules->version < oldRules->version) {
-        return false;
+    auto value = change.value;
+    if (const auto *patch = std::get_if<RulesPatch>(&value)) {
+        value = patched(*patch);
+    }
+    if (const auto *newRules = std::get_if<RulesRecord>(&value)) {
+        const auto *known = std::get_if<RulesRecord>(&entry.value);
+        const auto former = known == nullptr ? RulesRecord {} : *known;
+        if (newRules->version < former.version) {
+            return false;
+        }
+        noteRouteRevisions(former, *newRules, change.revision);
     }
-    entry = { change.revision, change.value, now };
+    entry = { change.revision, std::move(value), now };
     return true;
 }
 
+RulesRecord Directory::patched(const RulesPatch &patch) const
+{
+    std::map<common::Endpoint, RouteRecord> routes;
+    const auto put = [&](const auto &records) {
+        for (const auto &route : records) {
+            routes.insert_or_assign(route.address, route);
+        }
+    };
+    const auto *former = rules();
+    if (former != nullptr && !patch.complete) {
+        put(former->routes);
+    }
+    for (const auto &address : patch.removedAddresses) {
+        routes.erase(address);
+    }
+    put(patch.routes);
+    RulesRecord record { .version = patch.version,
+                         .services = patch.services,
+                         .idleLimit = patch.idleLimit };
+    std::ranges::copy(routes | std::views::values, std::back_inserter(record.routes));
+    return record;
+}
+
+RulesPatch Directory::patchSince(StoreRevision since, bool complete) const
+{
+    const auto &record = *rules();
+    RulesPatch patch { .version = record.version,
+                       .idleLimit = record.idleLimit,
+                       .complete = complete,
+                       .services = record.services };
+    const auto hasChanged = [&](const common::Endpoint &address) {
+        return complete || m_routeRevisions.at(address) > since;
+    };
+    std::ranges::copy_if(record.routes, std::back_inserter(patch.routes), hasChanged,
+                         &RouteRecord::address);
+    if (complete) {
+        return patch;
+    }
+    std::set<common::Endpoint> present;
+    std::ranges::transform(record.routes, std::inserter(present, present.end()),
+                           &RouteRecord::address);
+    for (const auto &[address, revision] : m_routeRevisions) {
+        if (revision > since && !present.contains(address)) {
+            patch.removedAddresses.push_back(address);
+        }
+    }
+    return patch;
+}
+
+void Directory::noteRouteRevisions(const RulesRecord &former, const RulesRecord &rules,
+                                   StoreRevision revision)
+{
+    std::map<common::Endpoint, const RouteRecord *> before;
+    for (const auto &route : former.routes) {
+        before.emplace(route.address, &route);
+    }
+    for (const auto &route : rules.routes) {
+        const auto known = before.find(route.address);
+        if (known == before.end() || *known->second != route) {
+            m_routeRevisions[route.address] = revision;
+        }
+        if (known != before.end()) {
+            before.erase(known);
+        }
+    }
+    for (const auto &address : before | std::views::keys) {
+        m_routeRevisions[address] = revision;
+    }
+}
+
 void Directory::removeUnnamed(const DirectoryDelta &delta, TimePoint now,
                               std::vector<EntryKey> &changed)
 {
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -75,6 +75,20 @@
     bool operator==(const RulesRecord &) const = default;
 };
 
+/// What changed between two contracts, for instances that know the earlier one.
+struct RulesPatch
+{
+    std::uint64_t version = 0;
+    common::Duration idleLimit {};
+    /// Holds all routes; addresses that it does not name have none.
+    bool complete = false;
+    std::vector<RouteRecord> routes {};
+    std::vector<common::Endpoint> removedAddresses {};
+    std::vector<ServiceRecord> services {};
+
+    bool operator==(const RulesPatch &) const = default;
+};
+
 /// New flows avoid the upstreams of this zone.
 struct WithdrawalRecord
 {
@@ -88,6 +102,8 @@
 {
     common::Endpoint endpoint;
     common::ZoneId zone;
+    /// How well it bears duties for other instances; larger is better.
+    std::uint32_t capacity = 0;
 
     bool operator==(const MemberRecord &) const = default;
 };
@@ -98,8 +114,8 @@
     bool operator==(const RemovedRecord &) const = default;
 };
 
-using DirectoryValue =
-        std::variant<RemovedRecord, UpstreamRecord, RulesRecord, WithdrawalRecord, MemberRecord>;
+using DirectoryValue = std::variant<RemovedRecord, UpstreamRecord, RulesRecord, RulesPatch,
+                                    WithdrawalRecord, MemberRecord>;
 
 /// The values are part of the format between instances.
 enum class EntryKind : std::uint8_t {
@@ -120,6 +136,7 @@
 
 [[nodiscard]] EntryKey keyOf(const UpstreamRecord &record);
 [[nodiscard]] EntryKey keyOf(const RulesRecord &record);
+[[nodiscard]] EntryKey keyOf(const RulesPatch &patch);
 [[nodiscard]] EntryKey keyOf(const WithdrawalRecord &record);
 [[nodiscard]] EntryKey keyOf(const MemberRecord &record);
 
@@ -166,8 +183,8 @@
     /// nothing.
     std::vector<EntryKey> apply(const DirectoryDelta &delta, common::TimePoint now);
 
-    /// Changes after a revision, complete when the directory no longer knows all of them. The time
-    /// that upstreams stay cold is that at now.
+    /// Changes after a revision, complete when the directory no longer knows all of them. The rules
+    /// come as a patch. The time that upstreams stay cold is that at now.
     [[nodiscard]] DirectoryDelta changesSince(common::StoreRevision since,
                                               common::TimePoint now) const;
 
@@ -176,11 +193,17 @@
 
 private:
     bool applyChange(const DirectoryChange &change, common::TimePoint now);
+    [[nodiscard]] RulesRecord patched(const RulesPatch &patch) const;
+    [[nodiscard]] RulesPatch patchSince(common::StoreRevision since, bool complete) const;
+    void noteRouteRevisions(const RulesRecord &former, const RulesRecord &rules,
+                            common::StoreRevision revision);
     void removeUnnamed(const DirectoryDelta &delta, common::TimePoint now,
                        std::vector<EntryKey> &changed);
     void forgetOldRemovals(common::TimePoint now);
 
     std::map<EntryKey, Entry> m_entries;
+    /// When the route of an address changed last, removed routes included.
+    std::map<common::Endpoint, common::StoreRevision> m_routeRevisions;
     common::StoreRevision m_revision;
     /// Removals up to this revision may have been forgotten.
     common::StoreRevision m_removalsKnownSince;
--- a/src/wire/directorycodec.cpp
+++ b/src/wire/directorycodec.cpp
@@ -58,8 +58,12 @@
              .incarnation = common::Incarnation(in.started()) };
 }
 
-void write(const version::RulesRecord &record, proto::RulesEntry &out)
+void write(const version::RulesPatch &record, proto::RulesEntry &out)
 {
+    out.set_complete(record.complete);
+    for (const auto &address : record.removedAddresses) {
+        write(address, *out.add_removed_addresses());
+    }
     out.set_version(record.version);
     out.set_idle_limit_ms(toMilliseconds(record.idleLimit));
     for (const auto &route : record.routes) {
@@ -90,10 +94,13 @@
     return route;
 }
 
-version::RulesRecord read(const proto::RulesEntry &in)
+version::RulesPatch read(const proto::RulesEntry &in)
 {
-    version::RulesRecord record { .version = in.version(),
-                                  .idleLimit = fromMilliseconds(in.idle_limit_ms()) };
+    version::RulesPatch record { .version = in.version(),
+                                 .idleLimit = fromMilliseconds(in.idle_limit_ms()),
+                                 .complete = in.complete() };
+    std::ranges::transform(in.removed_addresses(), std::back_inserter(record.removedAddresses),
+                           [](const auto &address) { return read(address); });
     std::ranges::transform(in.routes(), std::back_inserter(record.routes),
                            [](const auto &route) { return read(route); });
     std::ranges::transform(in.services(), std::back_inserter(record.services),
@@ -108,25 +115,37 @@
     return record;
 }
 
+version::RulesPatch asPatch(const version::RulesRecord &rules)
+{
+    return { .version = rules.version,
+             .idleLimit = rules.idleLimit,
+             .complete = true,
+             .routes = rules.routes,
+             .services = rules.services };
+}
+
 void writeValue(const DirectoryValue &value, proto::DirectoryChange &out)
 {
-    std::visit(Overloaded {
-                       [](const version::RemovedRecord & /*none*/) {},
-                       [&](const version::UpstreamRecord &record) {
-                           write(record, *out.mutable_upstream());
-                       },
-                       [&](const version::RulesRecord &record) {
-                           write(record, *out.mutable_rules());
-                       },
-                       [&](const version::WithdrawalRecord &record) {
-                           out.mutable_withdrawal()->set_zone(record.zone.value());
-                       },
-                       [&](const version::MemberRecord &record) {
-                           write(record.endpoint, *out.mutable_member()->mutable_endpoint());
-                           out.mutable_member()->set_zone(record.zone.value());
-                       },
-               },
-               value);
+    std::visit(
+            Overloaded {
+                    [](const version::RemovedRecord & /*none*/) {},
+                    [&](const version::UpstreamRecord &record) {
+                        write(record, *out.mutable_upstream());
+                    },
+                    [&](const version::RulesRecord &record) {
+                        write(asPatch(record), *out.mutable_rules());
+                    },
+                    [&](const version::RulesPatch &patch) { write(patch, *out.mutable_rules()); },
+                    [&](const version::WithdrawalRecord &record) {
+                        out.mutable_withdrawal()->set_zone(record.zone.value());
+                    },
+                    [&](const version::MemberRecord &record) {
+                        write(record.endpoint, *out.mutable_member()->mutable_endpoint());
+                        out.mutable_member()->set_zone(record.zone.value());
+                        out.mutable_member()->set_capacity(record.capacity);
+                    },
+            },
+            value);
 }
 
 DirectoryValue readValue(const proto::DirectoryChange &in)
@@ -140,7 +159,7 @@
         return version::WithdrawalRecord { common::ZoneId(in.withdrawal().zone()) };
     case proto::DirectoryChange::kMember:
         return version::MemberRecord { read(in.member().endpoint()),
-                                       common::ZoneId(in.member().zone()) };
+                                       common::ZoneId(in.member().zone()), in.member().capacity() };
     case proto::DirectoryChange::VALUE_NOT_SET:
         break;
     }
