Judge unreachable zones sooner where instances can refute it

Ruled out: rare reports; each zone had 10 within 0.3 s. Change: with at least two peers 2.5 gaps are enough, because an instance that heard the zone in the last 400 ms objects with the age of that sign of life.

--- a/src/benchmarks/flowload.cpp
+++ b/src/benchmarks/flowload.cpp
@@ -122,7 +122,8 @@
     for (int index = 0; index < instances; ++index) {
         m_instances.push_back(std::make_unique<FlowBalancer>(
                 kind, zoneId(index / sizes.instancesOfAZone), static_cast<std::uint64_t>(index) + 1,
-                static_cast<std::uint32_t>(instances)));
+                static_cast<std::uint32_t>(instances),
+                static_cast<std::uint32_t>(sizes.instancesOfAZone - 1)));
         m_instances.back()->update(delta, m_events.now());
     }
 }
--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -18,6 +18,8 @@
 // An upstream that this instance does not know yet, but another one does, is known by then.
 constexpr std::chrono::milliseconds UnknownTokenWait { 800 };
 constexpr std::chrono::seconds UnknownTokenMemory { 10 };
+// One peer alone may be stopping, or be cut off as well.
+constexpr std::uint32_t EnoughPeers = 2;
 // The smallest instances of today get 14 requests a second.
 constexpr std::chrono::milliseconds OwnSilence { 500 };
 // Bounds the memory that forged tokens can take.
@@ -51,6 +53,12 @@
     }
 }
 
+void FlowForwarder::setPosition(const FleetPosition &position)
+{
+    m_policy.setPosition(position);
+    m_upstreams.setHasPeers(position.zonePeers >= EnoughPeers);
+}
+
 PacketVerdict FlowForwarder::handle(const FlowPacket &packet, TimePoint now)
 {
     const auto seen = m_observer.observe(packet, now);
@@ -203,14 +211,14 @@
             upstream->health.onPeerHeard();
         }
     }
-    for (const auto zone : reports.heardZones) {
-        m_upstreams.zoneHealth(zone).onPeerHeard(now);
+    for (const auto &heard : reports.heardZones) {
+        m_upstreams.zoneHealth(heard.zone).onPeerHeard(now - heard.age);
     }
     SilenceReports objections;
     for (const auto zone : reports.zones) {
         auto &health = m_upstreams.zoneHealth(zone);
-        if (health.wasJustHeard(now)) {
-            objections.heardZones.push_back(zone);
+        if (const auto age = health.objection(now)) {
+            objections.heardZones.push_back({ zone, *age });
         } else {
             health.onPeerReport(now);
         }
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -11,6 +11,13 @@
 
 namespace banyanwall::connection {
 
+/// A zone and the time since one of its upstreams answered.
+struct HeardZone
+{
+    common::ZoneId zone;
+    common::Duration age {};
+};
+
 /// Evidence of one instance for the other instances of its zone.
 struct SilenceReports
 {
@@ -20,8 +27,8 @@
     std::vector<common::UpstreamSerial> recovered {};
     /// No upstream of these zones answers.
     std::vector<common::ZoneId> zones {};
-    /// Upstreams of these zones have just answered.
-    std::vector<common::ZoneId> heardZones {};
+    /// Zones whose upstreams have answered lately.
+    std::vector<HeardZone> heardZones {};
 
     [[nodiscard]] bool isEmpty() const
     {
@@ -51,7 +58,7 @@
     void update(const version::Directory &directory, const std::vector<version::EntryKey> &changed,
                 common::TimePoint now);
 
-    void setPosition(const FleetPosition &position) { m_policy.setPosition(position); }
+    void setPosition(const FleetPosition &position);
 
     /// When the store last confirmed that the directory is current.
     void setAssuredAt(common::TimePoint time) { m_assuredAt = time; }
--- a/src/connection/openingpolicy.h
+++ b/src/connection/openingpolicy.h
@@ -17,6 +17,8 @@
     std::uint64_t instance = 0;
     /// Instances that open flows, this one included.
     std::uint32_t instances = 1;
+    /// Other instances of the zone.
+    std::uint32_t zonePeers = 0;
 };
 
 /// Chooses the upstream of a new flow by rendezvous hashing over the upstreams that may take it,
--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -95,6 +95,23 @@
     return zones;
 }
 
+ZoneHealth &UpstreamTable::zoneHealth(common::ZoneId zone)
+{
+    const auto [health, isNew] = m_zoneHealth.try_emplace(zone);
+    if (isNew) {
+        health->second.setHasPeers(m_hasPeers);
+    }
+    return health->second;
+}
+
+void UpstreamTable::setHasPeers(bool hasPeers)
+{
+    m_hasPeers = hasPeers;
+    for (auto &[zone, health] : m_zoneHealth) {
+        health.setHasPeers(hasPeers);
+    }
+}
+
 void UpstreamTable::noteHeard(common::ZoneId zone, TimePoint now)
 {
     for (auto &[other, health] : m_zoneHealth) {
@@ -102,7 +119,7 @@
             health.onHeardElsewhere();
         }
     }
-    m_zoneHealth[zone].onHeard(now);
+    zoneHealth(zone).onHeard(now);
 }
 
 void UpstreamTable::clearEvidence(common::ZoneId zone)
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -63,7 +63,9 @@
     /// An upstream of this zone has answered a caller.
     void noteHeard(common::ZoneId zone, common::TimePoint now);
 
-    [[nodiscard]] ZoneHealth &zoneHealth(common::ZoneId zone) { return m_zoneHealth[zone]; }
+    [[nodiscard]] ZoneHealth &zoneHealth(common::ZoneId zone);
+    /// Whether other instances of the own zone object to wrong verdicts on zones.
+    void setHasPeers(bool hasPeers);
 
     /// Time to an answer of all upstreams of a service.
     [[nodiscard]] AnswerTime &serviceAnswerTime(common::ServiceId service)
@@ -93,6 +95,7 @@
     std::unordered_map<common::ServiceId, Group> m_groups;
     std::unordered_map<common::ZoneId, bool> m_withdrawn;
     std::unordered_map<common::ZoneId, ZoneHealth> m_zoneHealth;
+    bool m_hasPeers = false;
     std::unordered_map<common::ServiceId, version::ServiceRecord> m_services;
     std::unordered_map<common::ServiceId, AnswerTime> m_serviceAnswerTimes;
     std::size_t m_tokenCollisions = 0;
--- a/src/connection/zonehealth.cpp
+++ b/src/connection/zonehealth.cpp
@@ -12,7 +12,9 @@
 namespace {
 
 // A gap of this many usual ones is chance once in 150 times.
-constexpr int UnusualGaps = 5;
+constexpr double UnusualGaps = 5.0;
+// Once in 12 times, when the instances of the own zone refute what is chance.
+constexpr double UnusualGapsWithPeers = 2.5;
 // Callers repeat a packet after 200 ms; less silence cannot have been noticed by them.
 constexpr Duration ShortestSilence = milliseconds(250);
 constexpr Duration LongestSilence = milliseconds(1'000);
@@ -28,10 +30,9 @@
 // Objections of instances of the own zone arrive within a few milliseconds.
 constexpr milliseconds ObjectionTime { 60 };
 // A report reaches the instances that hear the zone again.
-constexpr milliseconds ReportInterval { 400 };
-// How long the objection of another instance counts as a sign of life.
-constexpr milliseconds ObjectionAge { 1'000 };
-constexpr milliseconds JustHeard { 150 };
+constexpr milliseconds ReportInterval { 300 };
+// Older signs of life say nothing about a report of now.
+constexpr milliseconds LongestObjection { 400 };
 
 } // namespace
 
@@ -44,12 +45,10 @@
     m_suspectCount = 0;
 }
 
-void ZoneHealth::onPeerHeard(TimePoint now)
+void ZoneHealth::onPeerHeard(TimePoint heardAt)
 {
-    m_lastPeerHeard = now;
-    m_lastPeerReport = {};
+    m_lastPeerHeard = std::max(m_lastPeerHeard, heardAt);
     m_firstReport = {};
-    m_suspectCount = 0;
 }
 
 void ZoneHealth::onHeardElsewhere()
@@ -85,10 +84,9 @@
 
 bool ZoneHealth::isUnreachable(TimePoint now) const
 {
-    const auto silence = std::clamp(m_usualGap * UnusualGaps, ShortestSilence, LongestSilence);
     const auto needed = hasPeerReport(now) ? 1 : EnoughSuspects;
     return m_suspectCount >= needed && m_heardElsewhere >= EnoughElsewhere
-            && now - m_lastHeard > silence && now - m_lastPeerHeard > ObjectionAge
+            && now - std::max(m_lastHeard, m_lastPeerHeard) > unusualSilence()
             && now - m_lastRepeated < EvidenceAge;
 }
 
@@ -118,9 +116,17 @@
     return true;
 }
 
-bool ZoneHealth::wasJustHeard(TimePoint now) const
+std::optional<Duration> ZoneHealth::objection(TimePoint now) const
+{
+    const auto age = now - m_lastHeard;
+    return age < LongestObjection ? std::optional(age) : std::nullopt;
+}
+
+Duration ZoneHealth::unusualSilence() const
 {
-    return now - m_lastHeard < JustHeard;
+    const auto gaps = m_hasPeers ? UnusualGapsWithPeers : UnusualGaps;
+    const auto silence = std::chrono::duration_cast<Duration>(m_usualGap * gaps);
+    return std::clamp(silence, ShortestSilence, LongestSilence);
 }
 
 bool ZoneHealth::hasPeerReport(TimePoint now) const
@@ -130,7 +136,7 @@
 
 bool ZoneHealth::mayOpen(TimePoint now) const
 {
-    return !isUnreachable(now) || now >= m_nextProbe;
+    return !isUncontested(now) || now >= m_nextProbe;
 }
 
 void ZoneHealth::onOpened(TimePoint now)
--- a/src/connection/zonehealth.h
+++ b/src/connection/zonehealth.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace banyanwall::connection {
 
@@ -25,8 +26,12 @@
     void onRepeated(common::FlowToken upstream, common::TimePoint now);
     /// Another instance of the own zone does not reach the zone.
     void onPeerReport(common::TimePoint now);
-    /// Another instance of the own zone has just heard the zone.
-    void onPeerHeard(common::TimePoint now);
+    /// Another instance of the own zone heard the zone at this time.
+    void onPeerHeard(common::TimePoint heardAt);
+
+    /// Whether other instances are there to object to a wrong verdict. Without them it takes more
+    /// silence.
+    void setHasPeers(bool hasPeers) { m_hasPeers = hasPeers; }
 
     /// Several upstreams are silent, nothing was heard from any for much longer than usual, and no
     /// other instance says otherwise. One upstream is enough when another instance has reported the
@@ -38,9 +43,9 @@
     [[nodiscard]] bool isConfirmedUnreachable(common::TimePoint now) const;
     /// True when the verdict is to be reported to other instances; the next report is due later.
     [[nodiscard]] bool takeReport(common::TimePoint now);
-    /// The zone was heard so lately that a report of another instance is wrong.
-    [[nodiscard]] bool wasJustHeard(common::TimePoint now) const;
-    /// False while the zone is unreachable, but for one flow after each probe interval.
+    /// Time since the zone was heard, when a report of another instance is to be answered with it.
+    [[nodiscard]] std::optional<common::Duration> objection(common::TimePoint now) const;
+    /// False while the verdict stands uncontested, but for one flow after each probe interval.
     [[nodiscard]] bool mayOpen(common::TimePoint now) const;
     /// A new flow goes to the zone; spends the probe when it is unreachable.
     void onOpened(common::TimePoint now);
@@ -49,6 +54,7 @@
     static constexpr std::size_t EnoughSuspects = 4;
 
     [[nodiscard]] bool hasPeerReport(common::TimePoint now) const;
+    [[nodiscard]] common::Duration unusualSilence() const;
 
     std::array<common::FlowToken, EnoughSuspects> m_suspects {};
     std::size_t m_suspectCount = 0;
@@ -62,6 +68,7 @@
     common::TimePoint m_firstReport;
     common::TimePoint m_nextReport;
     common::TimePoint m_nextProbe;
+    bool m_hasPeers = false;
     /// Usual time between two answers.
     common::Duration m_usualGap = std::chrono::milliseconds(200);
 };
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -428,7 +428,8 @@
     m_forwarder.update(m_directory, change.keys, now);
     m_forwarder.setPosition({ .zone = common::idFromName<common::ZoneId>(m_settings.zone),
                               .instance = numberOf(m_settings),
-                              .instances = static_cast<std::uint32_t>(m_sync.memberCount() + 1) });
+                              .instances = static_cast<std::uint32_t>(m_sync.memberCount() + 1),
+                              .zonePeers = static_cast<std::uint32_t>(m_sync.zonePeers().size()) });
     if (auto event = m_log.event(LogLevel::Info, "directory_changed", now)) {
         const auto *rules = m_directory.rules();
         event->with("revision", m_directory.revision().value())
--- a/src/wire/silencecodec.cpp
+++ b/src/wire/silencecodec.cpp
@@ -30,18 +30,30 @@
     for (const auto zone : reports.zones) {
         silence.add_zones(zone.value());
     }
-    for (const auto zone : reports.heardZones) {
-        silence.add_heard_zones(zone.value());
+    for (const auto &heard : reports.heardZones) {
+        auto &entry = *silence.add_heard_zones();
+        entry.set_zone(heard.zone.value());
+        const auto age = std::chrono::ceil<std::chrono::milliseconds>(heard.age);
+        entry.set_age_ms(static_cast<std::uint32_t>(age.count()));
     }
     return message;
 }
 
 connection::SilenceReports decodeSilence(const proto::SilenceReport &report)
 {
-    return { .upstreams = idsOf<common::UpstreamSerial>(report.upstreams()),
-             .recovered = idsOf<common::UpstreamSerial>(report.recovered()),
-             .zones = idsOf<common::ZoneId>(report.zones()),
-             .heardZones = idsOf<common::ZoneId>(report.heard_zones()) };
+    connection::SilenceReports reports {
+        .upstreams = idsOf<common::UpstreamSerial>(report.upstreams()),
+        .recovered = idsOf<common::UpstreamSerial>(report.recovered()),
+        .zones = idsOf<common::ZoneId>(report.zones()),
+    };
+    std::ranges::transform(report.heard_zones(), std::back_inserter(reports.heardZones),
+                           [](const auto &heard) {
+                               return connection::HeardZone {
+                                   common::ZoneId(heard.zone()),
+                                   std::chrono::milliseconds(heard.age_ms()),
+                               };
+                           });
+    return reports;
 }
 
 } // namespace banyanwall::wire
