Let one zone watch the store and the leaders of the others hear from it

Ruled out: longer waits; a watch that went silent would then be noticed too late. Change: the leaders of the zones are ordered, only the first watches, and tells the others at once; a leader that hears nothing for 0.9 s, or whose knowledge is 1.8 s old, watches by itself.

--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <set>
 
 namespace banyanwall::process {
 
@@ -19,7 +20,7 @@
 
 // A connection that went silent shows at the latest after this time and the answer's latency, well
 // before the 3 s in which a change has to be in force.
-constexpr milliseconds WatchWait { 1'200 };
+constexpr milliseconds WatchWait { 900 };
 // Changes that come within this time cost one call.
 constexpr milliseconds ChangeBatch { 250 };
 // Large answers in quick succession would fill a link of 10 Mbit/s and the processor of a small
@@ -27,16 +28,18 @@
 constexpr std::size_t NewsBytesPerSecond = 200'000;
 constexpr milliseconds LongestBatch { 1'300 };
 constexpr milliseconds AssuranceInterval { 300 };
-// Zones hear of each other often enough to help one that has lost the store within its 3 s.
-constexpr milliseconds RemoteAssuranceInterval { 600 };
-// Three missed assurances: the watching instance is gone.
-constexpr milliseconds WatcherSilence { 900 };
-// A watch that waits is renewed within WatchWait; older knowledge means that it fails.
-constexpr milliseconds WatcherStaleness { 1'800 };
+// Leaders that do not watch only show that they are there.
+constexpr milliseconds IdleRemoteInterval { 600 };
+// Three missed assurances: the leading instance is gone.
+constexpr milliseconds LeaderSilence { 900 };
+// A watch that waits is renewed within WatchWait, and its news are told twice on their way; older
+// knowledge means that the watch fails.
+constexpr milliseconds LeaderStaleness { 1'800 };
 // Instances of worse rank follow one after another, so that an outage of the store does not make
 // all of them call it.
 constexpr milliseconds SilenceStep { 150 };
 constexpr milliseconds StalenessStep { 250 };
+constexpr milliseconds ZoneStep { 200 };
 // Pause after a call that failed, doubled each time.
 constexpr milliseconds FirstBackoff { 200 };
 constexpr milliseconds LongestBackoff { 2'000 };
@@ -49,7 +52,8 @@
 // The store answers a starting instance in milliseconds; after this time peers are asked, too.
 constexpr milliseconds StoreGrace { 300 };
 constexpr std::chrono::seconds AskerMemory { 10 };
-constexpr std::chrono::seconds WatcherMemory { 3 };
+// Two intervals of a leader that does not watch.
+constexpr milliseconds LeaderMemory { 1'500 };
 
 milliseconds nextBackoff(milliseconds backoff)
 {
@@ -80,8 +84,10 @@
         m_startedAt = now;
         m_betterHeardAt = now;
         m_betterAssuredAt = now;
+        m_remoteHeardAt = now;
+        m_remoteAssuredAt = now;
     }
-    decideWatching(now, actions);
+    decideDuties(now);
     callStore(now, actions);
     registerSelf(now, actions);
     sendAssurances(now, actions);
@@ -108,7 +114,7 @@
                        },
                },
                answer);
-    decideWatching(now, actions);
+    decideDuties(now);
     callStore(now, actions);
     return actions;
 }
@@ -161,20 +167,30 @@
 {
     SyncActions actions;
     m_isLeaving = true;
-    if (m_isWatching) {
-        std::ranges::for_each(m_zonePeers, [&](Endpoint peer) {
+    if (m_isLeading) {
+        auto told = m_zonePeers;
+        std::ranges::copy(remoteLeaders(now), std::back_inserter(told));
+        std::ranges::for_each(told, [&](Endpoint peer) {
             actions.push_back(SendDirectoryMessage { peer, assurance(now, true) });
         });
     }
     return actions;
 }
 
-void DirectorySync::decideWatching(TimePoint now, SyncActions & /*actions*/)
+void DirectorySync::decideDuties(TimePoint now)
 {
-    m_isWatching = m_directory.isLoaded() && shouldWatch(now);
+    m_isLeading = m_directory.isLoaded() && shouldLead(now);
+    m_isWatching = m_isLeading && shouldWatch(now);
 }
 
 bool DirectorySync::shouldWatch(TimePoint now) const
+{
+    const auto steps = static_cast<int>(m_zoneRank) - 1;
+    return m_zoneRank == 0 || now - m_remoteHeardAt > LeaderSilence + steps * ZoneStep
+            || now - m_remoteAssuredAt > LeaderStaleness + steps * ZoneStep;
+}
+
+bool DirectorySync::shouldLead(TimePoint now) const
 {
     if (m_isLeaving) {
         return false;
@@ -183,8 +199,8 @@
         return true;
     }
     const auto step = static_cast<int>(m_ownRank) - 1;
-    return now - m_betterHeardAt > WatcherSilence + step * SilenceStep
-            || now - m_betterAssuredAt > WatcherStaleness + step * StalenessStep;
+    return now - m_betterHeardAt > LeaderSilence + step * SilenceStep
+            || now - m_betterAssuredAt > LeaderStaleness + step * StalenessStep;
 }
 
 void DirectorySync::callStore(TimePoint now, SyncActions &actions)
@@ -217,7 +233,7 @@
 
 void DirectorySync::sendAssurances(TimePoint now, SyncActions &actions)
 {
-    if (!m_isWatching) {
+    if (!m_isLeading) {
         return;
     }
     if (now >= m_nextAssurance) {
@@ -227,8 +243,8 @@
         });
     }
     if (now >= m_nextRemoteAssurance) {
-        m_nextRemoteAssurance = now + RemoteAssuranceInterval;
-        std::ranges::for_each(remoteWatchers(now), [&](Endpoint peer) {
+        m_nextRemoteAssurance = now + (m_isWatching ? AssuranceInterval : IdleRemoteInterval);
+        std::ranges::for_each(remoteLeaders(now), [&](Endpoint peer) {
             actions.push_back(SendDirectoryMessage { peer, assurance(now, false) });
         });
     }
@@ -264,8 +280,11 @@
         updateMembers(now);
         actions.push_back(DirectoryChanged { std::move(changed) });
     }
-    if (m_isWatching && before != StoreRevision() && m_directory.revision() > before) {
+    if (m_isLeading && before != StoreRevision() && m_directory.revision() > before) {
         pushChanges(before, now, actions);
+        // Leaders of other zones fetch what is new to them.
+        m_nextRemoteAssurance = now;
+        sendAssurances(now, actions);
     }
 }
 
@@ -301,20 +320,24 @@
     const StoreRevision revision(assurance.revision());
     const auto confirmedAt = now - milliseconds(assurance.age_ms());
     if (assurance.leaving()) {
-        m_watchers.erase(from);
-        if (isBetter(from)) {
-            m_betterHeardAt = std::min(m_betterHeardAt, now - WatcherSilence);
-        }
+        m_leaders.erase(from);
+        const bool isOwnZone = common::ZoneId(assurance.zone()) == m_options.self.zone;
+        auto &heardAt = isOwnZone ? m_betterHeardAt : m_remoteHeardAt;
+        heardAt = std::min(heardAt, now - LeaderSilence);
         return;
     }
-    if (assurance.watching()) {
-        const common::ZoneId zone(assurance.zone());
-        m_watchers[from] = { zone, now, revision };
+    const common::ZoneId zone(assurance.zone());
+    if (assurance.leading()) {
+        m_leaders[from] = { zone, now, revision };
         if (zone == m_options.self.zone && isBetter(from)) {
             m_betterHeardAt = now;
             m_betterAssuredAt = std::max(m_betterAssuredAt, confirmedAt);
         }
     }
+    if (assurance.watching() && isBetterZone(zone)) {
+        m_remoteHeardAt = now;
+        m_remoteAssuredAt = std::max(m_remoteAssuredAt, confirmedAt);
+    }
     if (revision > m_directory.revision()) {
         fetchFrom(from, now, actions);
     } else if (m_directory.isLoaded() && revision == m_directory.revision()) {
@@ -371,6 +394,13 @@
     }
     m_ownRank = static_cast<std::size_t>(
             std::ranges::count_if(m_zonePeers, [&](Endpoint peer) { return isBetter(peer); }));
+    std::set<common::ZoneId> betterZones;
+    for (const auto &[endpoint, peer] : m_members) {
+        if (isBetterZone(peer.zone)) {
+            betterZones.insert(peer.zone);
+        }
+    }
+    m_zoneRank = betterZones.size();
 }
 
 DirectoryMessage DirectorySync::assurance(TimePoint now, bool leaving) const
@@ -382,10 +412,16 @@
     body.set_age_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX)));
     body.set_zone(m_options.self.zone.value());
     body.set_leaving(leaving);
+    body.set_leading(m_isLeading);
     body.set_watching(m_isWatching);
     return message;
 }
 
+bool DirectorySync::isBetterZone(common::ZoneId zone) const
+{
+    return common::mixBits(zone.value()) > common::mixBits(m_options.self.zone.value());
+}
+
 bool DirectorySync::isBetter(Endpoint member) const
 {
     const auto &self = m_options.self;
@@ -394,30 +430,31 @@
     return rankOf(member, self.zone, capacity) > rankOf(self.endpoint, self.zone, self.capacity);
 }
 
-std::vector<Endpoint> DirectorySync::remoteWatchers(TimePoint now) const
+std::vector<Endpoint> DirectorySync::remoteLeaders(TimePoint now)
 {
-    // Where no watching instance is known, the highest ranked member of the zone should be one.
-    std::map<common::ZoneId, Endpoint> best;
-    for (const auto &[endpoint, peer] : m_members) {
-        if (peer.zone == m_options.self.zone) {
-            continue;
-        }
-        const auto [known, isNew] = best.try_emplace(peer.zone, endpoint);
-        const auto knownCapacity = m_members.at(known->second).capacity;
-        if (!isNew
-            && rankOf(endpoint, peer.zone, peer.capacity)
-                    > rankOf(known->second, peer.zone, knownCapacity)) {
-            known->second = endpoint;
+    std::vector<Endpoint> leaders;
+    std::set<common::ZoneId> heardZones;
+    for (const auto &[endpoint, heard] : m_leaders) {
+        if (heard.zone != m_options.self.zone && now - heard.at < LeaderMemory) {
+            leaders.push_back(endpoint);
+            heardZones.insert(heard.zone);
         }
     }
-    for (const auto &[endpoint, heard] : m_watchers) {
-        if (heard.zone != m_options.self.zone && now - heard.at < WatcherMemory) {
-            best[heard.zone] = endpoint;
+    // Where no leader was heard, the members of the zone are tried by rank, one at a time.
+    std::map<common::ZoneId, std::vector<Endpoint>> unheard;
+    for (const auto &[endpoint, peer] : m_members) {
+        if (peer.zone != m_options.self.zone && !heardZones.contains(peer.zone)) {
+            unheard[peer.zone].push_back(endpoint);
         }
     }
-    std::vector<Endpoint> watchers;
-    std::ranges::copy(best | std::views::values, std::back_inserter(watchers));
-    return watchers;
+    for (auto &[zone, members] : unheard) {
+        std::ranges::sort(members, std::greater {}, [&, zone = zone](Endpoint member) {
+            return rankOf(member, zone, m_members.at(member).capacity);
+        });
+        leaders.push_back(members[m_remoteAttempts % members.size()]);
+    }
+    ++m_remoteAttempts;
+    return leaders;
 }
 
 } // namespace banyanwall::process
--- a/src/process/directorysync.h
+++ b/src/process/directorysync.h
@@ -72,9 +72,11 @@
 using StoreAnswer = std::variant<StoreNews, HistoryLost, StoreFailure>;
 
 /// Keeps the directory of an instance current at few calls to the store. In each availability zone
-/// the highest ranked instance watches the store, passes changes on and tells regularly how old its
-/// knowledge is. An instance that is not told so in time watches by itself, the better ranked ones
-/// first. Takes events with their time and returns actions; not thread-safe.
+/// the highest ranked instance leads: it passes changes on and tells regularly how old its
+/// knowledge is. The leader of the first zone watches the store, the others hear of changes from
+/// it. Who is not told in time takes over, the better ranked ones first: an instance leads its
+/// zone, a leader watches the store. Takes events with their time and returns actions; not
+/// thread-safe.
 class DirectorySync
 {
 public:
@@ -105,6 +107,8 @@
 
     [[nodiscard]] bool isWatching() const { return m_isWatching; }
 
+    [[nodiscard]] bool isLeading() const { return m_isLeading; }
+
     /// Members of the directory and instances that asked lately.
     [[nodiscard]] std::size_t memberCount() const { return m_members.size(); }
 
@@ -125,7 +129,8 @@
         common::StoreRevision revision;
     };
 
-    void decideWatching(common::TimePoint now, SyncActions &actions);
+    void decideDuties(common::TimePoint now);
+    [[nodiscard]] bool shouldLead(common::TimePoint now) const;
     [[nodiscard]] bool shouldWatch(common::TimePoint now) const;
     void callStore(common::TimePoint now, SyncActions &actions);
     void registerSelf(common::TimePoint now, SyncActions &actions);
@@ -148,7 +153,8 @@
                                                           bool leaving) const;
     void onNews(const StoreNews &news, common::TimePoint now, SyncActions &actions);
     [[nodiscard]] bool isBetter(common::Endpoint member) const;
-    [[nodiscard]] std::vector<common::Endpoint> remoteWatchers(common::TimePoint now) const;
+    [[nodiscard]] bool isBetterZone(common::ZoneId zone) const;
+    [[nodiscard]] std::vector<common::Endpoint> remoteLeaders(common::TimePoint now);
 
     Options m_options;
     version::Directory &m_directory;
@@ -164,12 +170,20 @@
     std::map<common::Endpoint, Peer> m_members;
     std::vector<common::Endpoint> m_zonePeers;
     std::size_t m_ownRank = 0;
+    /// Zones whose leaders watch before that of the own one.
+    std::size_t m_zoneRank = 0;
     /// Instances that asked for changes and are not in the directory yet.
     std::map<common::Endpoint, Heard> m_askers;
-    std::map<common::Endpoint, Heard> m_watchers;
+    std::map<common::Endpoint, Heard> m_leaders;
     common::TimePoint m_betterHeardAt;
     common::TimePoint m_betterAssuredAt;
+    /// The same for watching leaders of better zones.
+    common::TimePoint m_remoteHeardAt;
+    common::TimePoint m_remoteAssuredAt;
+
+    std::size_t m_remoteAttempts = 0;
 
+    bool m_isLeading = false;
     bool m_isWatching = false;
     bool m_isCalling = false;
     bool m_needsFullRead = true;
--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -40,10 +40,11 @@
     }
 };
 
-TEST(DirectorySync, oneInstanceOfEachZoneWatches)
+TEST(DirectorySync, oneInstanceOfEachZoneLeadsAndOneWatches)
 {
     LONGS_EQUAL(0, fleet->outdated());
-    LONGS_EQUAL(3, fleet->watchers().size());
+    LONGS_EQUAL(3, fleet->leaders().size());
+    LONGS_EQUAL(1, fleet->watchers().size());
 }
 
 TEST(DirectorySync, changeIsInForceWithinHalfASecond)
@@ -61,25 +62,26 @@
         startFleet(3, instances);
         const auto before = fleet->calls();
         fleet->run(57s);
-        CHECK(fleet->calls() - before <= 3 * 57);
+        CHECK(fleet->calls() - before <= 2 * 57);
     }
 }
 
 TEST(DirectorySync, watcherKilledJustBeforeAChange)
 {
-    for (const auto watcher : fleet->watchers()) {
-        fleet->kill(watcher);
+    for (const auto leader : fleet->leaders()) {
+        fleet->kill(leader);
     }
     checkChangeArrives();
-    LONGS_EQUAL(3, fleet->watchers().size());
+    LONGS_EQUAL(3, fleet->leaders().size());
+    LONGS_EQUAL(1, fleet->watchers().size());
 }
 
 // Mass kill: more than half of each zone at once, the best ranked ones first.
 TEST(DirectorySync, mostInstancesKilledJustBeforeAChange)
 {
     for (int round = 0; round < 4; ++round) {
-        for (const auto watcher : fleet->watchers()) {
-            fleet->kill(watcher);
+        for (const auto leader : fleet->leaders()) {
+            fleet->kill(leader);
         }
         fleet->run(2s);
     }
@@ -88,16 +90,28 @@
 
 TEST(DirectorySync, watcherCutFromTheStoreInSilence)
 {
-    for (const auto watcher : fleet->watchers()) {
-        fleet->cutFromStore.insert(watcher);
+    for (const auto leader : fleet->leaders()) {
+        fleet->cutFromStore.insert(leader);
     }
     checkChangeArrives();
 }
 
+TEST(DirectorySync, onlyTheWatcherIsCutFromTheStore)
+{
+    fleet->cutFromStore.insert(fleet->watchers().front());
+    checkChangeArrives();
+}
+
+TEST(DirectorySync, onlyTheWatcherIsKilled)
+{
+    fleet->kill(fleet->watchers().front());
+    checkChangeArrives();
+}
+
 TEST(DirectorySync, watcherTurnedAwayByTheStore)
 {
-    for (const auto watcher : fleet->watchers()) {
-        fleet->refusedByStore.insert(watcher);
+    for (const auto leader : fleet->leaders()) {
+        fleet->refusedByStore.insert(leader);
     }
     checkChangeArrives();
 }
@@ -169,7 +183,8 @@
     fleet->run(3s);
     checkChangeArrives();
     fleet->run(5s);
-    LONGS_EQUAL(3, fleet->watchers().size());
+    LONGS_EQUAL(3, fleet->leaders().size());
+    LONGS_EQUAL(1, fleet->watchers().size());
 }
 
 // Restart while the store is away: the state comes from the seeds.
@@ -204,7 +219,8 @@
     fleet->run(300ms);
     LONGS_EQUAL(0, fleet->outdated());
     fleet->run(2s);
-    LONGS_EQUAL(3, fleet->watchers().size());
+    LONGS_EQUAL(3, fleet->leaders().size());
+    LONGS_EQUAL(1, fleet->watchers().size());
 }
 
 TEST(DirectorySync, quickSuccessionOfContractsNeverReverts)
--- a/src/tests/syncfleet.h
+++ b/src/tests/syncfleet.h
@@ -88,6 +88,17 @@
         return watchers;
     }
 
+    [[nodiscard]] std::vector<Endpoint> leaders() const
+    {
+        std::vector<Endpoint> leaders;
+        for (const auto &[endpoint, instance] : m_instances) {
+            if (instance->sync.isLeading()) {
+                leaders.push_back(endpoint);
+            }
+        }
+        return leaders;
+    }
+
     /// Contract version that an instance routes by; 0 when it knows none.
     [[nodiscard]] std::uint64_t versionAt(Endpoint endpoint) const
     {
