Keep flows of upstreams that are reached although their zone is not

Ruled out: a wrong verdict; instances of all three other zones held it for seconds, with no objection. Change: a flow is closed at its first packet only when its own upstream has left a caller without an answer; when the zone is heard again, suspected upstreams are probed soon, in place of forgetting all evidence.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -157,7 +157,7 @@
 void FlowForwarder::noteHeard(KnownUpstream &upstream, TimePoint now)
 {
     if (m_upstreams.zoneHealth(upstream.record.zone).isUnreachable(now)) {
-        m_upstreams.clearEvidence(upstream.record.zone);
+        m_upstreams.expediteProbes(upstream.record.zone, now);
     }
     if (upstream.health.isSuspected(now)) {
         m_reports.recovered.push_back(upstream.record.serial);
@@ -230,7 +230,8 @@
 {
     const auto &zone = m_upstreams.zoneHealth(upstream.record.zone);
     if (!isRepeated) {
-        return zone.isConfirmedUnreachable(now);
+        // Single upstreams may be reached although the rest of their zone is not.
+        return zone.isConfirmedUnreachable(now) && upstream.health.hasEvidence(now);
     }
     // An instance that hears nobody learns nothing about a single upstream.
     const bool isReached = now - m_lastHeardAt < OwnSilence;
--- a/src/connection/upstreamhealth.cpp
+++ b/src/connection/upstreamhealth.cpp
@@ -1,5 +1,7 @@
 #include "connection/upstreamhealth.h"
 
+#include <algorithm>
+
 namespace banyanwall::connection {
 
 using common::TimePoint;
@@ -17,6 +19,8 @@
 // A probe costs its caller 200 ms. Crashed upstreams leave the directory in about this time.
 constexpr std::chrono::milliseconds ProbeInterval { 2'000 };
 constexpr std::chrono::milliseconds ProbeSpread { 2'000 };
+// The instances of a zone share what they learn; not all need to probe.
+constexpr std::chrono::milliseconds ExpeditedSpread { 400 };
 // Older evidence does not keep new flows away; longer than the time between two probes.
 constexpr std::chrono::seconds SuspicionAge { 8 };
 // Older evidence does not close flows: the path may work again, and callers may count on it 4 s
@@ -65,6 +69,11 @@
     return m_repeats >= SuspectedRepeats && now - m_lastRepeated < SuspicionAge;
 }
 
+bool UpstreamHealth::hasEvidence(TimePoint now) const
+{
+    return m_repeats > 0 && now - m_lastRepeated < SilenceAge;
+}
+
 bool UpstreamHealth::isSilent(TimePoint now) const
 {
     return m_dataRepeats >= SilentRepeats && m_flows >= SilentFlows
@@ -76,6 +85,13 @@
     return !isSuspected(now) || now >= m_nextProbe;
 }
 
+void UpstreamHealth::expediteProbe(TimePoint now)
+{
+    const auto spread =
+            std::chrono::duration_cast<common::Duration>(ExpeditedSpread * m_probeSpread);
+    m_nextProbe = std::min(m_nextProbe, now + spread);
+}
+
 void UpstreamHealth::onOpened(TimePoint now)
 {
     if (isSuspected(now)) {
--- a/src/connection/upstreamhealth.h
+++ b/src/connection/upstreamhealth.h
@@ -31,9 +31,13 @@
     /// Nothing comes back: new flows go elsewhere, but for one flow after each probe interval,
     /// which tells whether the upstream is back.
     [[nodiscard]] bool isSuspected(common::TimePoint now) const;
+    /// At least one caller waits in vain.
+    [[nodiscard]] bool hasEvidence(common::TimePoint now) const;
     /// Several flows wait in vain: their callers do better to open new flows.
     [[nodiscard]] bool isSilent(common::TimePoint now) const;
     [[nodiscard]] bool mayOpen(common::TimePoint now) const;
+    /// The next probe need not wait for its time.
+    void expediteProbe(common::TimePoint now);
     /// A new flow goes to the upstream; spends the probe when it is suspected.
     void onOpened(common::TimePoint now);
 
--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -122,11 +122,11 @@
     zoneHealth(zone).onHeard(now);
 }
 
-void UpstreamTable::clearEvidence(common::ZoneId zone)
+void UpstreamTable::expediteProbes(common::ZoneId zone, TimePoint now)
 {
     for (auto &[token, upstream] : m_upstreams) {
         if (upstream->record.zone == zone) {
-            upstream->health = newHealth(upstream->record.serial);
+            upstream->health.expediteProbe(now);
         }
     }
 }
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -54,8 +54,8 @@
     [[nodiscard]] const Group &ofService(common::ServiceId service) const;
     [[nodiscard]] bool isWithdrawn(common::ZoneId zone) const;
 
-    /// Forgets the evidence against the upstreams of a zone that is reached again.
-    void clearEvidence(common::ZoneId zone);
+    /// Lets suspected upstreams of a zone that is reached again be probed soon.
+    void expediteProbes(common::ZoneId zone, common::TimePoint now);
 
     /// Unreachable zones that other instances are to be told about.
     [[nodiscard]] std::vector<common::ZoneId> zonesToReport(common::TimePoint now);
--- a/src/tests/flowforwardertest.cpp
+++ b/src/tests/flowforwardertest.cpp
@@ -275,6 +275,27 @@
     as<ForwardPacket>(forwarder.handle(data(FeedAddress, 92, tokenOf(1)), now));
 }
 
+// Zone cut off but for one upstream: a flow of that one stays open.
+TEST(FlowForwarder, upstreamWithoutEvidenceKeepsItsFlowsInAnUnreachableZone)
+{
+    for (const int repeat : { 0, 1 }) {
+        now += repeat * 250ms;
+        for (std::uint64_t serial = 11; serial <= 15; ++serial) {
+            forwarder.handle(data(FeedAddress, static_cast<std::uint16_t>(serial), tokenOf(serial)),
+                             now);
+        }
+    }
+    for (std::uint16_t port = 400; port < 403; ++port) {
+        answer(1, port);
+    }
+    now += 800ms;
+    CHECK(std::ranges::count(forwarder.takeReports(now).zones, OtherZone) == 1);
+    CHECK(forwarder.onPeerReports({ .zones = { OtherZone } }, now).isEmpty());
+    now += 100ms;
+    as<ResetFlow>(forwarder.handle(data(FeedAddress, 91, tokenOf(13)), now));
+    as<ForwardPacket>(forwarder.handle(data(FeedAddress, 92, tokenOf(16)), now));
+}
+
 // An instance that hears the zone objects to the verdict of another one.
 TEST(FlowForwarder, wrongVerdictOfAnotherInstanceIsRefuted)
 {
