Lead only when known, and find the leaders of other zones at any size

Cause: at 520 instances the fleet's replication sent 1 million messages in its first 3 s, and four instances watched the store for ever. A starting instance knew no other one, led, and passed each new entry on; leaders looked for each other among 130 members one at a time. Followers asked peers although their news were young. Ruled out: lost messages; none were lost. Change: an instance leads once its own entry is known, for which it looks 0.6 s after writing it; leaders try the best member of a zone and the others in turn, from the start of each silence; peers are asked when news are 2 s old (1 s).

--- a/src/tests/syncfleet.h
+++ b/src/benchmarks/syncfleet.h
@@ -12,7 +12,7 @@
 #include <set>
 #include <vector>
 
-namespace banyanwall::tests {
+namespace banyanwall::benchmarks {
 
 /// Store and instances of several zones in one process, with a clock of their own. Store calls and
 /// messages take a few milliseconds unless a fault is set.
@@ -54,7 +54,10 @@
     void changeRules()
     {
         ++m_rulesVersion;
-        const version::RulesRecord rules { .version = m_rulesVersion };
+        version::RulesRecord rules { .version = m_rulesVersion };
+        for (std::uint16_t port = 1; port <= routes; ++port) {
+            rules.routes.push_back({ { 0xc6120001, port }, { { common::ServiceId(1), 1 } }, true });
+        }
         write({ version::keyOf(rules), {}, rules });
     }
 
@@ -73,6 +76,9 @@
 
     [[nodiscard]] std::uint64_t messages() const { return m_messages; }
 
+    /// Bytes of all messages, without headers of the network.
+    [[nodiscard]] std::uint64_t bytes() const { return m_bytes; }
+
     [[nodiscard]] std::size_t size() const { return m_instances.size(); }
 
     [[nodiscard]] std::uint64_t rulesVersion() const { return m_rulesVersion; }
@@ -126,6 +132,9 @@
     /// Whether a contract ever went back at an instance within one life.
     [[nodiscard]] bool hasReverted() const { return m_hasReverted; }
 
+    /// Routes of each contract.
+    std::uint16_t routes = 0;
+
     // Faults.
     /// Calls of these instances get no answer.
     std::set<Endpoint> cutFromStore;
@@ -318,6 +327,7 @@
     void deliver(const Instance &from, const process::SendDirectoryMessage &send)
     {
         ++m_messages;
+        m_bytes += send.message.ByteSizeLong();
         const auto to = m_instances.find(send.to);
         if (to == m_instances.end()) {
             return;
@@ -347,7 +357,8 @@
     std::uint64_t m_rulesVersion = 0;
     std::uint64_t m_calls = 0;
     std::uint64_t m_messages = 0;
+    std::uint64_t m_bytes = 0;
     bool m_hasReverted = false;
 };
 
-} // namespace banyanwall::tests
+} // namespace banyanwall::benchmarks
--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -43,14 +43,19 @@
 // Pause after a call that failed, doubled each time.
 constexpr milliseconds FirstBackoff { 200 };
 constexpr milliseconds LongestBackoff { 2'000 };
-// Knowledge older than this makes an instance ask its peers.
-constexpr milliseconds AskAge { 1'000 };
+// Knowledge older than this makes an instance ask its peers; leaders' news are younger.
+constexpr milliseconds AskAge { 2'000 };
 constexpr milliseconds AskInterval { 500 };
 constexpr std::size_t AskedPeers = 3;
 // A fetch and its answer take a few milliseconds; the next one is for lost datagrams.
 constexpr milliseconds FetchInterval { 150 };
 // The store answers a starting instance in milliseconds; after this time peers are asked, too.
 constexpr milliseconds StoreGrace { 300 };
+// By then the instances of a fleet that starts have written their entries, and a leader would have
+// passed this one on.
+constexpr milliseconds LookDelay { 600 };
+// Longer than writing the own entry takes while the store takes writes.
+constexpr std::chrono::seconds RegistrationTime { 3 };
 constexpr std::chrono::seconds AskerMemory { 10 };
 // Two intervals of a leader that does not watch.
 constexpr milliseconds LeaderMemory { 1'500 };
@@ -138,6 +143,9 @@
 SyncActions DirectorySync::onRegistered(bool accepted, TimePoint now)
 {
     m_isRegistering = false;
+    if (accepted) {
+        m_lookAt = now + LookDelay;
+    }
     m_registerBackoff = accepted ? milliseconds(LongestBackoff) : nextBackoff(m_registerBackoff);
     m_nextRegister = now + m_registerBackoff;
     return {};
@@ -192,7 +200,9 @@
 
 bool DirectorySync::shouldLead(TimePoint now) const
 {
-    if (m_isLeaving) {
+    // Before its own entry is known it does not know the others of a fleet that starts, either.
+    const bool isKnown = isRegistered() || now - m_loadedAt > RegistrationTime;
+    if (m_isLeaving || !isKnown) {
         return false;
     }
     if (m_ownRank == 0) {
@@ -205,12 +215,14 @@
 
 void DirectorySync::callStore(TimePoint now, SyncActions &actions)
 {
-    const bool isWanted = !m_directory.isLoaded() || m_isWatching;
+    const bool looksForItself = m_lookAt && now >= *m_lookAt && !isRegistered();
+    const bool isWanted = !m_directory.isLoaded() || m_isWatching || looksForItself;
     if (m_isCalling || !isWanted || now < m_nextCall) {
         return;
     }
     m_isCalling = true;
-    if (m_needsFullRead || !m_directory.isLoaded()) {
+    m_lookAt.reset();
+    if (m_needsFullRead || !m_directory.isLoaded() || looksForItself) {
         actions.push_back(ReadStore {});
     } else {
         actions.push_back(WatchStore { m_directory.revision(), WatchWait });
@@ -222,15 +234,19 @@
     if (!m_directory.isLoaded() || m_isRegistering || m_isLeaving || now < m_nextRegister) {
         return;
     }
-    const auto found = m_directory.entries().find(version::keyOf(m_options.self));
-    const bool isRegistered = found != m_directory.entries().end()
-            && found->second.value == version::DirectoryValue(m_options.self);
-    if (!isRegistered) {
+    if (!isRegistered()) {
         m_isRegistering = true;
         actions.push_back(RegisterMember { m_options.self });
     }
 }
 
+bool DirectorySync::isRegistered() const
+{
+    const auto found = m_directory.entries().find(version::keyOf(m_options.self));
+    return found != m_directory.entries().end()
+            && found->second.value == version::DirectoryValue(m_options.self);
+}
+
 void DirectorySync::sendAssurances(TimePoint now, SyncActions &actions)
 {
     if (!m_isLeading) {
@@ -277,6 +293,9 @@
 {
     const auto before = m_directory.revision();
     auto changed = m_directory.apply(delta, now);
+    if (before == StoreRevision() && m_directory.isLoaded()) {
+        m_loadedAt = now;
+    }
     if (!changed.empty()) {
         updateMembers(now);
         actions.push_back(DirectoryChanged { std::move(changed) });
@@ -439,9 +458,11 @@
         if (heard.zone != m_options.self.zone && now - heard.at < LeaderMemory) {
             leaders.push_back(endpoint);
             heardZones.insert(heard.zone);
+            m_remoteAttempts.erase(heard.zone);
         }
     }
-    // Where no leader was heard, the members of the zone are tried by rank, one at a time.
+    // Where no leader was heard, the best member of the zone and the others by rank are tried in
+    // turn.
     std::map<common::ZoneId, std::vector<Endpoint>> unheard;
     for (const auto &[endpoint, peer] : m_members) {
         if (peer.zone != m_options.self.zone && !heardZones.contains(peer.zone)) {
@@ -452,9 +473,10 @@
         std::ranges::sort(members, std::greater {}, [&, zone = zone](Endpoint member) {
             return rankOf(member, zone, m_members.at(member).capacity);
         });
-        leaders.push_back(members[m_remoteAttempts % members.size()]);
+        const auto attempt = m_remoteAttempts[zone]++;
+        const auto rank = attempt % 2 == 0 ? 0 : (attempt + 1) / 2;
+        leaders.push_back(members[rank % members.size()]);
     }
-    ++m_remoteAttempts;
     return leaders;
 }
 
--- a/src/process/directorysync.h
+++ b/src/process/directorysync.h
@@ -130,6 +130,7 @@
     };
 
     void decideDuties(common::TimePoint now);
+    [[nodiscard]] bool isRegistered() const;
     [[nodiscard]] bool shouldLead(common::TimePoint now) const;
     [[nodiscard]] bool shouldWatch(common::TimePoint now) const;
     void callStore(common::TimePoint now, SyncActions &actions);
@@ -181,7 +182,8 @@
     common::TimePoint m_remoteHeardAt;
     common::TimePoint m_remoteAssuredAt;
 
-    std::size_t m_remoteAttempts = 0;
+    /// Leaders looked for since the zone was last heard.
+    std::map<common::ZoneId, std::size_t> m_remoteAttempts;
 
     bool m_isLeading = false;
     bool m_isWatching = false;
@@ -192,6 +194,9 @@
     bool m_isRegistering = false;
     std::chrono::milliseconds m_registerBackoff {};
     common::TimePoint m_nextRegister;
+    /// When to read the store for the own entry and those of the others.
+    std::optional<common::TimePoint> m_lookAt;
+    common::TimePoint m_loadedAt;
     common::TimePoint m_nextAssurance;
     common::TimePoint m_nextRemoteAssurance;
     common::TimePoint m_nextAsk;
--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -1,4 +1,4 @@
-#include "tests/syncfleet.h"
+#include "benchmarks/syncfleet.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -6,7 +6,7 @@
 
 using namespace banyanwall;
 using namespace std::chrono_literals;
-using tests::SyncFleet;
+using benchmarks::SyncFleet;
 
 namespace {
 
@@ -47,6 +47,18 @@
     LONGS_EQUAL(1, fleet->watchers().size());
 }
 
+// Target size: the leaders of the zones find each other among 130 instances a zone.
+TEST(DirectorySync, oneInstanceWatchesAtTheTargetSize)
+{
+    startFleet(4, 130);
+    LONGS_EQUAL(4, fleet->leaders().size());
+    LONGS_EQUAL(1, fleet->watchers().size());
+    fleet->kill(fleet->watchers().front());
+    checkChangeArrives();
+    fleet->run(2s);
+    LONGS_EQUAL(1, fleet->watchers().size());
+}
+
 TEST(DirectorySync, changeIsInForceWithinHalfASecond)
 {
     fleet->changeRules();
