--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -34,10 +34,9 @@
 // Packets wait in the socket until the directory is there. Callers repeat the first of them after
 // 200 ms, so that a longer wait gains little.
 constexpr std::chrono::milliseconds LongestLoad { 1'000 };
-constexpr double LogEventsPerSecond = 20.0;
-// An instance of today's deployments gets 20 requests a second, some on flows of their own.
-constexpr double FlowEventsPerSecond = 40.0;
-constexpr double LogBurst = 60.0;
+// Changes come in quick succession when an operator edits; each line tells the newest state.
+constexpr double ChangeEventsPerSecond = 10.0;
+constexpr double ChangeBurst = 30.0;
 
 udp::endpoint toAsio(Endpoint endpoint)
 {
@@ -76,8 +75,8 @@
     , m_store(store)
     , m_format(format)
     , m_metrics(metrics)
-    , m_log(LogEventsPerSecond, LogBurst)
-    , m_flowLog(FlowEventsPerSecond, LogBurst)
+    , m_changeLog(ChangeEventsPerSecond, ChangeBurst)
+    , m_flowLog(format)
     , m_sync(syncOptions(m_settings), m_directory)
     , m_forwarder({ .ownZone = common::idFromName<common::ZoneId>(m_settings.zone),
                     .instance = numberOf(m_settings) },
@@ -141,11 +140,11 @@
     if (error) {
         return false;
     }
-    onPacket(bytes, now);
+    onPacket(bytes, from, now);
     return true;
 }
 
-void FlowDaemon::onPacket(std::size_t bytes, TimePoint now)
+void FlowDaemon::onPacket(std::size_t bytes, const udp::endpoint &from, TimePoint now)
 {
     m_metrics.count(Counter::FabricDatagrams);
     m_lastPacketAt = now;
@@ -153,9 +152,7 @@
             m_format.decode(std::span(m_buffer).subspan(PacketFormat::PrefixBytes, bytes));
     if (!packet) {
         m_metrics.countRefusal(common::Reason::MalformedPacket);
-        if (auto event = m_log.event(LogLevel::Warning, "packet_dropped", now)) {
-            event->with("reason", toString(common::Reason::MalformedPacket)).with("bytes", bytes);
-        }
+        m_flowLog.malformed("packet_dropped", fromAsio(from), bytes, now);
         return;
     }
     apply(*packet, m_forwarder.handle(*packet, now), bytes);
@@ -168,7 +165,8 @@
     const auto received = std::span(m_buffer).subspan(PacketFormat::PrefixBytes, bytes);
     std::visit(Overloaded {
                        [&](const connection::ForwardPacket &forward) {
-                           logForward(packet, forward, received);
+                           m_flowLog.forwarded(packet, forward, received, knowledge(),
+                                               m_lastPacketAt);
                            const auto whole =
                                    std::span(m_buffer).first(PacketFormat::PrefixBytes + bytes);
                            m_format.address(whole, forward.serial, forward.token);
@@ -184,11 +182,13 @@
                                              error);
                            m_metrics.count(Counter::FlowsReset);
                            m_metrics.countRefusal(reset.reason);
-                           logRefusal(packet, "flow_reset", reset.reason, received);
+                           m_flowLog.refused("flow_reset", packet, reset.reason, received,
+                                             knowledge(), m_lastPacketAt);
                        },
                        [&](const connection::DropPacket &drop) {
                            m_metrics.countRefusal(drop.reason);
-                           logRefusal(packet, "packet_dropped", drop.reason, received);
+                           m_flowLog.refused("packet_dropped", packet, drop.reason, received,
+                                             knowledge(), m_lastPacketAt);
                        },
                },
                verdict);
@@ -197,61 +197,10 @@
     }
 }
 
-void FlowDaemon::logForward(const connection::FlowPacket &packet,
-                            const connection::ForwardPacket &forward,
-                            std::span<const std::uint8_t> bytes)
+FlowLog::Knowledge FlowDaemon::knowledge() const
 {
-    const bool isDecision = packet.opens || forward.hasNewData;
-    if (!isDecision) {
-        return;
-    }
-    const auto request = packet.opens ? std::string_view() : m_format.requestIdOf(bytes);
-    if (!packet.opens && request.empty()) {
-        return;
-    }
-    auto line = m_flowLog.event(LogLevel::Info, packet.opens ? "flow_opened" : "request_forwarded",
-                                m_lastPacketAt);
-    if (!line) {
-        return;
-    }
-    line->with("caller", common::toString(packet.caller))
-            .with("service", common::toString(packet.service))
-            .with("upstream", common::toString(forward.upstream))
-            .with("token", forward.token.value());
-    if (packet.opens) {
-        line->with("copy", packet.acknowledgement)
-                .with("revision", m_directory.revision().value())
-                .with("news_age_ms", newsAge().count());
-    } else {
-        line->with("request", request);
-    }
-}
-
-void FlowDaemon::logRefusal(const connection::FlowPacket &packet, std::string_view event,
-                            common::Reason reason, std::span<const std::uint8_t> bytes)
-{
-    auto line = m_log.event(LogLevel::Info, event, m_lastPacketAt);
-    if (!line) {
-        return;
-    }
-    line->with("reason", toString(reason))
-            .with("caller", common::toString(packet.caller))
-            .with("service", common::toString(packet.service))
-            .with("token", packet.token.value())
-            .with("opens", packet.opens)
-            .with("copy", packet.opens ? packet.acknowledgement : 0)
-            .with("payload_bytes", packet.payloadBytes)
-            .with("revision", m_directory.revision().value())
-            .with("news_age_ms", newsAge().count());
-    if (const auto request = m_format.requestIdOf(bytes); !request.empty()) {
-        line->with("request", request);
-    }
-}
-
-std::chrono::milliseconds FlowDaemon::newsAge() const
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(m_lastPacketAt
-                                                                 - m_sync.assuredAt());
+    const auto age = m_lastPacketAt - m_sync.assuredAt();
+    return { m_directory.revision(), std::chrono::duration_cast<std::chrono::milliseconds>(age) };
 }
 
 void FlowDaemon::receivePeers()
@@ -279,10 +228,7 @@
     const auto now = bootTimeNow();
     if (!message.ParseFromArray(m_peerBuffer.data(), static_cast<int>(bytes))) {
         m_metrics.countRefusal(common::Reason::MalformedPacket);
-        if (auto event = m_log.event(LogLevel::Warning, "peer_message_dropped", now)) {
-            event->with("reason", toString(common::Reason::MalformedPacket))
-                    .with("peer", common::toString(fromAsio(from)));
-        }
+        m_flowLog.malformed("peer_message_dropped", fromAsio(from), bytes, now);
         return;
     }
     if (message.has_silence()) {
@@ -345,27 +291,13 @@
     if (reports.isEmpty()) {
         return;
     }
-    logReports(reports, now);
+    m_flowLog.reported(reports, now);
     const auto message = wire::encodeSilence(reports);
     for (const auto peer : m_sync.zonePeers()) {
         sendToPeer({ peer, message });
     }
 }
 
-void FlowDaemon::logReports(const connection::SilenceReports &reports, TimePoint now)
-{
-    const auto logAll = [&](std::string_view name, std::string_view key, const auto &ids) {
-        for (const auto id : ids) {
-            if (auto event = m_log.event(LogLevel::Info, name, now)) {
-                event->with(key, id.value());
-            }
-        }
-    };
-    logAll("upstream_unanswered", "serial", reports.upstreams);
-    logAll("upstream_recovered", "serial", reports.recovered);
-    logAll("zone_unreachable", "zone_id", reports.zones);
-}
-
 void FlowDaemon::perform(const SyncActions &actions, TimePoint now)
 {
     for (const auto &action : actions) {
@@ -430,7 +362,7 @@
                               .instance = numberOf(m_settings),
                               .instances = static_cast<std::uint32_t>(m_sync.memberCount() + 1),
                               .zonePeers = static_cast<std::uint32_t>(m_sync.zonePeers().size()) });
-    if (auto event = m_log.event(LogLevel::Info, "directory_changed", now)) {
+    if (auto event = m_changeLog.event(LogLevel::Info, "directory_changed", now)) {
         const auto *rules = m_directory.rules();
         event->with("revision", m_directory.revision().value())
                 .with("entries", change.keys.size())
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -5,6 +5,7 @@
 #include "process/directorysync.h"
 #include "process/eventlog.h"
 #include "process/fleetstore.h"
+#include "process/flowlog.h"
 #include "process/flowsettings.h"
 #include "process/metrics.h"
 #include "process/packetformat.h"
@@ -17,7 +18,6 @@
 
 #include <array>
 #include <functional>
-#include <span>
 
 namespace banyanwall::process {
 
@@ -43,15 +43,11 @@
     void startTraffic(common::TimePoint now);
     void receiveTraffic();
     bool receivePacket(common::TimePoint now);
-    void onPacket(std::size_t bytes, common::TimePoint now);
+    void onPacket(std::size_t bytes, const boost::asio::ip::udp::endpoint &from,
+                  common::TimePoint now);
     void apply(const connection::FlowPacket &packet, const connection::PacketVerdict &verdict,
                std::size_t bytes);
-    void logForward(const connection::FlowPacket &packet, const connection::ForwardPacket &forward,
-                    std::span<const std::uint8_t> bytes);
-    void logRefusal(const connection::FlowPacket &packet, std::string_view event,
-                    common::Reason reason, std::span<const std::uint8_t> bytes);
-    void logReports(const connection::SilenceReports &reports, common::TimePoint now);
-    [[nodiscard]] std::chrono::milliseconds newsAge() const;
+    [[nodiscard]] FlowLog::Knowledge knowledge() const;
     void receivePeers();
     void onPeerDatagram(std::size_t bytes, const boost::asio::ip::udp::endpoint &from);
     void sendToPeer(const SendDirectoryMessage &send);
@@ -82,9 +78,8 @@
     FleetStore &m_store;
     const PacketFormat &m_format;
     Metrics &m_metrics;
-    EventLog m_log;
-    /// Decisions on flows that are served; apart, so that they do not displace refusals.
-    EventLog m_flowLog;
+    EventLog m_changeLog;
+    FlowLog m_flowLog;
     version::Directory m_directory;
     DirectorySync m_sync;
     connection::FlowForwarder m_forwarder;
