--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -74,7 +74,7 @@
         startFleet(3, instances);
         const auto before = fleet->calls();
         fleet->run(57s);
-        CHECK(fleet->calls() - before <= 2U * 57U);
+        CHECK(fleet->calls() - before <= 114);
     }
 }
 
