Let an instance advertise another address to its peers

Cause: the path between two instances cannot lead through a proxy that delays or cuts it, because each one registers the address it listens on. Ruled out: rewriting addresses in the store's stand-in; peers know each other by the source of a datagram as well. Change: optional setting listen.peer_advertised, the listen address by default. Conclusion: deployments behind an address translation can be described, too.

--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -59,7 +59,7 @@
     const auto zone = common::idFromName<common::ZoneId>(settings.zone);
     const auto seed = common::hashBytes(common::toString(settings.peerListen))
             ^ static_cast<std::uint64_t>(bootTimeNow().time_since_epoch().count());
-    return { .self = { settings.peerListen, zone, settings.capacity },
+    return { .self = { settings.peerAdvertised, zone, settings.capacity },
              .seeds = settings.seeds,
              .seed = static_cast<std::uint32_t>(seed) };
 }
--- a/src/process/flowsettings.cpp
+++ b/src/process/flowsettings.cpp
@@ -10,7 +10,7 @@
 
 const KnownKeys Keys {
     { "instance", { "name", "zone", "processor_share", "link_mbps" } },
-    { "listen", { "traffic", "peer", "admin" } },
+    { "listen", { "traffic", "peer", "peer_advertised", "admin" } },
     { "store", { "endpoint" } },
     { "peers", { "seeds" } },
     { "shutdown", { "grace_ms" } },
@@ -49,11 +49,13 @@
     settings.zone = reader.string("instance", "zone", "the name of an availability zone");
     settings.trafficListen = reader.endpoint("listen", "traffic");
     settings.peerListen = reader.endpoint("listen", "peer");
+    settings.peerAdvertised =
+            reader.optionalEndpoint("listen", "peer_advertised").value_or(settings.peerListen);
     settings.adminListen = reader.endpoint("listen", "admin");
     settings.store = reader.endpoint("store", "endpoint");
     settings.seeds = reader.endpoints("peers", "seeds", false);
     std::ranges::for_each(settings.seeds,
-                          [&](auto &seed) { seed.port = settings.peerListen.port; });
+                          [&](auto &seed) { seed.port = settings.peerAdvertised.port; });
     settings.capacity = capacityOf(reader);
     const auto grace = reader.integer("shutdown", "grace_ms", MinGraceMs, MaxGraceMs, true);
     settings.shutdownGrace = std::chrono::milliseconds(grace.value_or(MinGraceMs));
--- a/src/process/flowsettings.h
+++ b/src/process/flowsettings.h
@@ -20,10 +20,12 @@
     common::Endpoint trafficListen;
     /// UDP endpoint for messages of other instances. All instances use the same port.
     common::Endpoint peerListen;
+    /// Where other instances reach peerListen: differs from it behind an address translation.
+    common::Endpoint peerAdvertised;
     /// HTTP endpoint of /health, /metrics and /status.
     common::Endpoint adminListen;
     common::Endpoint store;
-    /// Instances to ask while the store does not answer. Their port is that of peerListen.
+    /// Instances to ask while the store does not answer. Their port is that of peerAdvertised.
     std::vector<common::Endpoint> seeds;
     /// Time between the request to stop and the end of the process.
     std::chrono::milliseconds shutdownGrace {};
--- a/src/process/settingsreader.cpp
+++ b/src/process/settingsreader.cpp
@@ -114,6 +114,13 @@
     return node == nullptr ? Endpoint {} : endpointOf(*node, path(section, key));
 }
 
+std::optional<Endpoint> SettingsReader::optionalEndpoint(std::string_view section,
+                                                         std::string_view key)
+{
+    const auto *node = find(section, key, EndpointRule, false);
+    return node == nullptr ? std::nullopt : std::optional(endpointOf(*node, path(section, key)));
+}
+
 std::vector<Endpoint> SettingsReader::endpoints(std::string_view section, std::string_view key,
                                                 bool required)
 {
--- a/src/process/settingsreader.h
+++ b/src/process/settingsreader.h
@@ -37,6 +37,9 @@
     /// A number that is not negative; fallback when the key is not set.
     double fraction(std::string_view section, std::string_view key, double fallback);
     common::Endpoint endpoint(std::string_view section, std::string_view key);
+    /// Empty when the key is not set.
+    std::optional<common::Endpoint> optionalEndpoint(std::string_view section,
+                                                     std::string_view key);
     std::vector<common::Endpoint> endpoints(std::string_view section, std::string_view key,
                                             bool required);
     /// A table of key id to secret.
--- a/src/tests/flowsettingstest.cpp
+++ b/src/tests/flowsettingstest.cpp
@@ -53,6 +53,25 @@
     STRCMP_EQUAL("10.2.0.40:7720", common::toString(common::valueOf(parsed).seeds.front()).c_str());
 }
 
+TEST(FlowSettings, peersAreToldTheListenAddressUnlessAnotherIsAdvertised)
+{
+    const auto direct = process::parseFlowSettings(text, "front.toml");
+    STRCMP_EQUAL("10.1.0.10:7720",
+                 common::toString(common::valueOf(direct).peerAdvertised).c_str());
+    replace("admin =", "peer_advertised = \"10.9.0.1:7800\"\nadmin =");
+    const auto translated = process::parseFlowSettings(text, "front.toml");
+    const auto &settings = common::valueOf(translated);
+    STRCMP_EQUAL("10.1.0.10:7720", common::toString(settings.peerListen).c_str());
+    STRCMP_EQUAL("10.9.0.1:7800", common::toString(settings.peerAdvertised).c_str());
+    STRCMP_EQUAL("10.2.0.40:7800", common::toString(settings.seeds.front()).c_str());
+}
+
+TEST(FlowSettings, badAdvertisedAddressIsAnError)
+{
+    replace("admin =", "peer_advertised = \"10.9.0.1\"\nadmin =");
+    checkError("listen.peer_advertised");
+}
+
 TEST(FlowSettings, unknownKeyIsAnErrorWithItsLine)
 {
     replace("zone =", "zoen =");
