--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 # Entry points for users and CI. Each target installs missing packages and builds what changed.
 BUILD ?= build
 
-.PHONY: all packages build test demo bench capacity format lint proto
+SEED ?= 1
+SECONDS ?= 60
+
+.PHONY: all packages build test demo bench soak capacity format lint proto
 
 all: build
 
@@ -21,6 +24,10 @@
 bench: build
 	@scripts/bench.sh $(BUILD)
 
+soak: build
+	@python3 platform/standin/soak/soak.py --daemon $(BUILD)/platform/banyanwall-flowd --seed $(SEED) \
+	    --seconds $(SECONDS) --out $(BUILD)/soak-$(SEED)
+
 capacity: build
 	@scripts/capacity.py --build $(BUILD)
 
