Forget routes and cold upstreams that went long ago

Cause: an instance kept the address of each route that ever went, and a count for each upstream that was ever cold. Ruled out: growth of the entries themselves; those are forgotten after 60 s. Change: both are forgotten when they no longer matter. A peer that was away for longer gets the whole contract. Conclusion: state is bounded by the present contract and the last minute.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -82,6 +82,7 @@
     const auto *route = routeOf(packet);
     if (route == nullptr) {
         // Without current news the route may be one that was just added.
+    m_policy.forgetOld(now);
         if (isCurrent(now)) {
             return ResetFlow { Reason::UnknownService };
         }
--- a/src/connection/openingpolicy.cpp
+++ b/src/connection/openingpolicy.cpp
@@ -51,6 +51,12 @@
     return chosen;
 }
 
+void OpeningPolicy::forgetOld(TimePoint now)
+{
+    std::erase_if(m_coldOpens,
+                  [&](const auto &item) { return now - item.second.windowStart >= ColdWindow; });
+}
+
 void OpeningPolicy::collect(common::ServiceId service, TimePoint now)
 {
     m_candidates.healthy.clear();
--- a/src/connection/openingpolicy.h
+++ b/src/connection/openingpolicy.h
@@ -37,6 +37,9 @@
                                         std::uint32_t copy, common::FlowToken avoided,
                                         common::TimePoint now);
 
+    /// Forgets counts that no longer matter; called about once a second.
+    void forgetOld(common::TimePoint now);
+
 private:
     struct Candidates
     {
--- a/src/tests/directorytest.cpp
+++ b/src/tests/directorytest.cpp
@@ -180,3 +180,28 @@
     LONGS_EQUAL(2, peer.rules()->version);
     CHECK(peer.rules()->routes == second.routes);
 }
+
+// Routes that went long ago are forgotten; a peer that was away for so long gets all routes.
+TEST(Directory, routesThatWentLongAgoAreForgotten)
+{
+    const auto withRoutes = [](std::uint64_t version, std::uint64_t revision,
+                               std::vector<std::uint16_t> ports) {
+        version::RulesRecord record { .version = version };
+        std::ranges::transform(ports, std::back_inserter(record.routes), [](std::uint16_t port) {
+            return version::RouteRecord { { 0xc6120001, port }, {}, true };
+        });
+        return DirectoryChange { version::keyOf(record), StoreRevision(revision), record };
+    };
+    directory.apply(complete(10, { withRoutes(1, 10, { 1, 2 }) }), now);
+    directory.apply(delta(10, 11, { withRoutes(2, 11, { 1 }) }), now);
+    const auto patchSince = [&](std::uint64_t since) {
+        const auto changes = directory.changesSince(StoreRevision(since), now);
+        return std::get<version::RulesPatch>(changes.changes.front().value);
+    };
+    LONGS_EQUAL(1, patchSince(10).removedAddresses.size());
+    now += 61s;
+    directory.apply(delta(11, 12, { withRoutes(3, 12, { 1, 3 }) }), now);
+    CHECK(directory.changesSince(StoreRevision(10), now).complete);
+    LONGS_EQUAL(0, patchSince(11).removedAddresses.size());
+    LONGS_EQUAL(1, patchSince(11).routes.size());
+}
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -127,7 +127,7 @@
         if (newRules->version < former.version) {
             return false;
         }
-        noteRouteRevisions(former, *newRules, change.revision);
+        noteRouteChanges(former, *newRules, change.revision, now);
     }
     entry = { change.revision, std::move(value), now };
     return true;
@@ -165,26 +165,23 @@
                        .complete = complete,
                        .services = record.services };
     const auto hasChanged = [&](const common::Endpoint &address) {
-        return complete || m_routeRevisions.at(address) > since;
+        return complete || m_routeChanges.at(address).revision > since;
     };
     std::ranges::copy_if(record.routes, std::back_inserter(patch.routes), hasChanged,
                          &RouteRecord::address);
     if (complete) {
         return patch;
     }
-    std::set<common::Endpoint> present;
-    std::ranges::transform(record.routes, std::inserter(present, present.end()),
-                           &RouteRecord::address);
-    for (const auto &[address, revision] : m_routeRevisions) {
-        if (revision > since && !present.contains(address)) {
+    for (const auto &[address, change] : m_routeChanges) {
+        if (change.revision > since && change.isRemoved) {
             patch.removedAddresses.push_back(address);
         }
     }
     return patch;
 }
 
-void Directory::noteRouteRevisions(const RulesRecord &former, const RulesRecord &rules,
-                                   StoreRevision revision)
+void Directory::noteRouteChanges(const RulesRecord &former, const RulesRecord &rules,
+                                 StoreRevision revision, TimePoint now)
 {
     std::map<common::Endpoint, const RouteRecord *> before;
     for (const auto &route : former.routes) {
@@ -193,14 +190,14 @@
     for (const auto &route : rules.routes) {
         const auto known = before.find(route.address);
         if (known == before.end() || *known->second != route) {
-            m_routeRevisions[route.address] = revision;
+            m_routeChanges[route.address] = { revision, now, false };
         }
         if (known != before.end()) {
             before.erase(known);
         }
     }
     for (const auto &[address, route] : before) {
-        m_routeRevisions[address] = revision;
+        m_routeChanges[address] = { revision, now, true };
     }
 }
 
@@ -221,6 +218,14 @@
 
 void Directory::forgetOldRemovals(TimePoint now)
 {
+    std::erase_if(m_routeChanges, [&](const auto &item) {
+        const auto &change = item.second;
+        const bool forget = change.isRemoved && now - change.receivedAt > RemovalMemory;
+        if (forget) {
+            m_removalsKnownSince = std::max(m_removalsKnownSince, change.revision);
+        }
+        return forget;
+    });
     std::erase_if(m_entries, [&](const auto &item) {
         const auto &entry = item.second;
         const bool forget = std::holds_alternative<RemovedRecord>(entry.value)
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -195,15 +195,23 @@
     bool applyChange(const DirectoryChange &change, common::TimePoint now);
     [[nodiscard]] RulesRecord patched(const RulesPatch &patch) const;
     [[nodiscard]] RulesPatch patchSince(common::StoreRevision since, bool complete) const;
-    void noteRouteRevisions(const RulesRecord &former, const RulesRecord &rules,
-                            common::StoreRevision revision);
+    void noteRouteChanges(const RulesRecord &former, const RulesRecord &rules,
+                          common::StoreRevision revision, common::TimePoint now);
     void removeUnnamed(const DirectoryDelta &delta, common::TimePoint now,
                        std::vector<EntryKey> &changed);
     void forgetOldRemovals(common::TimePoint now);
 
     std::map<EntryKey, Entry> m_entries;
-    /// When the route of an address changed last, removed routes included.
-    std::map<common::Endpoint, common::StoreRevision> m_routeRevisions;
+
+    struct RouteChange
+    {
+        common::StoreRevision revision;
+        common::TimePoint receivedAt;
+        bool isRemoved = false;
+    };
+
+    /// When the route of an address changed last, routes that went lately included.
+    std::map<common::Endpoint, RouteChange> m_routeChanges;
     common::StoreRevision m_revision;
     /// Removals up to this revision may have been forgotten.
     common::StoreRevision m_removalsKnownSince;
