Close flows of unknown upstreams only two seconds after the store is back

Cause: an instance that starts right after an outage of the store knows none of the upstreams whose entries lapsed meanwhile. It closed their flows 0.8 s after their first packet, although such entries are back within two seconds of the store's return. Ruled out: asking peers; they pass on what is registered, and lapsed entries are not. Change: 2.2 s of news without a gap have to pass before a token counts as that of an upstream that is gone. Figures: test unknownTokenIsNotClosedRightAfterAnOutageOfTheStore; the former test asks for more than before: no reset before 2 s of confirmed news.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -15,8 +15,10 @@
 
 // News pass from the store to all instances well within this time while the fleet is healthy.
 constexpr std::chrono::seconds CurrentNewsAge { 3 };
-// An upstream that this instance does not know yet, but another one does, is known by then.
-constexpr std::chrono::milliseconds UnknownTokenWait { 800 };
+// An upstream whose entry lapsed while the store was away is back within two seconds of its return.
+constexpr std::chrono::milliseconds UnknownTokenWait { 2'200 };
+// News that are confirmed less often than this leave a gap in which entries may have lapsed.
+constexpr std::chrono::milliseconds LongestConfirmationGap { 1'500 };
 constexpr std::chrono::seconds UnknownTokenMemory { 10 };
 // One peer alone may be stopping, or be cut off as well.
 constexpr std::uint32_t EnoughPeers = 2;
@@ -59,6 +61,14 @@
     m_upstreams.setHasPeers(position.zonePeers >= EnoughPeers);
 }
 
+void FlowForwarder::setAssuredAt(TimePoint time)
+{
+    if (time - m_assuredAt > LongestConfirmationGap) {
+        m_confirmedSince = time;
+    }
+    m_assuredAt = time;
+}
+
 PacketVerdict FlowForwarder::handle(const FlowPacket &packet, TimePoint now)
 {
     const auto seen = m_observer.observe(packet, now);
@@ -72,6 +82,7 @@
 void FlowForwarder::forgetOld(TimePoint now)
 {
     m_upstreams.forgetOld(now);
+    m_policy.forgetOld(now);
     std::erase_if(m_unknownTokens,
                   [&](const auto &item) { return now - item.second > UnknownTokenMemory; });
 }
@@ -82,7 +93,6 @@
     const auto *route = routeOf(packet);
     if (route == nullptr) {
         // Without current news the route may be one that was just added.
-    m_policy.forgetOld(now);
         if (isCurrent(now)) {
             return ResetFlow { Reason::UnknownService };
         }
@@ -126,8 +136,9 @@
     }
     const auto firstSeen = m_unknownTokens.try_emplace(packet.token, now).first->second;
     const auto *route = routeOf(packet);
-    const bool wouldBeKnown = now - firstSeen >= UnknownTokenWait
-            && now - m_assuredAt < now - firstSeen && isCurrent(now);
+    const auto unknownSince = std::max(firstSeen, m_confirmedSince);
+    const bool wouldBeKnown =
+            now - unknownSince >= UnknownTokenWait && m_assuredAt > unknownSince && isCurrent(now);
     if (wouldBeKnown && route != nullptr && route->record.repeatable && !packet.resets) {
         return ResetFlow { Reason::UpstreamLost };
     }
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -61,7 +61,7 @@
     void setPosition(const FleetPosition &position);
 
     /// When the store last confirmed that the directory is current.
-    void setAssuredAt(common::TimePoint time) { m_assuredAt = time; }
+    void setAssuredAt(common::TimePoint time);
 
     PacketVerdict handle(const FlowPacket &packet, common::TimePoint now);
 
@@ -110,6 +110,8 @@
     /// When packets with a token that no upstream has were first seen.
     std::unordered_map<common::FlowToken, common::TimePoint> m_unknownTokens;
     common::TimePoint m_assuredAt;
+    /// Since when the store has confirmed the directory without a gap.
+    common::TimePoint m_confirmedSince;
     /// When any upstream last answered a caller.
     common::TimePoint m_lastHeardAt;
     SilenceReports m_reports;
--- a/src/tests/flowforwardertest.cpp
+++ b/src/tests/flowforwardertest.cpp
@@ -121,6 +121,15 @@
         forwarder.handle(acknowledgement, now + 10ms);
     }
 
+    /// The store confirms the directory every 100 ms.
+    void confirmFor(common::Duration time)
+    {
+        for (common::Duration passed {}; passed < time; passed += 100ms) {
+            now += 100ms;
+            forwarder.setAssuredAt(now);
+        }
+    }
+
     /// Flows of three callers wait in vain for an upstream.
     void silence(std::uint64_t serial)
     {
@@ -202,13 +211,30 @@
 {
     const FlowToken unknown { 4711 };
     as<DropPacket>(forwarder.handle(data(FeedAddress, 9, unknown), now));
-    now += 1s;
+    now += 2'300ms;
     // The news are from before the first packet.
     as<DropPacket>(forwarder.handle(data(FeedAddress, 9, unknown), now));
     forwarder.setAssuredAt(now);
+    // They have been confirmed anew only just now.
+    as<DropPacket>(forwarder.handle(data(FeedAddress, 9, unknown), now));
+    confirmFor(2'000ms);
+    as<DropPacket>(forwarder.handle(data(FeedAddress, 9, unknown), now));
+    confirmFor(300ms);
     as<ResetFlow>(forwarder.handle(data(FeedAddress, 9, unknown), now));
 }
 
+// Outage of the store: entries lapse meanwhile and are back within two seconds of its return. An
+// instance that has just started knows none of these upstreams.
+TEST(FlowForwarder, unknownTokenIsNotClosedRightAfterAnOutageOfTheStore)
+{
+    const FlowToken unknown { 4711 };
+    forwarder.handle(data(FeedAddress, 9, unknown), now);
+    now += 6s;
+    forwarder.setAssuredAt(now);
+    confirmFor(1'900ms);
+    as<DropPacket>(forwarder.handle(data(FeedAddress, 9, unknown), now));
+}
+
 TEST(FlowForwarder, unknownTokenOfASubmissionIsNeverClosed)
 {
     const FlowToken unknown { 4711 };
