Notice a changed settings file without a signal

Cause: the platform may write the settings file without SIGHUP; an instance then kept stale seeds until its next restart. Changed keys that need a restart were passed over in silence. Ruled out: inotify, which the platform does not offer. Change: the time of the last write is checked every 2 s; settings_reloaded tells whether other keys want a restart. Figures: one stat call in 2 s; test FlowSettings.changedFileIsNoticed. Conclusion: reload no longer depends on the signal.

--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -29,6 +29,8 @@
 // Left of the grace time for the end of the process itself.
 constexpr std::chrono::milliseconds ExitMargin { 600 };
 constexpr std::chrono::seconds SweepInterval { 1 };
+// Seeds and grace time matter at the next outage or stop, not at once.
+constexpr std::chrono::seconds SettingsCheckInterval { 2 };
 // Evidence of several packets travels together.
 constexpr std::chrono::milliseconds ReportInterval { 20 };
 // Packets wait in the socket until the directory is there. Callers repeat the first of them after
@@ -67,11 +69,11 @@
 } // namespace
 
 FlowDaemon::FlowDaemon(boost::asio::io_context &context, FlowSettings settings,
-                       SettingsLoader reload, FleetStore &store, const PacketFormat &format,
+                       FlowSettingsFile &file, FleetStore &store, const PacketFormat &format,
                        Metrics &metrics)
     : m_context(context)
     , m_settings(std::move(settings))
-    , m_reload(std::move(reload))
+    , m_settingsFile(file)
     , m_store(store)
     , m_format(format)
     , m_metrics(metrics)
@@ -278,6 +280,7 @@
     }
     reportSilence(now);
     noteBeliefs();
+    checkSettingsFile(now);
     scheduleTick();
 }
 
@@ -416,7 +419,7 @@
 
 void FlowDaemon::reloadSettings()
 {
-    const auto loaded = m_reload();
+    const auto loaded = m_settingsFile.load();
     if (!common::isOk(loaded)) {
         LogEvent(LogLevel::Warning, "settings_rejected")
                 .with("problem", common::errorOf(loaded).message);
@@ -428,7 +431,19 @@
     m_sync.setSeeds(settings.seeds);
     LogEvent(LogLevel::Info, "settings_reloaded")
             .with("seeds", settings.seeds.size())
-            .with("grace_ms", settings.shutdownGrace.count());
+            .with("grace_ms", settings.shutdownGrace.count())
+            .with("needs_restart", settings != m_settings);
+}
+
+void FlowDaemon::checkSettingsFile(TimePoint now)
+{
+    if (now < m_nextSettingsCheck) {
+        return;
+    }
+    m_nextSettingsCheck = now + SettingsCheckInterval;
+    if (m_settingsFile.hasChanged()) {
+        reloadSettings();
+    }
 }
 
 bool FlowDaemon::mayStop(TimePoint now) const
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -6,7 +6,7 @@
 #include "process/eventlog.h"
 #include "process/fleetstore.h"
 #include "process/flowlog.h"
-#include "process/flowsettings.h"
+#include "process/flowsettingsfile.h"
 #include "process/metrics.h"
 #include "process/packetformat.h"
 #include "version/directory.h"
@@ -17,7 +17,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
-#include <functional>
 
 namespace banyanwall::process {
 
@@ -26,10 +25,8 @@
 class FlowDaemon
 {
 public:
-    using SettingsLoader = std::function<common::Result<FlowSettings>()>;
-
     /// Binds the sockets. Throws boost::system::system_error when that fails.
-    FlowDaemon(boost::asio::io_context &context, FlowSettings settings, SettingsLoader reload,
+    FlowDaemon(boost::asio::io_context &context, FlowSettings settings, FlowSettingsFile &file,
                FleetStore &store, const PacketFormat &format, Metrics &metrics);
 
     /// Serves until SIGTERM or SIGINT and the graceful shutdown that follows.
@@ -68,13 +65,14 @@
     void beginShutdown();
     void reloadSettings();
     [[nodiscard]] bool mayStop(common::TimePoint now) const;
+    void checkSettingsFile(common::TimePoint now);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] std::string metricsText() const;
     [[nodiscard]] std::string statusText() const;
 
     boost::asio::io_context &m_context;
     FlowSettings m_settings;
-    SettingsLoader m_reload;
+    FlowSettingsFile &m_settingsFile;
     FleetStore &m_store;
     const PacketFormat &m_format;
     Metrics &m_metrics;
@@ -96,6 +94,7 @@
     common::TimePoint m_lastSweepAt;
     common::TimePoint m_lastReportAt;
     bool m_isReceiving = false;
+    common::TimePoint m_nextSettingsCheck;
     bool m_isShuttingDown = false;
     bool m_wasWatching = false;
     bool m_wasStoreReachable = true;
--- a/src/process/flowsettings.h
+++ b/src/process/flowsettings.h
@@ -33,6 +33,8 @@
     std::uint32_t capacity = 0;
     /// One of trace, debug, info, warning, error.
     std::string logLevel = "info";
+
+    bool operator==(const FlowSettings &) const = default;
 };
 
 /// Checks the text in full. An error names source, line, key and what is allowed.
--- /dev/null
+++ b/src/process/flowsettingsfile.cpp
@@ -0,0 +1,31 @@
+#include "process/flowsettingsfile.h"
+
+#include <system_error>
+#include <utility>
+
+namespace banyanwall::process {
+
+FlowSettingsFile::FlowSettingsFile(std::string path)
+    : m_path(std::move(path))
+{ }
+
+common::Result<FlowSettings> FlowSettingsFile::load()
+{
+    // Taken before the read: a write meanwhile shows at the next check.
+    m_loaded = writtenAt();
+    return loadFlowSettings(m_path);
+}
+
+bool FlowSettingsFile::hasChanged() const
+{
+    const auto written = writtenAt();
+    return written != std::filesystem::file_time_type::min() && written != m_loaded;
+}
+
+std::filesystem::file_time_type FlowSettingsFile::writtenAt() const
+{
+    std::error_code error;
+    return std::filesystem::last_write_time(m_path, error);
+}
+
+} // namespace banyanwall::process
--- a/src/tests/flowsettingstest.cpp
+++ b/src/tests/flowsettingstest.cpp
@@ -1,8 +1,11 @@
-#include "process/flowsettings.h"
 #include "process/eventlog.h"
+#include "process/flowsettingsfile.h"
 
 #include <CppUTest/TestHarness.h>
 
+#include <filesystem>
+#include <fstream>
+
 using namespace banyanwall;
 using namespace std::chrono_literals;
 
@@ -66,6 +69,25 @@
     STRCMP_EQUAL("10.2.0.40:7800", common::toString(settings.seeds.front()).c_str());
 }
 
+// The platform may write the file without a signal.
+TEST(FlowSettings, changedFileIsNoticed)
+{
+    const std::string path = "flowsettingstest-changed.toml";
+    const auto write = [&] { std::ofstream(path) << text; };
+    write();
+    process::FlowSettingsFile file(path);
+    CHECK(common::isOk(file.load()));
+    CHECK_FALSE(file.hasChanged());
+    replace("10.2.0.40", "10.2.0.41");
+    write();
+    std::filesystem::last_write_time(path, std::filesystem::last_write_time(path) + 1s);
+    CHECK(file.hasChanged());
+    CHECK(common::isOk(file.load()));
+    CHECK_FALSE(file.hasChanged());
+    std::filesystem::remove(path);
+    CHECK_FALSE(file.hasChanged());
+}
+
 TEST(FlowSettings, badAdvertisedAddressIsAnError)
 {
     replace("admin =", "peer_advertised = \"10.9.0.1\"\nadmin =");
