Remove the entries of instances that are gone for good

Cause: entries of instances stayed in the store for ever. Each counted as a member: it took a share of what cold upstreams bear, and messages of its leader. Ruled out: leases. Each instance would renew one, a priced call, and an outage of the store would drop the entries of all instances at once. Change: instances show themselves to the leader of their zone once a minute; after 10 minutes without a word the leader removes an entry, unless most of the zone is missing. Who returns later registers again. Conclusion: the list of members follows the fleet.

--- a/src/benchmarks/syncfleet.h
+++ b/src/benchmarks/syncfleet.h
@@ -83,6 +83,22 @@
 
     [[nodiscard]] std::uint64_t rulesVersion() const { return m_rulesVersion; }
 
+    /// Whether the store holds an entry of an instance.
+    [[nodiscard]] bool isRegistered(const version::MemberRecord &member) const
+    {
+        const auto entry = m_store.find(version::keyOf(member));
+        return entry != m_store.end()
+                && std::holds_alternative<version::MemberRecord>(entry->second.value);
+    }
+
+    /// Instances whose entries the store holds.
+    [[nodiscard]] std::size_t registered() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(m_store, [](const auto &item) {
+            return std::holds_alternative<version::MemberRecord>(item.second.value);
+        }));
+    }
+
     [[nodiscard]] std::vector<Endpoint> watchers() const
     {
         std::vector<Endpoint> watchers;
@@ -304,6 +320,9 @@
                                [&](const process::RegisterMember &registration) {
                                    registerMember(instance, registration.member);
                                },
+                               [&](const process::RemoveMember &removal) {
+                                   removeMember(instance, removal);
+                               },
                                [&](const process::SendDirectoryMessage &send) {
                                    deliver(instance, send);
                                },
@@ -318,12 +337,24 @@
         ++m_calls;
         const bool isReached = !storeIsDown && !cutFromStore.contains(member.endpoint)
                 && !refusedByStore.contains(member.endpoint);
-        if (isReached && !m_store.contains(version::keyOf(member))) {
+        if (isReached && !isRegistered(member)) {
             write({ version::keyOf(member), {}, member });
         }
         perform(instance, instance.sync.onRegistered(isReached, m_now));
     }
 
+    void removeMember(const Instance &instance, const process::RemoveMember &removal)
+    {
+        ++m_calls;
+        const auto key = version::keyOf(removal.member);
+        const auto entry = m_store.find(key);
+        const bool isReached = !storeIsDown && !cutFromStore.contains(instance.member.endpoint)
+                && !refusedByStore.contains(instance.member.endpoint);
+        if (isReached && entry != m_store.end() && entry->second.revision == removal.revision) {
+            write({ key, {}, version::RemovedRecord {} });
+        }
+    }
+
     void deliver(const Instance &from, const process::SendDirectoryMessage &send)
     {
         ++m_messages;
--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -57,6 +57,10 @@
 // Longer than writing the own entry takes while the store takes writes.
 constexpr std::chrono::seconds RegistrationTime { 3 };
 constexpr std::chrono::seconds AskerMemory { 10 };
+// One message of an instance a minute: 2 a second reach the leader of 130.
+constexpr milliseconds PresenceInterval { 60'000 };
+// The store and the fleet need not hurry to remove entries.
+constexpr milliseconds RemovalInterval { 5'000 };
 // Two intervals of a leader that does not watch.
 constexpr milliseconds LeaderMemory { 1'500 };
 
@@ -91,10 +95,13 @@
         m_betterAssuredAt = now;
         m_remoteHeardAt = now;
         m_remoteAssuredAt = now;
+        // Instances that start together show themselves at different times.
+        m_nextPresence = now + milliseconds(m_random() % PresenceInterval.count());
     }
     decideDuties(now);
     callStore(now, actions);
     registerSelf(now, actions);
+    removeMissing(now, actions);
     sendAssurances(now, actions);
     askPeers(now, actions);
     return actions;
@@ -154,6 +161,7 @@
 SyncActions DirectorySync::onMessage(Endpoint from, const DirectoryMessage &message, TimePoint now)
 {
     SyncActions actions;
+    m_presence.onHeard(from, now);
     switch (message.body_case()) {
     case DirectoryMessage::kAssurance:
         onAssurance(from, message.assurance(), now, actions);
@@ -187,7 +195,12 @@
 
 void DirectorySync::decideDuties(TimePoint now)
 {
+    const bool wasLeading = m_isLeading;
     m_isLeading = m_directory.isLoaded() && shouldLead(now);
+    if (m_isLeading && !wasLeading) {
+        m_presence.restart(now);
+        m_nextRemoval = now + RemovalInterval;
+    }
     m_isWatching = m_isLeading && shouldWatch(now);
 }
 
@@ -247,6 +260,34 @@
             && found->second.value == version::DirectoryValue(m_options.self);
 }
 
+void DirectorySync::removeMissing(TimePoint now, SyncActions &actions)
+{
+    if (!m_isLeading || now < m_nextRemoval) {
+        return;
+    }
+    m_nextRemoval = now + RemovalInterval;
+    const auto missing = m_presence.missing(m_zonePeers, now);
+    if (!missing) {
+        return;
+    }
+    const auto entry =
+            m_directory.entries().find(version::keyOf(version::MemberRecord { *missing, {} }));
+    if (entry == m_directory.entries().end()) {
+        return;
+    }
+    if (const auto *member = std::get_if<version::MemberRecord>(&entry->second.value)) {
+        actions.push_back(RemoveMember { *member, entry->second.revision });
+    }
+}
+
+void DirectorySync::showPresence(Endpoint leader, TimePoint now, SyncActions &actions)
+{
+    if (now >= m_nextPresence) {
+        m_nextPresence = now + PresenceInterval;
+        actions.push_back(SendDirectoryMessage { leader, fetchMessage() });
+    }
+}
+
 void DirectorySync::sendAssurances(TimePoint now, SyncActions &actions)
 {
     if (!m_isLeading) {
@@ -279,9 +320,7 @@
         return seed != m_options.self.endpoint && std::ranges::find(peers, seed) == peers.end();
     });
     std::ranges::shuffle(peers, m_random);
-    DirectoryMessage message;
-    message.mutable_fetch()->set_since_revision(m_directory.revision().value());
-    message.mutable_fetch()->set_zone(m_options.self.zone.value());
+    const auto message = fetchMessage();
     peers.resize(std::min(peers.size(), AskedPeers));
     for (const auto peer : peers) {
         actions.push_back(SendDirectoryMessage { peer, message });
@@ -328,10 +367,15 @@
         return;
     }
     m_nextFetch = now + FetchInterval;
+    actions.push_back(SendDirectoryMessage { peer, fetchMessage() });
+}
+
+DirectoryMessage DirectorySync::fetchMessage() const
+{
     DirectoryMessage message;
     message.mutable_fetch()->set_since_revision(m_directory.revision().value());
     message.mutable_fetch()->set_zone(m_options.self.zone.value());
-    actions.push_back(SendDirectoryMessage { peer, std::move(message) });
+    return message;
 }
 
 void DirectorySync::onAssurance(Endpoint from, const wire::proto::DirectoryAssurance &assurance,
@@ -352,6 +396,7 @@
         if (zone == m_options.self.zone && isBetter(from)) {
             m_betterHeardAt = now;
             m_betterAssuredAt = std::max(m_betterAssuredAt, confirmedAt);
+            showPresence(from, now, actions);
         }
     }
     if (assurance.watching() && isBetterZone(zone)) {
@@ -397,7 +442,9 @@
 
 void DirectorySync::updateMembers(TimePoint now)
 {
-    std::erase_if(m_askers, [&](const auto &item) { return now - item.second.at > AskerMemory; });
+    const auto isOld = [&](const auto &item) { return now - item.second.at > AskerMemory; };
+    std::erase_if(m_askers, isOld);
+    std::erase_if(m_leaders, isOld);
     m_members.clear();
     for (const auto &member : m_directory.members()) {
         m_members[member.endpoint] = { member.zone, member.capacity };
--- a/src/process/directorysync.h
+++ b/src/process/directorysync.h
@@ -5,6 +5,7 @@
 #include "common/time.h"
 #include "directory.pb.h"
 #include "process/fragmentassembler.h"
+#include "process/memberpresence.h"
 #include "version/directory.h"
 
 #include <chrono>
@@ -35,6 +36,13 @@
     version::MemberRecord member;
 };
 
+/// Remove the entry of another instance, unless it has changed since a revision.
+struct RemoveMember
+{
+    version::MemberRecord member;
+    common::StoreRevision revision;
+};
+
 struct SendDirectoryMessage
 {
     common::Endpoint to;
@@ -47,8 +55,8 @@
     std::vector<version::EntryKey> keys;
 };
 
-using SyncAction =
-        std::variant<ReadStore, WatchStore, RegisterMember, SendDirectoryMessage, DirectoryChanged>;
+using SyncAction = std::variant<ReadStore, WatchStore, RegisterMember, RemoveMember,
+                                SendDirectoryMessage, DirectoryChanged>;
 using SyncActions = std::vector<SyncAction>;
 
 /// The store's history does not reach back to the watched revision.
@@ -75,7 +83,8 @@
 /// the highest ranked instance leads: it passes changes on and tells regularly how old its
 /// knowledge is. The leader of the first zone watches the store, the others hear of changes from
 /// it. Who is not told in time takes over, the better ranked ones first: an instance leads its
-/// zone, a leader watches the store. Takes events with their time and returns actions; not
+/// zone, a leader watches the store. Instances show themselves to their leader, which removes the
+/// entries of those that are gone for good. Takes events with their time and returns actions; not
 /// thread-safe.
 class DirectorySync
 {
@@ -135,6 +144,10 @@
     [[nodiscard]] bool shouldWatch(common::TimePoint now) const;
     void callStore(common::TimePoint now, SyncActions &actions);
     void registerSelf(common::TimePoint now, SyncActions &actions);
+    void removeMissing(common::TimePoint now, SyncActions &actions);
+    /// Shows the leader of the own zone that this instance lives.
+    void showPresence(common::Endpoint leader, common::TimePoint now, SyncActions &actions);
+    [[nodiscard]] wire::proto::DirectoryMessage fetchMessage() const;
     void sendAssurances(common::TimePoint now, SyncActions &actions);
     void askPeers(common::TimePoint now, SyncActions &actions);
     void applyDelta(const version::DirectoryDelta &delta, common::TimePoint now,
@@ -201,6 +214,9 @@
     common::TimePoint m_nextRemoteAssurance;
     common::TimePoint m_nextAsk;
     common::TimePoint m_nextFetch;
+    MemberPresence m_presence;
+    common::TimePoint m_nextPresence;
+    common::TimePoint m_nextRemoval;
 };
 
 } // namespace banyanwall::process
--- a/src/process/fleetstore.h
+++ b/src/process/fleetstore.h
@@ -25,6 +25,9 @@
                        AnswerHandler handler) = 0;
     /// Writes the entry of an instance unless there is one.
     virtual void registerMember(const version::MemberRecord &member, WriteHandler handler) = 0;
+    /// Removes the entry of an instance unless it has changed since the revision.
+    virtual void removeMember(const version::MemberRecord &member, common::StoreRevision revision,
+                              WriteHandler handler) = 0;
 };
 
 } // namespace banyanwall::process
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -308,6 +308,7 @@
                            [this](const ReadStore & /*none*/) { startRead(); },
                            [this](const WatchStore &watch) { startWatch(watch); },
                            [this](const RegisterMember &member) { startRegister(member); },
+                           [this](const RemoveMember &removal) { startRemoval(removal); },
                            [this](const SendDirectoryMessage &send) { sendToPeer(send); },
                            [&](const DirectoryChanged &change) { onDirectoryChanged(change, now); },
                    },
@@ -337,6 +338,16 @@
     });
 }
 
+void FlowDaemon::startRemoval(const RemoveMember &removal)
+{
+    m_store.removeMember(removal.member, removal.revision,
+                         [endpoint = removal.member.endpoint](bool accepted) {
+                             LogEvent(LogLevel::Info, "member_removed")
+                                     .with("peer", common::toString(endpoint))
+                                     .with("accepted", accepted);
+                         });
+}
+
 void FlowDaemon::onStoreAnswer(const char *call, const StoreAnswer &answer)
 {
     const auto now = bootTimeNow();
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -55,6 +55,7 @@
     void startRead();
     void startWatch(const WatchStore &watch);
     void startRegister(const RegisterMember &registration);
+    void startRemoval(const RemoveMember &removal);
     void onStoreAnswer(const char *call, const StoreAnswer &answer);
     void onDirectoryChanged(const DirectoryChanged &change, common::TimePoint now);
     /// Tells the instances of the zone about upstreams that seem silent.
@@ -64,8 +65,8 @@
     void waitForSignal();
     void beginShutdown();
     void reloadSettings();
-    [[nodiscard]] bool mayStop(common::TimePoint now) const;
     void checkSettingsFile(common::TimePoint now);
+    [[nodiscard]] bool mayStop(common::TimePoint now) const;
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] std::string metricsText() const;
     [[nodiscard]] std::string statusText() const;
@@ -93,8 +94,8 @@
     common::TimePoint m_shutdownAt;
     common::TimePoint m_lastSweepAt;
     common::TimePoint m_lastReportAt;
-    bool m_isReceiving = false;
     common::TimePoint m_nextSettingsCheck;
+    bool m_isReceiving = false;
     bool m_isShuttingDown = false;
     bool m_wasWatching = false;
     bool m_wasStoreReachable = true;
--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <memory>
 
 using namespace banyanwall;
@@ -245,3 +246,53 @@
     LONGS_EQUAL(0, fleet->outdated());
     CHECK_FALSE(fleet->hasReverted());
 }
+
+// Two years of replaced instances must not stay in the list of members: each of them would take a
+// share of what cold upstreams bear.
+TEST(DirectorySync, entryOfAnInstanceThatIsGoneIsRemoved)
+{
+    startFleet(2, 5);
+    const auto gone = SyncFleet::memberAt(0, 3);
+    fleet->kill(gone.endpoint);
+    fleet->run(9min);
+    CHECK(fleet->isRegistered(gone));
+    fleet->run(2min);
+    CHECK_FALSE(fleet->isRegistered(gone));
+    LONGS_EQUAL(9, fleet->registered());
+}
+
+TEST(DirectorySync, instanceThatReturnsAfterItsRemovalRegistersAgain)
+{
+    startFleet(2, 5);
+    const auto absent = SyncFleet::memberAt(0, 3);
+    fleet->kill(absent.endpoint);
+    fleet->run(12min);
+    fleet->start(absent);
+    fleet->run(5s);
+    CHECK(fleet->isRegistered(absent));
+    LONGS_EQUAL(2, fleet->leaders().size());
+}
+
+// A new leader has heard nobody yet.
+TEST(DirectorySync, changeOfTheLeaderRemovesNoLivingMember)
+{
+    startFleet(2, 5);
+    fleet->run(9min);
+    const auto leaders = fleet->leaders();
+    std::ranges::for_each(leaders, [&](auto leader) { fleet->kill(leader); });
+    fleet->run(5min);
+    LONGS_EQUAL(10, fleet->registered());
+    fleet->run(8min);
+    LONGS_EQUAL(8, fleet->registered());
+}
+
+// Loss of most of a zone: its instances come back and keep their entries.
+TEST(DirectorySync, lossOfMostOfAZoneRemovesNobody)
+{
+    startFleet(2, 5);
+    for (int index = 0; index < 3; ++index) {
+        fleet->kill(SyncFleet::memberAt(0, index).endpoint);
+    }
+    fleet->run(15min);
+    LONGS_EQUAL(10, fleet->registered());
+}
