Measure how soon silent upstreams are avoided, for three sizes of fleet

Change: a benchmark crashes a tenth of 18, of 150 and of a quarter of 6,000 upstreams, loses one packet in a thousand, and prints the time until they get a tenth of their openings, the goodput and the live upstreams that are suspected.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,12 +1,12 @@
 #!/bin/sh
 # Runs the benchmark programs, prints their key=value lines and collects them in bench.txt of the build directory.
-# Arguments: build directory, then the groups to run (flow, opening, directory, request, control, spread, relay, packet, fault;
+# Arguments: build directory, then the groups to run (flow, opening, evidence, directory, request, control, spread, relay, packet, fault;
 # default: all that exist). Fails when a benchmark fails.
 set -eu
 cd "$(dirname "$0")/.."
 build="${1:-build}"
 [ $# -gt 0 ] && shift
-groups="${*:-control spread flow opening directory request relay packet fault}"
+groups="${*:-control spread flow opening evidence directory request relay packet fault}"
 results="$build/bench.txt"
 failed=0
 : > "$results"
--- a/src/benchmarks/flowbalancer.cpp
+++ b/src/benchmarks/flowbalancer.cpp
@@ -61,6 +61,12 @@
     return m_forwarder.onPeerReports(reports, now);
 }
 
+bool FlowBalancer::suspects(common::UpstreamSerial upstream, common::TimePoint now)
+{
+    const auto *known = m_forwarder.upstreams().find(connection::tokenOf(upstream));
+    return known != nullptr && known->health.isSuspected(now);
+}
+
 PacketVerdict FlowBalancer::chooseByHash(const FlowPacket &packet)
 {
     const auto upstreams = ranked(packet);
--- a/src/benchmarks/flowbalancer.h
+++ b/src/benchmarks/flowbalancer.h
@@ -38,6 +38,8 @@
     /// Evidence for the other instances of the zone.
     [[nodiscard]] connection::SilenceReports takeReports(common::TimePoint now);
     /// Returns the objections.
+    /// Whether new flows avoid the upstream because it seems silent.
+    [[nodiscard]] bool suspects(common::UpstreamSerial upstream, common::TimePoint now);
     connection::SilenceReports onReports(const connection::SilenceReports &reports,
                                          common::TimePoint now);
 
--- a/src/benchmarks/flowload.cpp
+++ b/src/benchmarks/flowload.cpp
@@ -169,6 +169,17 @@
     return m_upstreams.at(static_cast<std::size_t>(upstream))->openings();
 }
 
+std::size_t FlowLoad::wronglySuspected()
+{
+    std::size_t pairs = 0;
+    for (auto &instance : m_instances) {
+        pairs += static_cast<std::size_t>(std::ranges::count_if(m_upstreams, [&](const auto &fake) {
+            return !fake->isSilent() && instance->suspects(fake->record().serial, m_events.now());
+        }));
+    }
+    return pairs;
+}
+
 void FlowLoad::cutZone(int zone, bool isCut)
 {
     m_cutZones.at(static_cast<std::size_t>(zone)) = isCut;
@@ -279,7 +290,7 @@
         const auto upstream = indexOf(forward->serial);
         auto &fake = *m_upstreams[static_cast<std::size_t>(upstream)];
         fake.countOpening();
-        if (fake.isSilent() || !isReached(instance, upstream)) {
+        if (fake.isSilent() || !isReached(instance, upstream) || isLost()) {
             return;
         }
         m_events.after(UpstreamDelay + CallerDelay, [this, attempt, upstream, tries] {
@@ -324,8 +335,8 @@
         const auto upstream = attempt->caller->upstream;
         auto &fake = *m_upstreams[static_cast<std::size_t>(upstream)];
         const bool isForwarded = std::holds_alternative<connection::ForwardPacket>(verdict);
-        if (!isForwarded || fake.isSilent() || !isReached(instance, upstream)
-            || attempt->isRunning) {
+        if (!isForwarded || fake.isSilent() || !isReached(instance, upstream) || attempt->isRunning
+            || isLost()) {
             return;
         }
         // The upstream acknowledges the request: the caller repeats it no more.
@@ -412,6 +423,11 @@
     return from == to || (!m_cutZones[from] && !m_cutZones[to]);
 }
 
+bool FlowLoad::isLost()
+{
+    return m_sizes.loss > 0.0 && std::bernoulli_distribution(m_sizes.loss)(m_random);
+}
+
 int FlowLoad::indexOf(common::UpstreamSerial serial) const
 {
     return static_cast<int>(serial.value()) - 1;
--- a/src/benchmarks/flowload.h
+++ b/src/benchmarks/flowload.h
@@ -25,6 +25,8 @@
     /// Requests a second that open a flow each and may run only once.
     double submissions = 83.0;
     common::Duration duration = std::chrono::seconds(20);
+    /// Share of the packets to upstreams that are lost.
+    double loss = 0.0;
 };
 
 struct FlowLoadResult
@@ -58,6 +60,8 @@
     /// The upstream falls silent. Its entry goes after the time that the platform takes for it.
     void crash(int upstream);
     void restart(int upstream);
+    /// Pairs of an instance and an upstream that it suspects although it lives.
+    [[nodiscard]] std::size_t wronglySuspected();
     /// Opening packets that the upstream got so far.
     [[nodiscard]] std::uint64_t openings(int upstream) const;
     /// Nothing passes between this zone and the others; callers reach all instances.
@@ -83,6 +87,7 @@
     void finish(const std::shared_ptr<Attempt> &attempt, bool succeeded);
     [[nodiscard]] std::size_t instanceOf(const Caller &caller) const;
     [[nodiscard]] bool isReached(std::size_t instance, int upstream) const;
+    [[nodiscard]] bool isLost();
     [[nodiscard]] int indexOf(common::UpstreamSerial serial) const;
     [[nodiscard]] connection::FlowPacket packetOf(const Caller &caller) const;
     [[nodiscard]] common::Duration drawWork(bool isFeed);
