Reset waiting flows when the verdict on their upstream stands

Cause: a flow was closed only when its caller repeated data. Callers repeat after 0.2 s, 0.6 s and 1.4 s; a verdict that came 0.5 s after the request closed the flow at 1.4 s, when little of the caller's time was left. Ruled out: earlier verdicts; the time to object is needed to keep flows of live upstreams open. Change: repeated packets of requests that may run again are kept for 1.6 s, at most 256; as soon as the verdict stands, their flows are reset, unless an answer was seen meanwhile.

--- a/src/benchmarks/flowbalancer.cpp
+++ b/src/benchmarks/flowbalancer.cpp
@@ -61,6 +61,12 @@
     return m_forwarder.takeReports(now);
 }
 
+std::vector<FlowPacket> FlowBalancer::takeHopeless(common::TimePoint now)
+{
+    return std::holds_alternative<EvidenceChoice>(m_kind) ? m_forwarder.takeHopeless(now)
+                                                          : std::vector<FlowPacket> {};
+}
+
 bool FlowBalancer::suspects(common::UpstreamSerial upstream, common::TimePoint now)
 {
     const auto *known = m_forwarder.upstreams().find(connection::tokenOf(upstream));
--- a/src/benchmarks/flowbalancer.h
+++ b/src/benchmarks/flowbalancer.h
@@ -38,6 +38,8 @@
     connection::PacketVerdict handle(const connection::FlowPacket &packet, common::TimePoint now);
     /// Evidence for the other instances of the zone.
     [[nodiscard]] connection::SilenceReports takeReports(common::TimePoint now);
+    /// Packets whose flows are reset now.
+    [[nodiscard]] std::vector<connection::FlowPacket> takeHopeless(common::TimePoint now);
     /// Whether new flows avoid the upstream because it seems silent.
     [[nodiscard]] bool suspects(common::UpstreamSerial upstream, common::TimePoint now);
     /// Returns the objections.
--- a/src/benchmarks/flowload.cpp
+++ b/src/benchmarks/flowload.cpp
@@ -76,6 +76,7 @@
     int zone = 0;
     bool isFeed = false;
     bool isOpen = false;
+    bool isAsking = false;
     int upstream = -1;
     std::uint32_t sent = 1'000;
     std::uint32_t received = 5'000;
@@ -207,7 +208,10 @@
 
 void FlowLoad::scheduleFeed(const std::shared_ptr<Caller> &caller)
 {
-    ask(caller);
+    // A flow carries one request at a time.
+    if (!caller->isAsking) {
+        ask(caller);
+    }
     std::uniform_int_distribution<int> pause(800, 1'200);
     m_events.after(milliseconds(pause(m_random)), [this, caller] { scheduleFeed(caller); });
 }
@@ -229,6 +233,7 @@
 {
     auto attempt = std::make_shared<Attempt>();
     attempt->caller = caller;
+    caller->isAsking = true;
     attempt->askedAt = m_events.now();
     attempt->work = drawWork(caller->isFeed);
     ++m_result.asked;
@@ -326,6 +331,7 @@
         }
         auto packet = packetOf(*attempt->caller);
         packet.payloadBytes = RequestBytes;
+        m_sent[packet.caller] = attempt;
         const auto instance = instanceOf(*attempt->caller);
         const auto verdict = m_instances[instance]->handle(packet, m_events.now());
         if (std::holds_alternative<connection::ResetFlow>(verdict)) {
@@ -398,6 +404,7 @@
         return;
     }
     attempt->isDone = true;
+    attempt->caller->isAsking = false;
     const auto time = m_events.now() - attempt->askedAt;
     if (!succeeded) {
         ++m_result.failed;
@@ -483,7 +490,20 @@
             }
         }
     }
+    deliverResets();
     m_events.after(ReportInterval, [this] { exchangeReports(); });
 }
 
+void FlowLoad::deliverResets()
+{
+    for (auto &instance : m_instances) {
+        for (const auto &packet : instance->takeHopeless(m_events.now())) {
+            const auto attempt = m_sent[packet.caller].lock();
+            if (attempt && !attempt->isDone && attempt->caller->endpoint == packet.caller) {
+                m_events.after(CallerDelay, [this, attempt] { onReset(attempt); });
+            }
+        }
+    }
+}
+
 } // namespace banyanwall::benchmarks
--- a/src/benchmarks/flowload.h
+++ b/src/benchmarks/flowload.h
@@ -93,6 +93,7 @@
     [[nodiscard]] common::Duration drawWork(bool isFeed);
     void publish(const version::DirectoryChange &change);
     void exchangeReports();
+    void deliverResets();
 
     FlowLoadSizes m_sizes;
     EventQueue m_events;
@@ -101,6 +102,8 @@
     std::vector<std::unique_ptr<FlowBalancer>> m_instances;
     std::vector<std::unique_ptr<FlowUpstreamFake>> m_upstreams;
     std::vector<std::shared_ptr<Caller>> m_feeds;
+    /// Attempts whose request was sent, by the caller's endpoint.
+    std::map<common::Endpoint, std::weak_ptr<Attempt>> m_sent;
     std::vector<bool> m_cutZones;
     std::uint64_t m_revision = 1;
     std::uint32_t m_nextCaller = 0;
--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -26,6 +26,10 @@
 constexpr std::chrono::milliseconds OwnSilence { 500 };
 // A report of so many flows fits into one datagram.
 constexpr std::size_t MaxReportedFlows = 60;
+// Flows that wait at the same time; a small instance has a few hundred in all.
+constexpr std::size_t MaxRepeated = 256;
+// Callers repeat data at most this long after the time before while their time budget lasts.
+constexpr std::chrono::milliseconds RepeatedMemory { 1'600 };
 // Bounds the memory that forged tokens can take.
 constexpr std::size_t MaxUnknownTokens = 1'024;
 
@@ -121,10 +125,9 @@
     if (upstream == nullptr) {
         return handleUnknown(packet, now);
     }
-    const auto *route = routeOf(packet);
-    const bool mayRunAgain = route != nullptr && route->record.repeatable;
     // A caller with time left opens a new flow; other requests may run and are not broken off.
-    if (mayRunAgain && packet.payloadBytes > 0 && shouldClose(*upstream, seen.isRepeated, now)) {
+    if (mayRunAgain(packet) && packet.payloadBytes > 0
+        && shouldClose(*upstream, seen.isRepeated, now)) {
         return ResetFlow { Reason::UpstreamSilent };
     }
     return ForwardPacket { upstream->record.endpoint, upstream->record.serial, packet.token,
@@ -137,11 +140,10 @@
         return DropPacket { Reason::UnknownFlow };
     }
     const auto firstSeen = m_unknownTokens.try_emplace(packet.token, now).first->second;
-    const auto *route = routeOf(packet);
     const auto unknownSince = std::max(firstSeen, m_confirmedSince);
     const bool wouldBeKnown =
             now - unknownSince >= UnknownTokenWait && m_assuredAt > unknownSince && isCurrent(now);
-    if (wouldBeKnown && route != nullptr && route->record.repeatable && !packet.resets) {
+    if (wouldBeKnown && mayRunAgain(packet) && !packet.resets) {
         return ResetFlow { Reason::UpstreamLost };
     }
     return DropPacket { Reason::UnknownFlow };
@@ -187,20 +189,51 @@
         m_reports.upstreams.push_back(upstream.record.serial);
         upstream.health.onOpeningRepeated(now);
     } else {
-        const auto flow = flowHashOf(packet);
-        noteWaiting(upstream, flow);
-        upstream.health.onDataRepeated(flow, now);
+        noteWaiting(upstream, packet, now);
+        upstream.health.onDataRepeated(flowHashOf(packet), now);
     }
     noteZoneRepeat(upstream, now);
 }
 
-void FlowForwarder::noteWaiting(const KnownUpstream &upstream, std::uint64_t flow)
+void FlowForwarder::noteWaiting(const KnownUpstream &upstream, const FlowPacket &packet,
+                                TimePoint now)
 {
-    const WaitingFlow waiting { upstream.record.serial, flow };
+    const WaitingFlow waiting { upstream.record.serial, flowHashOf(packet) };
     auto &flows = m_reports.waitingFlows;
     if (flows.size() < MaxReportedFlows && std::ranges::find(flows, waiting) == flows.end()) {
         flows.push_back(waiting);
     }
+    if (!mayRunAgain(packet)) {
+        return;
+    }
+    std::erase_if(m_repeated, [&](const Repeated &other) {
+        return other.packet.caller == packet.caller && other.packet.service == packet.service;
+    });
+    if (m_repeated.size() < MaxRepeated) {
+        m_repeated.push_back({ packet, now });
+    }
+}
+
+std::vector<FlowPacket> FlowForwarder::takeHopeless(TimePoint now)
+{
+    std::vector<FlowPacket> hopeless;
+    std::erase_if(m_repeated, [&](const Repeated &repeated) {
+        auto *upstream = m_upstreams.find(repeated.packet.token);
+        const bool isOver = now - repeated.at > RepeatedMemory || upstream == nullptr
+                || !m_observer.isWaiting(repeated.packet);
+        if (isOver || !shouldClose(*upstream, true, now)) {
+            return isOver;
+        }
+        hopeless.push_back(repeated.packet);
+        return true;
+    });
+    return hopeless;
+}
+
+bool FlowForwarder::mayRunAgain(const FlowPacket &packet) const
+{
+    const auto *route = routeOf(packet);
+    return route != nullptr && route->record.repeatable;
 }
 
 void FlowForwarder::noteZoneRepeat(const KnownUpstream &upstream, TimePoint now)
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -85,6 +85,10 @@
 
     PacketVerdict handle(const FlowPacket &packet, common::TimePoint now);
 
+    /// Packets whose flows are to be reset now: their callers wait in vain and repeat more and more
+    /// rarely, and the verdict on their upstream has come since they last did.
+    [[nodiscard]] std::vector<FlowPacket> takeHopeless(common::TimePoint now);
+
     /// What this instance found since the last call, for other instances of its zone.
     [[nodiscard]] SilenceReports takeReports(common::TimePoint now);
     /// Takes the evidence of another instance and returns the objections to it.
@@ -113,7 +117,9 @@
     void noteEvidence(const FlowPacket &packet, const FlowObservation &seen, common::TimePoint now);
     void noteHeard(KnownUpstream &upstream, common::TimePoint now);
     void noteRepeated(KnownUpstream &upstream, const FlowPacket &packet, common::TimePoint now);
-    void noteWaiting(const KnownUpstream &upstream, std::uint64_t flow);
+    void noteWaiting(const KnownUpstream &upstream, const FlowPacket &packet,
+                     common::TimePoint now);
+    [[nodiscard]] bool mayRunAgain(const FlowPacket &packet) const;
     [[nodiscard]] KnownUpstream *findSerial(common::UpstreamSerial serial);
     void takePeerEvidence(const SilenceReports &reports, common::TimePoint now);
     void objectToUpstreams(const SilenceReports &reports, SilenceReports &objections,
@@ -142,6 +148,15 @@
     /// When any upstream last answered a caller.
     common::TimePoint m_lastHeardAt;
     SilenceReports m_reports;
+
+    struct Repeated
+    {
+        FlowPacket packet;
+        common::TimePoint at;
+    };
+
+    /// Newest repeated data packet of each flow that waits, if its request may run again.
+    std::vector<Repeated> m_repeated;
 };
 
 } // namespace banyanwall::connection
--- a/src/connection/flowobserver.cpp
+++ b/src/connection/flowobserver.cpp
@@ -64,6 +64,12 @@
     return { .upstream = packet.token };
 }
 
+bool FlowObserver::isWaiting(const FlowPacket &packet)
+{
+    const auto *flow = find(keyOf(packet));
+    return flow != nullptr && flow->isWaiting && flow->upstream == packet.token;
+}
+
 void FlowObserver::noteOpening(const FlowPacket &packet, common::FlowToken upstream, TimePoint now)
 {
     const auto key = keyOf(packet);
--- a/src/connection/flowobserver.h
+++ b/src/connection/flowobserver.h
@@ -33,6 +33,8 @@
     explicit FlowObserver(std::size_t sets);
 
     FlowObservation observe(const FlowPacket &packet, common::TimePoint now);
+    /// Whether data of the packet's flow still waits for an answer, as far as this instance sees.
+    [[nodiscard]] bool isWaiting(const FlowPacket &packet);
     /// Notes the upstream of a flow that is being opened.
     void noteOpening(const FlowPacket &packet, common::FlowToken upstream, common::TimePoint now);
 
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -132,6 +132,7 @@
         const auto now = bootTimeNow();
         for (int packet = 0; packet < PacketsPerWakeup && receivePacket(now); ++packet) { }
         reportSilence(now);
+        closeHopeless(now);
         receiveTraffic();
     });
 }
@@ -180,15 +181,7 @@
                            m_metrics.count(Counter::PacketsToUpstream);
                        },
                        [&](const connection::ResetFlow &reset) {
-                           const auto bytesOfReset = m_format.resetOf(packet);
-                           const Endpoint caller { packet.caller.address,
-                                                   m_settings.trafficListen.port };
-                           m_traffic.send_to(boost::asio::buffer(bytesOfReset), toAsio(caller), 0,
-                                             error);
-                           m_metrics.count(Counter::FlowsReset);
-                           m_metrics.countRefusal(reset.reason);
-                           m_flowLog.refused("flow_reset", packet, reset.reason, received,
-                                             knowledge(), m_lastPacketAt);
+                           sendReset(packet, reset.reason, received, m_lastPacketAt);
                        },
                        [&](const connection::DropPacket &drop) {
                            m_metrics.countRefusal(drop.reason);
@@ -202,6 +195,25 @@
     }
 }
 
+void FlowDaemon::sendReset(const connection::FlowPacket &packet, common::Reason reason,
+                           std::span<const std::uint8_t> received, TimePoint now)
+{
+    const auto reset = m_format.resetOf(packet);
+    const Endpoint caller { packet.caller.address, m_settings.trafficListen.port };
+    boost::system::error_code error;
+    m_traffic.send_to(boost::asio::buffer(reset), toAsio(caller), 0, error);
+    m_metrics.count(error ? Counter::SendErrors : Counter::FlowsReset);
+    m_metrics.countRefusal(reason);
+    m_flowLog.refused("flow_reset", packet, reason, received, knowledge(), now);
+}
+
+void FlowDaemon::closeHopeless(TimePoint now)
+{
+    for (const auto &packet : m_forwarder.takeHopeless(now)) {
+        sendReset(packet, common::Reason::UpstreamSilent, {}, now);
+    }
+}
+
 FlowLog::Knowledge FlowDaemon::knowledge() const
 {
     const auto age = m_lastPacketAt - m_sync.assuredAt();
@@ -222,6 +234,7 @@
                 onPeerDatagram(bytes, from);
             }
         }
+        closeHopeless(bootTimeNow());
         receivePeers();
     });
 }
@@ -282,6 +295,7 @@
         m_forwarder.forgetOld(now);
     }
     reportSilence(now);
+    closeHopeless(now);
     noteBeliefs();
     checkSettingsFile(now);
     scheduleTick();
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -44,6 +44,9 @@
                   common::TimePoint now);
     void apply(const connection::FlowPacket &packet, const connection::PacketVerdict &verdict,
                std::size_t bytes);
+    void closeHopeless(common::TimePoint now);
+    void sendReset(const connection::FlowPacket &packet, common::Reason reason,
+                   std::span<const std::uint8_t> received, common::TimePoint now);
     [[nodiscard]] FlowLog::Knowledge knowledge() const;
     void receivePeers();
     void onPeerDatagram(std::size_t bytes, const boost::asio::ip::udp::endpoint &from);
--- a/src/tests/flowforwardertest.cpp
+++ b/src/tests/flowforwardertest.cpp
@@ -277,6 +277,45 @@
     as<ResetFlow>(forwarder.handle(data(FeedAddress, 101, tokenOf(2)), now + 400ms));
 }
 
+// Callers repeat ever more rarely: their flows are reset when the verdict comes, not when they
+// repeat next.
+TEST(FlowForwarder, waitingFlowsAreResetOnceTheVerdictStands)
+{
+    forwarder.handle(data(FeedAddress, 101, tokenOf(2)), now);
+    forwarder.handle(data(SubmissionAddress, 200, tokenOf(2)), now);
+    forwarder.handle(data(FeedAddress, 102, tokenOf(1)), now);
+    now += 200ms;
+    forwarder.handle(data(FeedAddress, 101, tokenOf(2)), now);
+    forwarder.handle(data(SubmissionAddress, 200, tokenOf(2)), now);
+    static_cast<void>(forwarder.takeReports(now));
+    CHECK(forwarder.takeHopeless(now).empty());
+    CHECK(forwarder.onPeerReports({ .waitingFlows = { { UpstreamSerial(2), 7 } } }, now).isEmpty());
+    answer(1, 400);
+    now += 250ms;
+    const auto hopeless = forwarder.takeHopeless(now);
+    LONGS_EQUAL(1, hopeless.size());
+    LONGS_EQUAL(101, hopeless.front().caller.port);
+    CHECK(forwarder.takeHopeless(now).empty());
+}
+
+// The caller of a flow that was answered meanwhile does not wait.
+TEST(FlowForwarder, answeredFlowIsNotResetByALaterVerdict)
+{
+    forwarder.handle(data(FeedAddress, 101, tokenOf(2)), now);
+    now += 200ms;
+    forwarder.handle(data(FeedAddress, 101, tokenOf(2)), now);
+    answer(2, 101);
+    now += 100ms;
+    static_cast<void>(forwarder.takeReports(now));
+    for (std::uint64_t flow = 1; flow <= 4; ++flow) {
+        static_cast<void>(
+                forwarder.onPeerReports({ .waitingFlows = { { UpstreamSerial(2), flow } } }, now));
+    }
+    answer(1, 400);
+    now += 300ms;
+    CHECK(forwarder.takeHopeless(now).empty());
+}
+
 // Live upstream: the instance that hears it says so.
 TEST(FlowForwarder, upstreamThatWasHeardIsDefendedAgainstReports)
 {
