Compare upstreams with the plain mean of their service

Cause: while a service had few or old samples its mean counted as nearly 0, so that each upstream that had answered looked much slower than one that had not, and lost its new flows. Ruled out: the threshold of 1.5 times. Change: the mean of the service counts as it is; only means of single upstreams fade. The test firstAnswersDoNotMakeAnUpstreamSlow fails without the change.

--- a/src/connection/answertime.h
+++ b/src/connection/answertime.h
@@ -14,7 +14,8 @@
     /// Mean in microseconds; usual when there are no samples.
     [[nodiscard]] double estimate(double usual, common::TimePoint now) const;
 
-    [[nodiscard]] bool hasSamples() const { return m_samples > 0; }
+    /// Mean in microseconds, however old; 0 when there are no samples.
+    [[nodiscard]] double mean() const { return m_mean; }
 
 private:
     double m_mean = 0.0;
--- a/src/connection/openingpolicy.cpp
+++ b/src/connection/openingpolicy.cpp
@@ -114,7 +114,7 @@
         return first;
     }
     auto &service = m_upstreams.serviceAnswerTime(first->record.service);
-    const auto usual = service.estimate(0.0, now);
+    const auto usual = service.mean();
     const auto firstTime = first->answerTime.estimate(usual, now);
     const auto secondTime = second->answerTime.estimate(usual, now);
     return firstTime > secondTime * MuchSlower ? second : first;
--- a/src/tests/openingpolicytest.cpp
+++ b/src/tests/openingpolicytest.cpp
@@ -301,3 +301,14 @@
     }
     LONGS_EQUAL(0, spread(500).size());
 }
+
+// Few samples so far: the mean of a service counts as it is, so that the upstreams that have
+// answered do not look slow beside it.
+TEST(OpeningPolicy, firstAnswersDoNotMakeAnUpstreamSlow)
+{
+    putMany(1, 4);
+    const auto before = spread(2'000).count(2);
+    upstreams.serviceAnswerTime(Bancada).add(50ms, now);
+    upstreams.find(connection::tokenOf(UpstreamSerial(2)))->answerTime.add(50ms, now);
+    LONGS_EQUAL(before, spread(2'000).count(2));
+}
