Take upstreams as cold that were silent while the store was away

It crashed and started again under its number while no instance reached the store, so that nobody knew that it was cold. Ruled out: the shares of cold upstreams; the instances did not apply them. Change: an upstream that was suspected and answers again, while the news are more than 1 s old, counts as cold for the service's cold period, until the news have been current for 1 s and its record says otherwise. Figures: test upstreamThatWasSilentDuringAnOutageOfTheStoreIsTakenAsCold. Conclusion: a restart that no instance noticed by silence is still not seen.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -20,6 +20,8 @@
 // News that are confirmed less often than this leave a gap in which entries may have lapsed.
 constexpr std::chrono::milliseconds LongestConfirmationGap { 1'500 };
 constexpr std::chrono::seconds UnknownTokenMemory { 10 };
+// An upstream writes its record when it starts, and news travel well within this time.
+constexpr std::chrono::milliseconds RecordDelay { 1'000 };
 // One peer alone may be stopping, or be cut off as well.
 constexpr std::uint32_t EnoughPeers = 2;
 // The smallest instances of today get 14 requests a second.
@@ -73,6 +75,10 @@
         m_confirmedSince = time;
     }
     m_assuredAt = time;
+    if (m_coldAssumedAt && time - *m_coldAssumedAt > RecordDelay) {
+        m_coldAssumedAt.reset();
+        m_upstreams.forgetAssumedCold();
+    }
 }
 
 PacketVerdict FlowForwarder::handle(const FlowPacket &packet, TimePoint now)
@@ -177,12 +183,21 @@
     }
     if (upstream.health.isSuspected(now)) {
         m_reports.recovered.push_back(upstream.record.serial);
+        noteRecovered(upstream, now);
     }
     upstream.health.onHeard(now);
     m_upstreams.noteHeard(upstream.record.zone, now);
     m_lastHeardAt = now;
 }
 
+void FlowForwarder::noteRecovered(KnownUpstream &upstream, TimePoint now)
+{
+    if (now - m_assuredAt > RecordDelay) {
+        m_coldAssumedAt = now;
+        m_upstreams.assumeCold(upstream, now);
+    }
+}
+
 void FlowForwarder::noteRepeated(KnownUpstream &upstream, const FlowPacket &packet, TimePoint now)
 {
     if (packet.opens) {
@@ -276,6 +291,7 @@
     for (const auto serial : reports.recovered) {
         if (auto *upstream = findSerial(serial)) {
             upstream->health.onPeerHeard(now);
+            noteRecovered(*upstream, now);
         }
     }
     for (const auto &heard : reports.heardUpstreams) {
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -7,6 +7,7 @@
 #include "version/directory.h"
 
 #include <functional>
+#include <optional>
 #include <unordered_map>
 
 namespace banyanwall::connection {
@@ -116,6 +117,8 @@
     PacketVerdict handleUnknown(const FlowPacket &packet, common::TimePoint now);
     void noteEvidence(const FlowPacket &packet, const FlowObservation &seen, common::TimePoint now);
     void noteHeard(KnownUpstream &upstream, common::TimePoint now);
+    /// The upstream was silent for a while and answers again.
+    void noteRecovered(KnownUpstream &upstream, common::TimePoint now);
     void noteRepeated(KnownUpstream &upstream, const FlowPacket &packet, common::TimePoint now);
     void noteWaiting(const KnownUpstream &upstream, const FlowPacket &packet,
                      common::TimePoint now);
@@ -145,6 +148,8 @@
     common::TimePoint m_assuredAt;
     /// Since when the store has confirmed the directory without a gap.
     common::TimePoint m_confirmedSince;
+    /// When an upstream was last assumed to have started again.
+    std::optional<common::TimePoint> m_coldAssumedAt;
     /// When any upstream last answered a caller.
     common::TimePoint m_lastHeardAt;
     SilenceReports m_reports;
--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -122,6 +122,20 @@
     zoneHealth(zone).onHeard(now);
 }
 
+void UpstreamTable::assumeCold(KnownUpstream &upstream, TimePoint now)
+{
+    if (const auto *rules = serviceRules(upstream.record.service)) {
+        upstream.assumedColdUntil = now + rules->coldPeriod;
+    }
+}
+
+void UpstreamTable::forgetAssumedCold()
+{
+    for (auto &[token, upstream] : m_upstreams) {
+        upstream->assumedColdUntil = {};
+    }
+}
+
 void UpstreamTable::expediteProbes(common::ZoneId zone, TimePoint now)
 {
     for (auto &[token, upstream] : m_upstreams) {
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -7,6 +7,7 @@
 #include "connection/zonehealth.h"
 #include "version/directory.h"
 
+#include <algorithm>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -23,10 +24,15 @@
     /// When its entry went.
     common::TimePoint removedAt;
     common::TimePoint coldUntil;
+    /// It was silent and may have started again, which its record would tell.
+    common::TimePoint assumedColdUntil;
     UpstreamHealth health;
     AnswerTime answerTime;
 
-    [[nodiscard]] bool isCold(common::TimePoint now) const { return now < coldUntil; }
+    [[nodiscard]] bool isCold(common::TimePoint now) const
+    {
+        return now < std::max(coldUntil, assumedColdUntil);
+    }
 };
 
 /// Token of the flows of an upstream; the same at all instances.
@@ -54,6 +60,12 @@
     [[nodiscard]] const Group &ofService(common::ServiceId service) const;
     [[nodiscard]] bool isWithdrawn(common::ZoneId zone) const;
 
+    /// An upstream that was silent answers while the directory is not current: it may have started
+    /// again.
+    void assumeCold(KnownUpstream &upstream, common::TimePoint now);
+    /// Records are current again and tell which upstreams are cold.
+    void forgetAssumedCold();
+
     /// Lets suspected upstreams of a zone that is reached again be probed soon.
     void expediteProbes(common::ZoneId zone, common::TimePoint now);
 
--- a/src/tests/flowforwardertest.cpp
+++ b/src/tests/flowforwardertest.cpp
@@ -56,7 +56,7 @@
         return { .version = 1,
                  .routes = { { FeedAddress, { { Bancada, 1 } }, true },
                              { SubmissionAddress, { { Bancada, 1 } }, false } },
-                 .services = { { .service = Bancada } } };
+                 .services = { { .service = Bancada, .coldPeriod = 2s } } };
     }
 
     void setup() override
@@ -121,6 +121,18 @@
         forwarder.handle(acknowledgement, now + 10ms);
     }
 
+    /// New flows of many callers that reach an upstream.
+    int openingsOf(std::uint64_t serial)
+    {
+        int openings = 0;
+        for (std::uint16_t port = 2'000; port < 2'200; ++port) {
+            const auto verdict = forwarder.handle(opening(FeedAddress, port), now);
+            const auto *forward = std::get_if<ForwardPacket>(&verdict);
+            openings += forward != nullptr && forward->serial == UpstreamSerial(serial) ? 1 : 0;
+        }
+        return openings;
+    }
+
     /// The store confirms the directory every 100 ms.
     void confirmFor(common::Duration time)
     {
@@ -261,6 +273,31 @@
     as<ForwardPacket>(forwarder.handle(data(FeedAddress, 300, tokenOf(2)), now + 200ms));
 }
 
+// Outage of the store: an upstream crashes and starts again under its number, cold, and nobody can
+// tell (soak, seed 203).
+TEST(FlowForwarder, upstreamThatWasSilentDuringAnOutageOfTheStoreIsTakenAsCold)
+{
+    now += 2s;
+    silence(2);
+    answer(2, 500);
+    now += 100ms;
+    LONGS_EQUAL(0, openingsOf(2));
+    confirmFor(900ms);
+    LONGS_EQUAL(0, openingsOf(2));
+    // Its record, now current, says that it is not cold.
+    confirmFor(300ms);
+    CHECK(openingsOf(2) > 0);
+}
+
+TEST(FlowForwarder, upstreamThatWasSilentWhileNewsAreCurrentIsNotTakenAsCold)
+{
+    silence(2);
+    forwarder.setAssuredAt(now);
+    answer(2, 500);
+    now += 100ms;
+    CHECK(openingsOf(2) > 0);
+}
+
 // Crashed upstream in a large fleet: this instance sees one of its flows, others see the rest.
 TEST(FlowForwarder, flowsOfOtherInstancesCloseTheOwnOne)
 {
