--- a/src/tests/fuzz/directorycodecfuzz.cpp
+++ b/src/tests/fuzz/directorycodecfuzz.cpp
@@ -3,12 +3,30 @@
 #include "process/fragmentassembler.h"
 #include "tests/fuzz/fuzztarget.h"
 #include "wire/directorycodec.h"
+#include "wire/silencecodec.h"
 
 #include <cstdlib>
 #include <string_view>
 
 using namespace banyanwall;
 
+namespace {
+
+/// Evidence of a peer, however senseless, must not harm an instance.
+void takeEvidence(const connection::SilenceReports &reports)
+{
+    const common::TimePoint now { std::chrono::seconds(100) };
+    connection::FlowForwarder forwarder({ .instance = 1 }, [](common::Duration) {});
+    static_cast<void>(forwarder.onPeerReports(reports, now));
+    static_cast<void>(forwarder.takeHopeless(now));
+    const auto decoded = wire::decodeSilence(wire::encodeSilence(reports).silence());
+    if (decoded.waitingFlows != reports.waitingFlows || decoded.zones != reports.zones) {
+        std::abort();
+    }
+}
+
+} // namespace
+
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view bytes(reinterpret_cast<const char *>(data), size);
@@ -26,6 +44,7 @@
     if (message.ParseFromArray(data, static_cast<int>(size))) {
         process::FragmentAssembler assembler;
         assembler.add(message.fragment(), common::TimePoint());
+        takeEvidence(wire::decodeSilence(message.silence()));
     }
     return 0;
 }
--- a/src/tests/fuzz/directorycorpusdriver.cpp
+++ b/src/tests/fuzz/directorycorpusdriver.cpp
@@ -2,6 +2,7 @@
 #include "process/fragmentassembler.h"
 #include "tests/fuzz/mutations.h"
 #include "wire/directorycodec.h"
+#include "wire/silencecodec.h"
 
 #include <iostream>
 
@@ -24,7 +25,14 @@
           { version::keyOf(rules), common::StoreRevision(6), rules } },
     };
     const auto bytes = wire::encodeDelta(delta);
-    tests::driveAll({ bytes, process::cutIntoFragments(bytes, 3).front().SerializeAsString() });
-    std::cout << "inputs=" << 2 + tests::Mutations << std::endl;
+    const connection::SilenceReports reports {
+        .upstreams = { upstream.serial },
+        .waitingFlows = { { upstream.serial, 77 }, { upstream.serial, 78 } },
+        .zones = { common::ZoneId(3) },
+        .heardUpstreams = { { upstream.serial, std::chrono::milliseconds(50) } },
+    };
+    tests::driveAll({ bytes, process::cutIntoFragments(bytes, 3).front().SerializeAsString(),
+                      wire::encodeSilence(reports).SerializeAsString() });
+    std::cout << "inputs=" << 3 + tests::Mutations << std::endl;
     return 0;
 }
