Avoid upstreams that leave requests without an answer

Most reached upstreams that took the request, answered others, and never answered this one: no packet is repeated, so that no evidence arose, and new flows went on arriving. Ruled out: closing their flows; the upstreams live, and a flow of a live upstream stays open. The answer times alone; an answer that never comes has none. Change: a request that waits for six times the usual time and 300 ms or more counts as overdue, is told to the zone, and three overdue flows in 3 s, four times the mean of the service, make an upstream an outlier: new flows avoid it for 3 s. At most a third of a service is avoided, the worst first; when all are late, none is an outlier.

--- a/src/benchmarks/flowbalancer.cpp
+++ b/src/benchmarks/flowbalancer.cpp
@@ -58,6 +58,7 @@
 
 connection::SilenceReports FlowBalancer::takeReports(common::TimePoint now)
 {
+    m_forwarder.findOutliers(now);
     return m_forwarder.takeReports(now);
 }
 
--- a/src/benchmarks/flowload.cpp
+++ b/src/benchmarks/flowload.cpp
@@ -147,6 +147,11 @@
     m_upstreams.at(static_cast<std::size_t>(upstream))->setSlowness(factor);
 }
 
+void FlowLoad::setMuteEvery(int upstream, std::uint32_t count)
+{
+    m_upstreams.at(static_cast<std::size_t>(upstream))->setMuteEvery(count);
+}
+
 void FlowLoad::crash(int upstream)
 {
     auto &fake = *m_upstreams.at(static_cast<std::size_t>(upstream));
--- a/src/benchmarks/flowload.h
+++ b/src/benchmarks/flowload.h
@@ -57,6 +57,8 @@
     [[nodiscard]] FlowLoadResult run();
 
     void setSlowness(int upstream, double factor);
+    /// Of so many requests one gets no answer; 0 for none.
+    void setMuteEvery(int upstream, std::uint32_t count);
     /// The upstream falls silent. Its entry goes after the time that the platform takes for it.
     void crash(int upstream);
     void restart(int upstream);
--- a/src/benchmarks/flowupstreamfake.cpp
+++ b/src/benchmarks/flowupstreamfake.cpp
@@ -43,7 +43,10 @@
             return;
         }
         --m_running;
-        answer(true);
+        ++m_served;
+        if (m_muteEvery == 0 || m_served % m_muteEvery != 0) {
+            answer(true);
+        }
         startNext();
     });
 }
--- a/src/benchmarks/flowupstreamfake.h
+++ b/src/benchmarks/flowupstreamfake.h
@@ -31,6 +31,9 @@
 
     void setSlowness(double factor) { m_slowness = factor; }
 
+    /// Of so many requests one is worked on and not answered; 0 for none.
+    void setMuteEvery(std::uint32_t count) { m_muteEvery = count; }
+
     /// Drops all requests; takes packets again when it is no longer silent.
     void setSilent(bool isSilent);
 
@@ -55,6 +58,8 @@
     std::uint64_t m_life = 0;
     double m_slowness = 1.0;
     bool m_isSilent = false;
+    std::uint32_t m_muteEvery = 0;
+    std::uint32_t m_served = 0;
 };
 
 } // namespace banyanwall::benchmarks
--- a/src/benchmarks/openingbenchmark.cpp
+++ b/src/benchmarks/openingbenchmark.cpp
@@ -60,6 +60,13 @@
             });
         };
     };
+    const auto mute = [](FlowLoad &load, int count) {
+        load.at(5s, [&load, count] {
+            for (int upstream = 0; upstream < count; ++upstream) {
+                load.setMuteEvery(upstream, 2);
+            }
+        });
+    };
     const auto cut = [](FlowLoad &load) {
         load.at(5s, [&load] { load.cutZone(1, true); });
         load.at(11s, [&load] { load.cutZone(1, false); });
@@ -74,6 +81,7 @@
                   load.setSlowness(1, 5.0);
               });
           } },
+        { "mute", {}, [mute](FlowLoad &load) { mute(load, 2); } },
         { "crashed", {}, crash(2) },
         { "many_crashed", {}, crash(7) },
         { "flapping",
@@ -87,6 +95,7 @@
         { "few", withUpstreams(8), [](FlowLoad &) {} },
         { "zone_cut", {}, cut },
         { "reconnect", {}, [](FlowLoad &load) { load.at(5s, [&load] { load.reconnectAll(); }); } },
+        { "grown_mute", grown(), [mute](FlowLoad &load) { mute(load, 17); } },
         { "grown_crashed", grown(), crash(15) },
         { "grown_zone_cut", grown(), cut },
     };
--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -3,6 +3,7 @@
 #include "common/hash.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -22,6 +23,12 @@
 constexpr std::chrono::seconds UnknownTokenMemory { 10 };
 // An upstream writes its record when it starts, and news travel well within this time.
 constexpr std::chrono::milliseconds RecordDelay { 1'000 };
+// Answers that take this many times the usual are rare behind upstreams that work: the work of
+// requests varies by half of its mean.
+constexpr double TimesTheUsual = 6.0;
+// Callers repeat lost packets after 200 ms; an answer that took one repetition is not overdue.
+constexpr std::chrono::milliseconds ShortestOverdue { 300 };
+constexpr std::chrono::milliseconds ScanInterval { 200 };
 // One peer alone may be stopping, or be cut off as well.
 constexpr std::uint32_t EnoughPeers = 2;
 // The smallest instances of today get 14 requests a second.
@@ -229,6 +236,47 @@
     }
 }
 
+void FlowForwarder::findOutliers(TimePoint now)
+{
+    if (now < m_nextScan) {
+        return;
+    }
+    m_nextScan = now + ScanInterval;
+    noteOverdue(now);
+    m_outliers.forgetOld(now);
+    std::vector<common::FlowToken> outliers;
+    for (const auto service : m_outliers.services()) {
+        const auto groupSize = m_upstreams.ofService(service).size();
+        std::ranges::copy(m_outliers.outliersOf(service, groupSize, now),
+                          std::back_inserter(outliers));
+    }
+    std::ranges::copy(m_upstreams.setOutliers(outliers), std::back_inserter(m_reports.outliers));
+}
+
+void FlowForwarder::noteOverdue(TimePoint now)
+{
+    m_observer.visitWaiting(now - ShortestOverdue,
+                            [&](common::FlowToken token, std::uint64_t flow, TimePoint since) {
+                                const auto *upstream = m_upstreams.find(token);
+                                if (upstream == nullptr) {
+                                    return false;
+                                }
+                                const auto &record = upstream->record;
+                                const auto usual =
+                                        m_upstreams.serviceAnswerTime(record.service).mean();
+                                const std::chrono::duration<double, std::micro> waited =
+                                        now - since;
+                                if (waited.count() < usual * TimesTheUsual) {
+                                    return false;
+                                }
+                                m_outliers.noteOverdue(record.service, token, flow, now);
+                                if (m_reports.overdueFlows.size() < MaxReportedFlows) {
+                                    m_reports.overdueFlows.push_back({ record.serial, flow });
+                                }
+                                return true;
+                            });
+}
+
 std::vector<FlowPacket> FlowForwarder::takeHopeless(TimePoint now)
 {
     std::vector<FlowPacket> hopeless;
@@ -288,6 +336,11 @@
             noteZoneRepeat(*upstream, now);
         }
     }
+    for (const auto &overdue : reports.overdueFlows) {
+        if (const auto *upstream = findSerial(overdue.upstream)) {
+            m_outliers.noteOverdue(upstream->record.service, upstream->token, overdue.flow, now);
+        }
+    }
     for (const auto serial : reports.recovered) {
         if (auto *upstream = findSerial(serial)) {
             upstream->health.onPeerHeard(now);
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -3,6 +3,7 @@
 #include "connection/flowobserver.h"
 #include "connection/flowpacket.h"
 #include "connection/openingpolicy.h"
+#include "connection/outlierdetector.h"
 #include "connection/upstreamtable.h"
 #include "version/directory.h"
 
@@ -41,6 +42,10 @@
     /// Callers repeated opening packets to these upstreams.
     std::vector<common::UpstreamSerial> upstreams {};
     std::vector<WaitingFlow> waitingFlows {};
+    /// Flows whose requests wait for much longer than usual, though they arrived.
+    std::vector<WaitingFlow> overdueFlows {};
+    /// Upstreams that became outliers; for the log only.
+    std::vector<common::UpstreamSerial> outliers {};
     /// These upstreams were suspected and have answered.
     std::vector<common::UpstreamSerial> recovered {};
     /// No upstream of these zones answers.
@@ -52,8 +57,9 @@
 
     [[nodiscard]] bool isEmpty() const
     {
-        return upstreams.empty() && waitingFlows.empty() && recovered.empty() && zones.empty()
-                && heardZones.empty() && heardUpstreams.empty();
+        return upstreams.empty() && waitingFlows.empty() && overdueFlows.empty() && outliers.empty()
+                && recovered.empty() && zones.empty() && heardZones.empty()
+                && heardUpstreams.empty();
     }
 };
 
@@ -86,6 +92,10 @@
 
     PacketVerdict handle(const FlowPacket &packet, common::TimePoint now);
 
+    /// Looks for requests that wait too long and for the upstreams behind which they do; called
+    /// every 100 ms or more often.
+    void findOutliers(common::TimePoint now);
+
     /// Packets whose flows are to be reset now: their callers wait in vain and repeat more and more
     /// rarely, and the verdict on their upstream has come since they last did.
     [[nodiscard]] std::vector<FlowPacket> takeHopeless(common::TimePoint now);
@@ -122,6 +132,8 @@
     void noteRepeated(KnownUpstream &upstream, const FlowPacket &packet, common::TimePoint now);
     void noteWaiting(const KnownUpstream &upstream, const FlowPacket &packet,
                      common::TimePoint now);
+    /// Notes flows of a service whose requests are overdue.
+    void noteOverdue(common::TimePoint now);
     [[nodiscard]] bool mayRunAgain(const FlowPacket &packet) const;
     [[nodiscard]] KnownUpstream *findSerial(common::UpstreamSerial serial);
     void takePeerEvidence(const SilenceReports &reports, common::TimePoint now);
@@ -141,6 +153,8 @@
     AnswerTimeSink m_onAnswerTime;
     UpstreamTable m_upstreams;
     OpeningPolicy m_policy;
+    OutlierDetector m_outliers;
+    common::TimePoint m_nextScan;
     FlowObserver m_observer;
     std::unordered_map<common::Endpoint, Route> m_routes;
     /// When packets with a token that no upstream has were first seen.
--- a/src/connection/flowobserver.cpp
+++ b/src/connection/flowobserver.cpp
@@ -64,6 +64,15 @@
     return { .upstream = packet.token };
 }
 
+void FlowObserver::visitWaiting(TimePoint before, const WaitingVisitor &visitor)
+{
+    for (auto &flow : m_flows) {
+        if (flow.isWaiting && !flow.isOverdue && flow.waitingSince < before) {
+            flow.isOverdue = visitor(flow.upstream, flow.key, flow.waitingSince);
+        }
+    }
+}
+
 bool FlowObserver::isWaiting(const FlowPacket &packet)
 {
     const auto *flow = find(keyOf(packet));
@@ -106,6 +115,7 @@
     if (packet.payloadBytes > 0) {
         if (isAfter(end, flow.sentUpTo)) {
             flow.waitingSince = flow.isWaiting ? flow.waitingSince : now;
+            flow.isOverdue = flow.isWaiting && flow.isOverdue;
             flow.isWaiting = true;
             flow.sentUpTo = end;
             flow.newDataAt = now;
--- a/src/connection/flowobserver.h
+++ b/src/connection/flowobserver.h
@@ -5,6 +5,7 @@
 #include "connection/flowpacket.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -33,6 +34,12 @@
     explicit FlowObserver(std::size_t sets);
 
     FlowObservation observe(const FlowPacket &packet, common::TimePoint now);
+    /// Takes the upstream, a number of the flow, and when its request was first sent.
+    using WaitingVisitor = std::function<bool(common::FlowToken, std::uint64_t, common::TimePoint)>;
+
+    /// Calls the visitor for each flow whose request was first sent before a time and waits. A flow
+    /// for which it returns true is left out until its next request.
+    void visitWaiting(common::TimePoint before, const WaitingVisitor &visitor);
     /// Whether data of the packet's flow still waits for an answer, as far as this instance sees.
     [[nodiscard]] bool isWaiting(const FlowPacket &packet);
     /// Notes the upstream of a flow that is being opened.
@@ -55,6 +62,8 @@
         bool isOpen = false;
         bool isWaiting = false;
         bool isFinished = false;
+        /// Was noted as overdue.
+        bool isOverdue = false;
     };
 
     Flow *find(std::uint64_t key);
--- a/src/connection/openingpolicy.cpp
+++ b/src/connection/openingpolicy.cpp
@@ -62,7 +62,7 @@
     m_candidates.suspected.clear();
     m_lapsed.clear();
     const auto add = [&](KnownUpstream *upstream) {
-        const bool answers = upstream->health.mayOpen(now)
+        const bool answers = !upstream->isOutlier && upstream->health.mayOpen(now)
                 && m_upstreams.zoneHealth(upstream->record.zone).mayOpen(now);
         (answers ? m_candidates.healthy : m_candidates.suspected).push_back(upstream);
     };
--- /dev/null
+++ b/src/connection/outlierdetector.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "common/ids.h"
+#include "common/time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace banyanwall::connection {
+
+/// Finds upstreams that leave many more requests without an answer than others of their service,
+/// although they answer some: they hang, or are far slower. Counts flows of all instances of the
+/// zone. Not thread-safe.
+class OutlierDetector
+{
+public:
+    /// A request on this flow waits for much longer than usual. flow tells flows apart.
+    void noteOverdue(common::ServiceId service, common::FlowToken upstream, std::uint64_t flow,
+                     common::TimePoint now);
+
+    /// Services with overdue requests.
+    [[nodiscard]] std::set<common::ServiceId> services() const;
+    /// Outliers of a service, the worst first and at most a third of its upstreams. groupSize is
+    /// the number of these.
+    [[nodiscard]] std::vector<common::FlowToken>
+    outliersOf(common::ServiceId service, std::size_t groupSize, common::TimePoint now) const;
+
+    void forgetOld(common::TimePoint now);
+
+private:
+    static constexpr std::size_t MaxFlows = 8;
+
+    struct Overdue
+    {
+        std::uint64_t flow = 0;
+        common::TimePoint at;
+    };
+
+    /// The newest overdue flows; the oldest is overwritten.
+    struct Flows
+    {
+        common::ServiceId service;
+        std::array<Overdue, MaxFlows> entries {};
+        std::size_t next = 0;
+
+        [[nodiscard]] std::size_t count(common::TimePoint now) const;
+    };
+
+    std::unordered_map<common::FlowToken, Flows> m_flows;
+};
+
+} // namespace banyanwall::connection
--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -3,6 +3,7 @@
 #include "common/hash.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace banyanwall::connection {
 
@@ -136,6 +137,20 @@
     }
 }
 
+std::vector<UpstreamSerial> UpstreamTable::setOutliers(const std::vector<FlowToken> &outliers)
+{
+    const std::unordered_set<FlowToken> marked(outliers.begin(), outliers.end());
+    std::vector<UpstreamSerial> added;
+    for (auto &[token, upstream] : m_upstreams) {
+        const bool isOutlier = marked.contains(token);
+        if (isOutlier && !upstream->isOutlier) {
+            added.push_back(upstream->record.serial);
+        }
+        upstream->isOutlier = isOutlier;
+    }
+    return added;
+}
+
 void UpstreamTable::expediteProbes(common::ZoneId zone, TimePoint now)
 {
     for (auto &[token, upstream] : m_upstreams) {
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -26,6 +26,8 @@
     common::TimePoint coldUntil;
     /// It was silent and may have started again, which its record would tell.
     common::TimePoint assumedColdUntil;
+    /// It leaves many more requests without an answer than others.
+    bool isOutlier = false;
     UpstreamHealth health;
     AnswerTime answerTime;
 
@@ -66,6 +68,9 @@
     /// Records are current again and tell which upstreams are cold.
     void forgetAssumedCold();
 
+    /// Marks these upstreams as outliers and all others as none; returns those that are new.
+    std::vector<common::UpstreamSerial> setOutliers(const std::vector<common::FlowToken> &outliers);
+
     /// Lets suspected upstreams of a zone that is reached again be probed soon.
     void expediteProbes(common::ZoneId zone, common::TimePoint now);
 
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -294,6 +294,7 @@
         m_lastSweepAt = now;
         m_forwarder.forgetOld(now);
     }
+    m_forwarder.findOutliers(now);
     reportSilence(now);
     closeHopeless(now);
     noteBeliefs();
--- a/src/process/flowlog.cpp
+++ b/src/process/flowlog.cpp
@@ -96,6 +96,7 @@
             line->with("serial", waiting.upstream.value()).with("flow", waiting.flow);
         }
     }
+    logAll("upstream_outlier", "serial", reports.outliers);
     logAll("upstream_recovered", "serial", reports.recovered);
     logAll("zone_unreachable", "zone_id", reports.zones);
 }
--- a/src/tests/directorycodectest.cpp
+++ b/src/tests/directorycodectest.cpp
@@ -100,6 +100,7 @@
     const connection::SilenceReports reports {
         .upstreams = { common::UpstreamSerial(1) },
         .waitingFlows = { { common::UpstreamSerial(2), 77 } },
+        .overdueFlows = { { common::UpstreamSerial(7), 78 } },
         .recovered = { common::UpstreamSerial(3) },
         .zones = { common::ZoneId(4) },
         .heardZones = { { common::ZoneId(5), 50ms } },
@@ -108,6 +109,7 @@
     const auto decoded = wire::decodeSilence(wire::encodeSilence(reports).silence());
     CHECK(decoded.upstreams == reports.upstreams);
     CHECK(decoded.waitingFlows == reports.waitingFlows);
+    CHECK(decoded.overdueFlows == reports.overdueFlows);
     CHECK(decoded.recovered == reports.recovered);
     CHECK(decoded.zones == reports.zones);
     CHECK(decoded.heardZones.front().zone == common::ZoneId(5));
--- a/src/tests/flowloadtest.cpp
+++ b/src/tests/flowloadtest.cpp
@@ -136,3 +136,43 @@
     LONGS_EQUAL(0, evidence.wrongResets);
     CHECK(evidence.failed * 5 < play(RendezvousChoice {}, crash).failed);
 }
+
+// Pattern: upstreams take requests and leave every second one without an answer; nothing is
+// repeated, because the packets themselves arrive.
+TEST(FlowLoad, upstreamsThatHangGetFewNewFlows)
+{
+    const auto openingsOfHanging = [this](const ChoiceKind &kind) {
+        FlowLoad load(kind, sizes, Seed);
+        std::uint64_t before = 0;
+        load.at(5s, [&load] {
+            load.setMuteEvery(0, 2);
+            load.setMuteEvery(1, 2);
+        });
+        const auto count = [&load] { return load.openings(0) + load.openings(1); };
+        load.at(7s, [&] { before = count(); });
+        LONGS_EQUAL(0, load.run().wrongResets);
+        return count() - before;
+    };
+    CHECK(openingsOfHanging(EvidenceChoice {}) * 2 < openingsOfHanging(RendezvousChoice {}));
+}
+
+// Pattern: the same, seen by instances with one flow in a hundred each.
+TEST(FlowLoad, hangingUpstreamsOfALargeFleetFailFewerRequests)
+{
+    sizes = { .instancesOfAZone = 38,
+              .upstreams = 120,
+              .slots = 2,
+              .feeds = 1'138,
+              .submissions = 325.0,
+              .duration = 12s };
+    const auto hang = [](FlowLoad &load) {
+        load.at(3s, [&load] {
+            for (int upstream = 0; upstream < 17; ++upstream) {
+                load.setMuteEvery(upstream, 2);
+            }
+        });
+    };
+    const auto evidence = play(EvidenceChoice {}, hang);
+    LONGS_EQUAL(0, evidence.wrongResets);
+    CHECK(evidence.failed < play(RendezvousChoice {}, hang).failed);
+}
--- a/src/tests/flowobservertest.cpp
+++ b/src/tests/flowobservertest.cpp
@@ -122,3 +122,27 @@
     }
     CHECK_FALSE(observer.observe(packet(1000, 5000, 100), now + 1s).isHeard);
 }
+
+// A request that arrived and gets no answer: nothing is repeated, only time passes.
+TEST(FlowObserver, waitingFlowIsVisitedOnceARequest)
+{
+    int visits = 0;
+    const auto visit = [&](common::TimePoint at) {
+        observer.visitWaiting(at - 300ms,
+                              [&](FlowToken upstream, std::uint64_t, common::TimePoint since) {
+                                  CHECK(upstream == token);
+                                  CHECK(since == now);
+                                  ++visits;
+                                  return true;
+                              });
+    };
+    observer.observe(packet(1000, 5000, 100), now);
+    visit(now + 200ms);
+    LONGS_EQUAL(0, visits);
+    visit(now + 400ms);
+    visit(now + 500ms);
+    LONGS_EQUAL(1, visits);
+    observer.observe(packet(1100, 6200, 0), now + 600ms);
+    visit(now + 1s);
+    LONGS_EQUAL(1, visits);
+}
--- /dev/null
+++ b/src/tests/outlierdetectortest.cpp
@@ -0,0 +1,100 @@
+#include "connection/outlierdetector.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace banyanwall;
+using namespace std::chrono_literals;
+using common::FlowToken;
+using common::ServiceId;
+using connection::OutlierDetector;
+
+namespace {
+
+const ServiceId Bancada { 1 };
+const ServiceId Certidao { 2 };
+constexpr std::size_t GroupSize = 14;
+
+} // namespace
+
+TEST_GROUP(OutlierDetector)
+{
+    OutlierDetector detector;
+    common::TimePoint now { 100s };
+
+    void overdue(std::uint32_t upstream, std::uint64_t flows, ServiceId service = Bancada)
+    {
+        for (std::uint64_t flow = 1; flow <= flows; ++flow) {
+            detector.noteOverdue(service, FlowToken(upstream), upstream * 100 + flow, now);
+        }
+    }
+
+    bool isOutlier(std::uint32_t upstream, std::size_t groupSize = GroupSize) const
+    {
+        const auto outliers = detector.outliersOf(Bancada, groupSize, now);
+        return std::ranges::find(outliers, FlowToken(upstream)) != outliers.end();
+    }
+};
+
+// Pattern: an upstream hangs on a part of its requests and answers the others.
+TEST(OutlierDetector, upstreamWithSeveralOverdueFlowsIsOne)
+{
+    overdue(1, 2);
+    CHECK_FALSE(isOutlier(1));
+    overdue(1, 3);
+    CHECK(isOutlier(1));
+    CHECK_FALSE(isOutlier(2));
+}
+
+// One caller waits again and again.
+TEST(OutlierDetector, oneFlowAloneIsNotEnough)
+{
+    for (int time = 0; time < 6; ++time) {
+        overdue(1, 1);
+    }
+    CHECK_FALSE(isOutlier(1));
+}
+
+// Pattern: all upstreams are overloaded, or the fabric has moved many flows to other instances.
+TEST(OutlierDetector, whenAllAreLateNoneIsAnOutlier)
+{
+    for (std::uint32_t upstream = 1; upstream <= GroupSize; ++upstream) {
+        overdue(upstream, 4);
+    }
+    for (std::uint32_t upstream = 1; upstream <= GroupSize; ++upstream) {
+        CHECK_FALSE(isOutlier(upstream));
+    }
+}
+
+// A wrong verdict must not take more than a stated share of a service.
+TEST(OutlierDetector, atMostAThirdOfAServiceIsAvoided)
+{
+    // Those with few overdue flows are left out first.
+    for (std::uint32_t upstream = 1; upstream <= 3; ++upstream) {
+        overdue(upstream, 8);
+    }
+    LONGS_EQUAL(3, detector.outliersOf(Bancada, 14, now).size());
+    LONGS_EQUAL(2, detector.outliersOf(Bancada, 6, now).size());
+    LONGS_EQUAL(0, detector.outliersOf(Bancada, 2, now).size());
+}
+
+TEST(OutlierDetector, outlierIsTriedAgainAfterItsTime)
+{
+    overdue(1, 4);
+    now += 2900ms;
+    CHECK(isOutlier(1));
+    now += 200ms;
+    CHECK_FALSE(isOutlier(1));
+    detector.forgetOld(now);
+    CHECK(detector.services().empty());
+}
+
+TEST(OutlierDetector, servicesAreJudgedApart)
+{
+    overdue(1, 4);
+    overdue(50, 8, Certidao);
+    CHECK(isOutlier(1));
+    CHECK_FALSE(isOutlier(50));
+    LONGS_EQUAL(2, detector.services().size());
+}
--- a/src/wire/silencecodec.cpp
+++ b/src/wire/silencecodec.cpp
@@ -20,6 +20,17 @@
     return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(age).count());
 }
 
+void encodeFlow(const connection::WaitingFlow &flow, proto::WaitingFlow &entry)
+{
+    entry.set_upstream(flow.upstream.value());
+    entry.set_flow(flow.flow);
+}
+
+connection::WaitingFlow decodeFlow(const proto::WaitingFlow &entry)
+{
+    return { common::UpstreamSerial(entry.upstream()), entry.flow() };
+}
+
 } // namespace
 
 proto::DirectoryMessage encodeSilence(const connection::SilenceReports &reports)
@@ -41,9 +52,10 @@
         entry.set_age_ms(milliseconds(heard.age));
     }
     for (const auto &waiting : reports.waitingFlows) {
-        auto &entry = *silence.add_waiting_flows();
-        entry.set_upstream(waiting.upstream.value());
-        entry.set_flow(waiting.flow);
+        encodeFlow(waiting, *silence.add_waiting_flows());
+    }
+    for (const auto &overdue : reports.overdueFlows) {
+        encodeFlow(overdue, *silence.add_overdue_flows());
     }
     for (const auto &heard : reports.heardUpstreams) {
         auto &entry = *silence.add_heard_upstreams();
@@ -68,11 +80,9 @@
                                };
                            });
     std::ranges::transform(report.waiting_flows(), std::back_inserter(reports.waitingFlows),
-                           [](const auto &waiting) {
-                               return connection::WaitingFlow {
-                                   common::UpstreamSerial(waiting.upstream()), waiting.flow()
-                               };
-                           });
+                           decodeFlow);
+    std::ranges::transform(report.overdue_flows(), std::back_inserter(reports.overdueFlows),
+                           decodeFlow);
     std::ranges::transform(report.heard_upstreams(), std::back_inserter(reports.heardUpstreams),
                            [](const auto &heard) {
                                return connection::HeardUpstream {
