Judge outliers by the median and keep them on probation

Ruled out: fewer overdue flows for the first verdict; flows that the fabric moves to another instance look overdue, too. Change: four times the median of all upstreams of the service; an outlier is avoided for 6 s, and for 10 s more one overdue flow makes it one again.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -247,7 +247,7 @@
     std::vector<common::FlowToken> outliers;
     for (const auto service : m_outliers.services()) {
         const auto groupSize = m_upstreams.ofService(service).size();
-        std::ranges::copy(m_outliers.outliersOf(service, groupSize, now),
+        std::ranges::copy(m_outliers.judge(service, groupSize, now),
                           std::back_inserter(outliers));
     }
     std::ranges::copy(m_upstreams.setOutliers(outliers), std::back_inserter(m_reports.outliers));
--- a/src/connection/outlierdetector.h
+++ b/src/connection/outlierdetector.h
@@ -24,10 +24,10 @@
 
     /// Services with overdue requests.
     [[nodiscard]] std::set<common::ServiceId> services() const;
-    /// Outliers of a service, the worst first and at most a third of its upstreams. groupSize is
-    /// the number of these.
+    /// Judges a service and returns its outliers: the worst first, and at most a third of its
+    /// upstreams. groupSize is the number of these.
     [[nodiscard]] std::vector<common::FlowToken>
-    outliersOf(common::ServiceId service, std::size_t groupSize, common::TimePoint now) const;
+    judge(common::ServiceId service, std::size_t groupSize, common::TimePoint now);
 
     void forgetOld(common::TimePoint now);
 
@@ -46,8 +46,12 @@
         common::ServiceId service;
         std::array<Overdue, MaxFlows> entries {};
         std::size_t next = 0;
+        /// New flows avoid the upstream until then.
+        common::TimePoint outlierUntil;
 
         [[nodiscard]] std::size_t count(common::TimePoint now) const;
+        /// It was an outlier lately: one overdue flow makes it one again.
+        [[nodiscard]] bool isOnProbation(common::TimePoint now) const;
     };
 
     std::unordered_map<common::FlowToken, Flows> m_flows;
