Send new flows elsewhere after the first repeated packet

Cause: with 150 upstreams an instance's zone sees about three packets a second for each; two repeats, which suspicion takes, came 1.6 s after a crash, and new flows went on. Ruled out: suspicion by one repeat; one packet in a thousand is lost, and suspicion lasts until a probe. Change: for 500 ms after a single repeat, seen in the zone, new flows go to another upstream; where all are in doubt, all are used as before.

--- a/src/connection/upstreamhealth.cpp
+++ b/src/connection/upstreamhealth.cpp
@@ -10,6 +10,9 @@
 
 // A single lost datagram repeats one packet; two without an answer in between are rarely chance.
 constexpr std::uint32_t SuspectedRepeats = 2;
+// One repeated packet may be a lost datagram. Until a second one could show more, new flows find
+// other upstreams at no cost.
+constexpr std::chrono::milliseconds DoubtTime { 500 };
 // Closing flows of a live upstream would break a promise, so that more evidence is wanted.
 constexpr std::uint32_t SilentRepeats = 3;
 constexpr std::uint32_t SilentFlows = 2;
@@ -131,7 +134,10 @@
 
 bool UpstreamHealth::mayOpen(TimePoint now) const
 {
-    return !isSuspected(now) || now >= m_nextProbe;
+    if (isSuspected(now)) {
+        return now >= m_nextProbe;
+    }
+    return m_repeats == 0 || now - m_lastRepeated >= DoubtTime;
 }
 
 void UpstreamHealth::expediteProbe(TimePoint now)
--- a/src/tests/upstreamhealthtest.cpp
+++ b/src/tests/upstreamhealthtest.cpp
@@ -24,6 +24,18 @@
     CHECK_FALSE(health.isSuspected(start + 3s));
 }
 
+// New flows lose nothing elsewhere while a second repeat could show a crash.
+TEST(UpstreamHealth, singleRepeatKeepsNewFlowsAwayForAMoment)
+{
+    health.onPeerReport(start);
+    CHECK_FALSE(health.isSuspected(start));
+    CHECK_FALSE(health.mayOpen(start + 400ms));
+    CHECK(health.mayOpen(start + 500ms));
+    health.onDataRepeated(1, start + 2s);
+    health.onHeard(start + 2100ms);
+    CHECK(health.mayOpen(start + 2100ms));
+}
+
 // Crashed upstream under load: several callers repeat packets within half a second.
 TEST(UpstreamHealth, repeatsOfSeveralFlowsMakeItSilent)
 {
