Test services near and over their capacity without network

Cause: no load of the flow load came near the capacity of a service. Change: callers acknowledge rejections, as on the platform; two loads, two tests.

--- a/src/benchmarks/flowload.cpp
+++ b/src/benchmarks/flowload.cpp
@@ -370,14 +370,15 @@
         }
         auto &caller = *attempt->caller;
         attempt->isRunning = false;
-        if (!accepted) {
-            retry(attempt);
-            return;
-        }
+        // A rejection is an answer, too.
         caller.sent += RequestBytes;
         caller.received += AnswerBytes;
         m_instances[instanceOf(caller)]->handle(packetOf(caller), m_events.now() + CallerDelay);
-        finish(attempt, true);
+        if (accepted) {
+            finish(attempt, true);
+        } else {
+            retry(attempt);
+        }
     });
 }
 
--- a/src/benchmarks/openingbenchmark.cpp
+++ b/src/benchmarks/openingbenchmark.cpp
@@ -93,6 +93,8 @@
               }
           } },
         { "few", withUpstreams(8), [](FlowLoad &) {} },
+        { "nearly_full", withUpstreams(6), [](FlowLoad &) {} },
+        { "overloaded", withUpstreams(5), [](FlowLoad &) {} },
         { "zone_cut", {}, cut },
         { "reconnect", {}, [](FlowLoad &load) { load.at(5s, [&load] { load.reconnectAll(); }); } },
         { "grown_mute", grown(), [mute](FlowLoad &load) { mute(load, 17); } },
--- a/src/tests/flowloadtest.cpp
+++ b/src/tests/flowloadtest.cpp
@@ -176,3 +176,27 @@
     LONGS_EQUAL(0, evidence.wrongResets);
     CHECK(evidence.failed < play(RendezvousChoice {}, hang).failed);
 }
+
+// Pattern: a service near its capacity. Answer times show which upstreams have room.
+TEST(FlowLoad, nearlyFullServiceIsServedBetterThanByTheHashAlone)
+{
+    sizes.upstreams = 6;
+    const auto nothing = [](FlowLoad &) {};
+    const auto evidence = play(EvidenceChoice {}, nothing);
+    CHECK(evidence.goodput() > play(RendezvousChoice {}, nothing).goodput());
+    LONGS_EQUAL(0, evidence.wrongResets);
+}
+
+// Pattern: more callers than a service can bear. Evidence against all upstreams must not drive
+// flows from one to the next.
+TEST(FlowLoad, overloadIsNoWorseThanByTheHashAlone)
+{
+    sizes.upstreams = 5;
+    const auto nothing = [](FlowLoad &) {};
+    const auto evidence = play(EvidenceChoice {}, nothing);
+    const auto hash = play(RendezvousChoice {}, nothing);
+    // One in a hundred requests is chance.
+    CHECK(evidence.share(evidence.failed) < hash.share(hash.failed) + 0.01);
+    CHECK(evidence.goodput() > hash.goodput() - 0.01);
+    LONGS_EQUAL(0, evidence.wrongResets);
+}
