Let operators end open flows into a withdrawn zone after a time

Cause: the users want a withdrawn zone to get no more packets after a few seconds, accept that its flows are lost, and forbid the reset of a flow whose upstream lives. Until their answer packets of open flows are forwarded, without a choice. Change: setting withdrawal.open_flows_ms, not set by default; after that time packets of open flows into the zone are dropped and counted, and are no evidence.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -90,6 +90,9 @@
 
 PacketVerdict FlowForwarder::handle(const FlowPacket &packet, TimePoint now)
 {
+    if (!packet.opens && isEndedByWithdrawal(packet, now)) {
+        return DropPacket { Reason::ZoneWithdrawn };
+    }
     const auto seen = m_observer.observe(packet, now);
     noteEvidence(packet, seen, now);
     if (packet.opens) {
@@ -106,6 +109,16 @@
                   [&](const auto &item) { return now - item.second > UnknownTokenMemory; });
 }
 
+bool FlowForwarder::isEndedByWithdrawal(const FlowPacket &packet, TimePoint now)
+{
+    const auto *upstream = m_upstreams.find(packet.token);
+    if (!m_options.openFlowsAfterWithdrawal || upstream == nullptr) {
+        return false;
+    }
+    const auto since = m_upstreams.withdrawnAt(upstream->record.zone);
+    return since && now - *since >= *m_options.openFlowsAfterWithdrawal;
+}
+
 PacketVerdict FlowForwarder::open(const FlowPacket &packet, const FlowObservation &seen,
                                   TimePoint now)
 {
@@ -247,8 +260,7 @@
     std::vector<common::FlowToken> outliers;
     for (const auto service : m_outliers.services()) {
         const auto groupSize = m_upstreams.ofService(service).size();
-        std::ranges::copy(m_outliers.judge(service, groupSize, now),
-                          std::back_inserter(outliers));
+        std::ranges::copy(m_outliers.judge(service, groupSize, now), std::back_inserter(outliers));
     }
     std::ranges::copy(m_upstreams.setOutliers(outliers), std::back_inserter(m_reports.outliers));
 }
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -73,6 +73,9 @@
         common::ZoneId ownZone;
         /// Different for each instance.
         std::uint64_t instance = 0;
+        /// How long packets of open flows go into a withdrawn zone; empty for as long as the flows
+        /// live.
+        std::optional<common::Duration> openFlowsAfterWithdrawal {};
         /// Sets of the memory that tells repeated packets; a power of two.
         std::size_t observedFlowSets = 1'024;
     };
@@ -120,6 +123,7 @@
         std::uint32_t totalWeight = 0;
     };
 
+    [[nodiscard]] bool isEndedByWithdrawal(const FlowPacket &packet, common::TimePoint now);
     PacketVerdict open(const FlowPacket &packet, const FlowObservation &seen,
                        common::TimePoint now);
     PacketVerdict forward(const FlowPacket &packet, const FlowObservation &seen,
--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -81,8 +81,13 @@
 
 bool UpstreamTable::isWithdrawn(common::ZoneId zone) const
 {
-    const auto found = m_withdrawn.find(zone);
-    return found != m_withdrawn.end() && found->second;
+    return m_withdrawnAt.contains(zone);
+}
+
+std::optional<TimePoint> UpstreamTable::withdrawnAt(common::ZoneId zone) const
+{
+    const auto found = m_withdrawnAt.find(zone);
+    return found == m_withdrawnAt.end() ? std::nullopt : std::optional(found->second);
 }
 
 std::vector<common::ZoneId> UpstreamTable::zonesToReport(TimePoint now)
@@ -221,9 +226,11 @@
 void UpstreamTable::updateWithdrawal(const version::Directory::Entry &entry, common::ZoneId zone,
                                      TimePoint now)
 {
-    const bool isWithdrawn = std::holds_alternative<version::WithdrawalRecord>(entry.value);
-    const bool returns = m_withdrawn[zone] && !isWithdrawn;
-    m_withdrawn[zone] = isWithdrawn;
+    if (std::holds_alternative<version::WithdrawalRecord>(entry.value)) {
+        m_withdrawnAt.try_emplace(zone, now);
+        return;
+    }
+    const bool returns = m_withdrawnAt.erase(zone) > 0;
     if (!returns) {
         return;
     }
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -61,6 +62,8 @@
     /// All known upstreams of a service, removed ones included.
     [[nodiscard]] const Group &ofService(common::ServiceId service) const;
     [[nodiscard]] bool isWithdrawn(common::ZoneId zone) const;
+    /// When this instance learned that the zone is withdrawn; empty while it is not.
+    [[nodiscard]] std::optional<common::TimePoint> withdrawnAt(common::ZoneId zone) const;
 
     /// An upstream that was silent answers while the directory is not current: it may have started
     /// again.
@@ -110,7 +113,7 @@
     std::uint64_t m_instance;
     std::unordered_map<common::FlowToken, std::unique_ptr<KnownUpstream>> m_upstreams;
     std::unordered_map<common::ServiceId, Group> m_groups;
-    std::unordered_map<common::ZoneId, bool> m_withdrawn;
+    std::unordered_map<common::ZoneId, common::TimePoint> m_withdrawnAt;
     std::unordered_map<common::ZoneId, ZoneHealth> m_zoneHealth;
     bool m_hasPeers = false;
     std::unordered_map<common::ServiceId, version::ServiceRecord> m_services;
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -84,7 +84,8 @@
     , m_flowLog(format)
     , m_sync(syncOptions(m_settings), m_directory)
     , m_forwarder({ .ownZone = common::idFromName<common::ZoneId>(m_settings.zone),
-                    .instance = numberOf(m_settings.peerAdvertised) },
+                    .instance = numberOf(m_settings.peerAdvertised),
+                    .openFlowsAfterWithdrawal = m_settings.openFlowsAfterWithdrawal },
                   [this](common::Duration time) { m_metrics.observeLatency(time); })
     , m_traffic(context, toAsio(m_settings.trafficListen))
     , m_peers(context, toAsio(m_settings.peerListen))
--- a/src/process/flowsettings.cpp
+++ b/src/process/flowsettings.cpp
@@ -14,12 +14,15 @@
     { "store", { "endpoint" } },
     { "peers", { "seeds" } },
     { "shutdown", { "grace_ms" } },
+    { "withdrawal", { "open_flows_ms" } },
     { "log", { "level" } },
 };
 
 // Below, callers' packets would be lost before the fabric looks elsewhere.
 constexpr std::int64_t MinGraceMs = 1'000;
 constexpr std::int64_t MaxGraceMs = 600'000;
+// Flows live for 60 s at most on the users' platform.
+constexpr std::int64_t MaxOpenFlowsMs = 600'000;
 // An instance of this size bears the duties of its zone without effort.
 constexpr double DefaultProcessorShare = 0.1;
 constexpr double DefaultLinkMbps = 50.0;
@@ -59,6 +62,10 @@
     settings.capacity = capacityOf(reader);
     const auto grace = reader.integer("shutdown", "grace_ms", MinGraceMs, MaxGraceMs, true);
     settings.shutdownGrace = std::chrono::milliseconds(grace.value_or(MinGraceMs));
+    const auto openFlows = reader.integer("withdrawal", "open_flows_ms", 0, MaxOpenFlowsMs, false);
+    if (openFlows) {
+        settings.openFlowsAfterWithdrawal = std::chrono::milliseconds(*openFlows);
+    }
     settings.logLevel = reader.logLevel(settings.logLevel);
     if (reader.error()) {
         return *reader.error();
--- a/src/process/flowsettings.h
+++ b/src/process/flowsettings.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,8 @@
     std::vector<common::Endpoint> seeds;
     /// Time between the request to stop and the end of the process.
     std::chrono::milliseconds shutdownGrace {};
+    /// How long packets of open flows go into a withdrawn zone; empty for as long as flows live.
+    std::optional<std::chrono::milliseconds> openFlowsAfterWithdrawal {};
     /// How well this instance bears duties for others; larger is better.
     std::uint32_t capacity = 0;
     /// One of trace, debug, info, warning, error.
--- a/src/tests/flowforwardertest.cpp
+++ b/src/tests/flowforwardertest.cpp
@@ -434,6 +434,40 @@
     CHECK(forwarder.onPeerReports({ .zones = { OtherZone } }, now + 1s).isEmpty());
 }
 
+// Withdrawn zone: its open flows go on, unless the operators want it quiet after a time.
+TEST(FlowForwarder, packetsIntoAWithdrawnZoneEndWhenATimeIsSet)
+{
+    FlowForwarder limited { { .ownZone = OwnZone, .instance = 1, .openFlowsAfterWithdrawal = 4s },
+                            [](common::Duration) {} };
+    std::vector<version::EntryKey> keys;
+    for (const auto &[key, entry] : directory.entries()) {
+        keys.push_back(key);
+    }
+    const auto withdraw = [&](bool isWithdrawn, std::uint64_t revision) {
+        const version::WithdrawalRecord record { OtherZone };
+        const auto value = isWithdrawn ? version::DirectoryValue(record)
+                                       : version::DirectoryValue(version::RemovedRecord {});
+        const version::DirectoryDelta delta { StoreRevision(1),
+                                              StoreRevision(revision),
+                                              false,
+                                              { { version::keyOf(record), StoreRevision(revision),
+                                                  value } } };
+        keys.push_back(version::keyOf(record));
+        update(delta);
+        limited.update(directory, keys, now);
+    };
+    withdraw(true, 2);
+    const auto packet = data(FeedAddress, 9, tokenOf(11));
+    as<ForwardPacket>(limited.handle(packet, now + 3900ms));
+    const auto drop = as<DropPacket>(limited.handle(packet, now + 4s));
+    CHECK(drop.reason == Reason::ZoneWithdrawn);
+    as<ForwardPacket>(limited.handle(data(FeedAddress, 9, tokenOf(1)), now + 4s));
+    as<ForwardPacket>(forwarder.handle(packet, now + 60s));
+    now += 5s;
+    withdraw(false, 3);
+    as<ForwardPacket>(limited.handle(packet, now));
+}
+
 TEST(FlowForwarder, nothingThatCanTakeTheFlowMeansRejectionAtOnce)
 {
     version::DirectoryDelta empty { StoreRevision(1),
--- a/src/tests/flowsettingstest.cpp
+++ b/src/tests/flowsettingstest.cpp
@@ -88,6 +88,17 @@
     CHECK_FALSE(file.hasChanged());
 }
 
+TEST(FlowSettings, openFlowsStayAfterAWithdrawalUnlessATimeIsSet)
+{
+    const auto unset = process::parseFlowSettings(text, "front.toml");
+    CHECK_FALSE(common::valueOf(unset).openFlowsAfterWithdrawal.has_value());
+    text += "[withdrawal]\nopen_flows_ms = 4000\n";
+    const auto limited = process::parseFlowSettings(text, "front.toml");
+    CHECK(common::valueOf(limited).openFlowsAfterWithdrawal == 4s);
+    replace("4000", "-1");
+    checkError("withdrawal.open_flows_ms");
+}
+
 TEST(FlowSettings, badAdvertisedAddressIsAnError)
 {
     replace("admin =", "peer_advertised = \"10.9.0.1\"\nadmin =");
