Drop opening packets that waited while the process stood still

Ruled out: the shares of cold upstreams; the instance did not know yet that the upstream had started again. Change: after a pause of more than 1 s, opening packets that wait in the socket are dropped and counted as stale until it is empty. Conclusion: upstreams get no flows that nobody waits for.

--- a/src/common/reason.cpp
+++ b/src/common/reason.cpp
@@ -33,6 +33,8 @@
         return "zone_withdrawn";
     case Reason::MalformedEntry:
         return "malformed_entry";
+    case Reason::StalePacket:
+        return "stale_packet";
     case Reason::BadSignature:
         return "bad_signature";
     case Reason::UnknownKey:
--- a/src/common/reason.h
+++ b/src/common/reason.h
@@ -21,6 +21,7 @@
     WrongIncarnation,
     ZoneWithdrawn,
     MalformedEntry,
+    StalePacket,
     // Peer messages
     BadSignature,
     UnknownKey,
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -131,6 +131,7 @@
             return;
         }
         const auto now = bootTimeNow();
+        m_stall.onWakeup(now);
         for (int packet = 0; packet < PacketsPerWakeup && receivePacket(now); ++packet) { }
         reportSilence(now);
         closeHopeless(now);
@@ -145,6 +146,7 @@
     const auto space = boost::asio::buffer(m_buffer) + PacketFormat::PrefixBytes;
     const auto bytes = m_traffic.receive_from(space, from, 0, error);
     if (error) {
+        m_stall.onSocketEmpty();
         return false;
     }
     onPacket(bytes, from, now);
@@ -162,7 +164,11 @@
         m_flowLog.malformed("packet_dropped", fromAsio(from), bytes, now);
         return;
     }
-    apply(*packet, m_forwarder.handle(*packet, now), bytes);
+    // Its caller has sent copies since, or has given up.
+    const auto verdict = packet->opens && m_stall.isStale()
+            ? connection::DropPacket { common::Reason::StalePacket }
+            : m_forwarder.handle(*packet, now);
+    apply(*packet, verdict, bytes);
 }
 
 void FlowDaemon::apply(const connection::FlowPacket &packet,
@@ -285,6 +291,7 @@
 
 void FlowDaemon::onTick(TimePoint now)
 {
+    m_stall.onWakeup(now);
     if (m_isShuttingDown && mayStop(now)) {
         m_context.stop();
         return;
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -9,6 +9,7 @@
 #include "process/flowsettingsfile.h"
 #include "process/metrics.h"
 #include "process/packetformat.h"
+#include "process/stalldetector.h"
 #include "version/directory.h"
 
 #include <boost/asio/io_context.hpp>
@@ -93,6 +94,7 @@
     boost::asio::signal_set m_signals;
     std::array<std::uint8_t, BufferBytes> m_buffer {};
     std::array<std::uint8_t, BufferBytes> m_peerBuffer {};
+    StallDetector m_stall;
     common::TimePoint m_startedAt;
     common::TimePoint m_lastPacketAt;
     common::TimePoint m_shutdownAt;
