Pass changes on through other instances, and ask one peer at a start

Ruled out: assurances (20 KB/s at 100 members a zone). Change: a leader of more than 15 members sends each change to the square root of their number, in groups drawn anew each time, and the first of a group passes it on; who misses it fetches, as before. A record of a cold upstream that only counts down is no change. An instance that starts asks one peer instead of three, and none while pages of the store arrive, since each answers with a whole directory. Tests: recordsOfAColdUpstreamThatTellNothingNewChangeNothing, leaderSendsAChangeToFewInstances, changeArrivesThroughOthersAlthoughSomeAreGone.

--- a/src/benchmarks/syncfleet.h
+++ b/src/benchmarks/syncfleet.h
@@ -50,6 +50,35 @@
 
     void kill(Endpoint endpoint) { m_instances.erase(endpoint); }
 
+    /// Writes the entry of an upstream, or removes it.
+    void changeUpstream(std::uint64_t serial, bool isRegistered)
+    {
+        const version::UpstreamRecord record {
+            .serial = common::UpstreamSerial(serial),
+            .endpoint = { 0x0a800000U + static_cast<std::uint32_t>(serial), 8080 },
+            .slots = 3
+        };
+        write({ version::keyOf(record),
+                {},
+                isRegistered ? version::DirectoryValue(record)
+                             : version::DirectoryValue(version::RemovedRecord {}) });
+    }
+
+    /// A process ends and starts again.
+    void restart(Endpoint endpoint)
+    {
+        auto &instance = m_instances.at(endpoint);
+        instance = std::make_unique<Instance>(instance->member, seeds());
+    }
+
+    /// All processes end and start again.
+    void restartAll()
+    {
+        for (auto &[endpoint, instance] : m_instances) {
+            instance = std::make_unique<Instance>(instance->member, seeds());
+        }
+    }
+
     /// Writes a contract of the next version.
     void changeRules()
     {
@@ -79,6 +108,18 @@
     /// Bytes of all messages, without headers of the network.
     [[nodiscard]] std::uint64_t bytes() const { return m_bytes; }
 
+    void resetBusiest() { m_sentBytes.clear(); }
+
+    /// Bytes that the busiest instance has sent since.
+    [[nodiscard]] std::uint64_t busiestBytes() const
+    {
+        std::uint64_t most = 0;
+        for (const auto &[endpoint, sent] : m_sentBytes) {
+            most = std::max(most, sent);
+        }
+        return most;
+    }
+
     [[nodiscard]] std::size_t size() const { return m_instances.size(); }
 
     [[nodiscard]] std::uint64_t rulesVersion() const { return m_rulesVersion; }
@@ -160,6 +201,8 @@
     /// Size of each answer of the store.
     std::size_t answerBytes = 1'000;
     common::Duration storeLatency = std::chrono::milliseconds(4);
+    /// Reads of all entries take this time at every second instance: its link is narrow.
+    common::Duration slowReadLatency = std::chrono::milliseconds(4);
     /// Watches continue only from newer revisions.
     bool historyIsLost = false;
     /// Watches get no events until they time out.
@@ -300,10 +343,11 @@
     void call(Instance &instance, bool isRead, common::StoreRevision after, common::Duration wait)
     {
         ++m_calls;
+        const bool isSlow = isRead && instance.member.endpoint.address % 2 == 0;
         instance.waiting.push_back(
                 { .after = after,
                   .until = m_now + wait,
-                  .answersFrom = m_now + storeLatency,
+                  .answersFrom = m_now + (isSlow ? slowReadLatency : storeLatency),
                   .isRead = isRead,
                   .isLost = storeIsDown,
                   .isRefused = refusedByStore.contains(instance.member.endpoint) });
@@ -359,6 +403,7 @@
     {
         ++m_messages;
         m_bytes += send.message.ByteSizeLong();
+        m_sentBytes[from.member.endpoint] += send.message.ByteSizeLong();
         const auto to = m_instances.find(send.to);
         if (to == m_instances.end()) {
             return;
@@ -389,6 +434,7 @@
     std::uint64_t m_calls = 0;
     std::uint64_t m_messages = 0;
     std::uint64_t m_bytes = 0;
+    std::map<Endpoint, std::uint64_t> m_sentBytes;
     bool m_hasReverted = false;
 };
 
--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -4,9 +4,11 @@
 #include "wire/directorycodec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <ranges>
 #include <set>
+#include <span>
 
 namespace banyanwall::process {
 
@@ -51,13 +53,17 @@
 // A fetch and its answer take a few milliseconds; the next one is for lost datagrams.
 constexpr milliseconds FetchInterval { 150 };
 // The store answers a starting instance in milliseconds; after this time peers are asked, too.
-constexpr milliseconds StoreGrace { 300 };
+constexpr milliseconds StoreGrace { 400 };
 // By then the instances of a fleet that starts have written their entries, and a leader would have
 // passed this one on.
 constexpr milliseconds LookDelay { 600 };
 // Longer than writing the own entry takes while the store takes writes.
 constexpr std::chrono::seconds RegistrationTime { 3 };
 constexpr std::chrono::seconds AskerMemory { 10 };
+constexpr unsigned PortBits = 16;
+// Above, changes reach an instance through another one: a leader of 130 sends 12 messages a change
+// and each that passes them on 10 more.
+constexpr std::size_t LargestDirectGroup = 15;
 // One message of an instance a minute: 2 a second reach the leader of 130.
 constexpr milliseconds PresenceInterval { 60'000 };
 // The store and the fleet need not hurry to remove entries.
@@ -70,12 +76,21 @@
     return std::clamp(backoff * 2, FirstBackoff, LongestBackoff);
 }
 
+std::uint64_t packed(Endpoint endpoint)
+{
+    return (std::uint64_t { endpoint.address } << PortBits) | endpoint.port;
+}
+
+Endpoint unpacked(std::uint64_t number)
+{
+    return { static_cast<std::uint32_t>(number >> PortBits), static_cast<std::uint16_t>(number) };
+}
+
 /// Orders the instances of a zone for duties: by capacity, then the same way at all instances.
 std::pair<std::uint32_t, std::uint64_t> rankOf(Endpoint member, common::ZoneId zone,
                                                std::uint32_t capacity)
 {
-    const auto number = (std::uint64_t { member.address } << 16U) | member.port;
-    return { capacity, common::hashPair(number, zone.value()) };
+    return { capacity, common::hashPair(packed(member), zone.value()) };
 }
 
 } // namespace
@@ -111,6 +126,10 @@
 SyncActions DirectorySync::onStoreAnswer(const StoreAnswer &answer, TimePoint now)
 {
     SyncActions actions;
+    if (std::holds_alternative<StoreProgress>(answer)) {
+        m_lastProgress = now;
+        return actions;
+    }
     m_isCalling = false;
     std::visit(Overloaded {
                        [&](const StoreNews &news) { onNews(news, now, actions); },
@@ -125,6 +144,7 @@
                                    m_random() % static_cast<std::uint32_t>(m_backoff.count() / 2);
                            m_nextCall = now + m_backoff / 2 + milliseconds(jitter);
                        },
+                       [](const StoreProgress & /*none*/) {},
                },
                answer);
     decideDuties(now);
@@ -310,8 +330,9 @@
 
 void DirectorySync::askPeers(TimePoint now, SyncActions &actions)
 {
-    const bool isStale =
-            m_directory.isLoaded() ? now - m_assuredAt > AskAge : now - m_startedAt > StoreGrace;
+    const bool isStale = m_directory.isLoaded()
+            ? now - m_assuredAt > AskAge
+            : now - std::max(m_startedAt, m_lastProgress) > StoreGrace;
     if (!isStale || now < m_nextAsk) {
         return;
     }
@@ -322,7 +343,9 @@
     });
     std::ranges::shuffle(peers, m_random);
     const auto message = fetchMessage();
-    peers.resize(std::min(peers.size(), AskedPeers));
+    // A whole directory in answer fills a narrow link; several would hold each other up.
+    const auto asked = m_directory.isLoaded() ? AskedPeers : 1;
+    peers.resize(std::min(peers.size(), asked));
     for (const auto peer : peers) {
         actions.push_back(SendDirectoryMessage { peer, message });
     }
@@ -350,14 +373,34 @@
 
 void DirectorySync::pushChanges(StoreRevision since, TimePoint now, SyncActions &actions)
 {
-    std::ranges::for_each(m_zonePeers,
-                          [&](Endpoint peer) { sendDelta(peer, since, now, actions); });
+    const auto messages = deltaMessages(since, now);
+    auto peers = m_zonePeers;
+    // Each time others pass the changes on, so that one that is gone holds up nobody for long.
+    std::ranges::shuffle(peers, m_random);
+    const auto groupSize = peers.size() <= LargestDirectGroup
+            ? std::size_t { 1 }
+            : static_cast<std::size_t>(std::sqrt(peers.size()));
+    for (std::size_t first = 0; first < peers.size(); first += groupSize) {
+        const auto group =
+                std::span(peers).subspan(first, std::min(groupSize, peers.size() - first));
+        for (auto message : messages) {
+            for (const auto peer : group.subspan(1)) {
+                message.mutable_fragment()->add_forward_to(packed(peer));
+            }
+            actions.push_back(SendDirectoryMessage { group.front(), std::move(message) });
+        }
+    }
 }
 
-void DirectorySync::sendDelta(Endpoint to, StoreRevision since, TimePoint now, SyncActions &actions)
+std::vector<DirectoryMessage> DirectorySync::deltaMessages(StoreRevision since, TimePoint now)
 {
     const auto bytes = wire::encodeDelta(m_directory.changesSince(since, now));
-    for (auto &message : cutIntoFragments(bytes, static_cast<std::uint32_t>(m_random()))) {
+    return cutIntoFragments(bytes, static_cast<std::uint32_t>(m_random()));
+}
+
+void DirectorySync::sendDelta(Endpoint to, StoreRevision since, TimePoint now, SyncActions &actions)
+{
+    for (auto &message : deltaMessages(since, now)) {
         actions.push_back(SendDirectoryMessage { to, std::move(message) });
     }
 }
@@ -431,6 +474,16 @@
 void DirectorySync::onFragment(const wire::proto::DirectoryFragment &fragment, TimePoint now,
                                SyncActions &actions)
 {
+    DirectoryMessage forwarded;
+    *forwarded.mutable_fragment() = fragment;
+    forwarded.mutable_fragment()->clear_forward_to();
+    for (const auto number : fragment.forward_to()) {
+        // Only instances of the fleet, whoever asks.
+        const auto peer = unpacked(number);
+        if (m_members.contains(peer)) {
+            actions.push_back(SendDirectoryMessage { peer, forwarded });
+        }
+    }
     const auto bytes = m_fragments.add(fragment, now);
     if (!bytes) {
         return;
--- a/src/process/directorysync.h
+++ b/src/process/directorysync.h
@@ -77,7 +77,11 @@
     std::size_t bytes = 0;
 };
 
-using StoreAnswer = std::variant<StoreNews, HistoryLost, StoreFailure>;
+/// A part of a read has arrived, and the rest is under way.
+struct StoreProgress
+{ };
+
+using StoreAnswer = std::variant<StoreNews, HistoryLost, StoreFailure, StoreProgress>;
 
 /// Keeps the directory of an instance current at few calls to the store. In each availability zone
 /// the highest ranked instance leads: it passes changes on and tells regularly how old its
@@ -165,6 +169,9 @@
                  common::TimePoint now, SyncActions &actions);
     void onFragment(const wire::proto::DirectoryFragment &fragment, common::TimePoint now,
                     SyncActions &actions);
+    /// Cuts changes into messages for a peer.
+    [[nodiscard]] std::vector<wire::proto::DirectoryMessage>
+    deltaMessages(common::StoreRevision since, common::TimePoint now);
     void updateMembers(common::TimePoint now);
     [[nodiscard]] wire::proto::DirectoryMessage assurance(common::TimePoint now,
                                                           bool leaving) const;
@@ -216,6 +223,7 @@
     common::TimePoint m_nextAssurance;
     common::TimePoint m_nextRemoteAssurance;
     common::TimePoint m_nextAsk;
+    common::TimePoint m_lastProgress;
     common::TimePoint m_nextFetch;
     MemberPresence m_presence;
     common::TimePoint m_nextPresence;
--- a/src/process/fleetstore.h
+++ b/src/process/fleetstore.h
@@ -9,7 +9,7 @@
 namespace banyanwall::process {
 
 /// The platform's store as the source of the directory. Handlers are called once, later, from the
-/// io_context.
+/// io_context; before that, a read may tell its progress.
 class FleetStore
 {
 public:
--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -296,3 +296,79 @@
     fleet->run(15min);
     LONGS_EQUAL(10, fleet->registered());
 }
+
+// Restart of all instances before thousands of upstreams, whose entries change meanwhile. Whole
+// directories sent from peer to peer would fill the links for seconds.
+TEST(DirectorySync, restartOfAllSendsFewWholeDirectories)
+{
+    startFleet(3, 33);
+    for (std::uint64_t serial = 1; serial <= 1'000; ++serial) {
+        fleet->changeUpstream(serial, true);
+    }
+    fleet->run(3s);
+    const auto before = fleet->bytes();
+    fleet->slowReadLatency = 2s;
+    fleet->restartAll();
+    for (std::uint64_t change = 0; change < 50; ++change) {
+        fleet->changeUpstream(change + 1, change % 2 == 0);
+        fleet->run(100ms);
+    }
+    checkChangeArrives();
+    LONGS_EQUAL(3, fleet->leaders().size());
+    // An entry takes about 40 bytes; 10 KB/s is the budget of each instance.
+    const auto perInstance = (fleet->bytes() - before) / fleet->size();
+    CHECK(perInstance < 10'000 * 8);
+}
+
+// A leader that restarts is the best ranked one again, but has not seen what went before.
+TEST(DirectorySync, restartOfALeaderSendsFewWholeDirectories)
+{
+    startFleet(3, 33);
+    for (std::uint64_t serial = 1; serial <= 1'000; ++serial) {
+        fleet->changeUpstream(serial, true);
+    }
+    fleet->run(3s);
+    const auto before = fleet->bytes();
+    const auto leader = fleet->leaders().front();
+    fleet->restart(leader);
+    for (std::uint64_t change = 0; change < 50; ++change) {
+        fleet->changeUpstream(change + 1, change % 2 == 0);
+        fleet->run(100ms);
+    }
+    checkChangeArrives();
+    const auto perInstance = (fleet->bytes() - before) / fleet->size();
+    CHECK(perInstance < 10'000 * 8);
+}
+
+// Many instances in a zone: changes reach most of them through others, some of which are gone.
+TEST(DirectorySync, changeArrivesThroughOthersAlthoughSomeAreGone)
+{
+    startFleet(2, 60);
+    const auto leaders = fleet->leaders();
+    for (int index = 0; index < 20; ++index) {
+        const auto member = SyncFleet::memberAt(0, index * 2).endpoint;
+        if (std::ranges::find(leaders, member) == leaders.end()) {
+            fleet->kill(member);
+        }
+    }
+    checkChangeArrives();
+}
+
+// Large fleet: no instance sends a change to all others of its zone.
+TEST(DirectorySync, leaderSendsAChangeToFewInstances)
+{
+    startFleet(2, 130);
+    fleet->run(1s);
+    fleet->resetBusiest();
+    const auto quiet = 10;
+    fleet->run(std::chrono::seconds(quiet));
+    const auto assurances = fleet->busiestBytes();
+    fleet->resetBusiest();
+    for (int change = 0; change < 40; ++change) {
+        fleet->changeUpstream(static_cast<std::uint64_t>(change) + 1, true);
+        fleet->run(250ms);
+    }
+    // 40 changes of about 100 bytes to 130 instances would be 520,000 bytes.
+    CHECK(fleet->busiestBytes() - assurances < 160'000);
+    LONGS_EQUAL(0, fleet->outdated());
+}
--- a/src/tests/directorytest.cpp
+++ b/src/tests/directorytest.cpp
@@ -205,3 +205,21 @@
     LONGS_EQUAL(0, patchSince(11).removedAddresses.size());
     LONGS_EQUAL(1, patchSince(11).routes.size());
 }
+
+// Release of hundreds of upstreams: each writes several records while it is cold. Passing them on
+// would multiply the messages between instances.
+TEST(Directory, recordsOfAColdUpstreamThatTellNothingNewChangeNothing)
+{
+    directory.apply(complete(10, { upstream(1, 10, 2s) }), now);
+    now += 770ms;
+    LONGS_EQUAL(0, directory.apply(delta(10, 11, { upstream(1, 11, 1230ms) }), now).size());
+    LONGS_EQUAL(11, directory.revision().value());
+    LONGS_EQUAL(0, directory.changesSince(StoreRevision(10), now).changes.size());
+    // Cold again, as after a restart that nobody has seen.
+    LONGS_EQUAL(1, directory.apply(delta(11, 12, { upstream(1, 12, 2s) }), now).size());
+    now += 5s;
+    LONGS_EQUAL(0, directory.apply(delta(12, 13, { upstream(1, 13) }), now).size());
+    auto draining = upstream(1, 14);
+    std::get<UpstreamRecord>(draining.value).draining = true;
+    LONGS_EQUAL(1, directory.apply(delta(13, 14, { draining }), now).size());
+}
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::uint64_t PortBits = 16;
 
+// Records take different times on their way.
+constexpr std::chrono::milliseconds ColdTolerance { 200 };
+
 DirectoryValue valueAt(const Directory::Entry &entry, TimePoint now)
 {
     auto value = entry.value;
@@ -26,6 +29,22 @@
     return value;
 }
 
+/// A cold upstream writes at each of its beats how much longer it is cold, which is known since its
+/// first record.
+bool tellsNothingNew(const Directory::Entry &entry, const DirectoryValue &value, TimePoint now)
+{
+    const auto *known = std::get_if<UpstreamRecord>(&entry.value);
+    const auto *record = std::get_if<UpstreamRecord>(&value);
+    if (known == nullptr || record == nullptr) {
+        return false;
+    }
+    auto expected = *known;
+    expected.coldFor = record->coldFor;
+    const auto left = known->coldFor - (now - entry.receivedAt);
+    return expected == *record
+            && record->coldFor <= std::max(common::Duration {}, left) + ColdTolerance;
+}
+
 } // namespace
 
 EntryKey keyOf(const UpstreamRecord &record)
@@ -117,6 +136,9 @@
     if (change.revision <= entry.revision) {
         return false;
     }
+    if (tellsNothingNew(entry, change.value, now)) {
+        return false;
+    }
     auto value = change.value;
     if (const auto *patch = std::get_if<RulesPatch>(&value)) {
         value = patched(*patch);
