Let an exception cost one message, and demand enough grace time

Cause: other operators lost whole processes to one unexpected error, and requests during planned stops. Here an exception in the handler of a packet, a peer message, a tick or a store answer ended run() and with it the process. And a grace time of 1 s was allowed, although the fabric sends packets for up to 1 s after an instance is not ready and the exit takes up to 600 ms.

Ruled out: one guard around the event loop; the handler that threw would not be scheduled again, so that the process would stop to read packets.

Change: each handler runs guarded; an exception is counted (internal_error) and logged (handler_failed). The least grace time is 1.7 s.

--- a/src/common/reason.cpp
+++ b/src/common/reason.cpp
@@ -35,6 +35,8 @@
         return "malformed_entry";
     case Reason::StalePacket:
         return "stale_packet";
+    case Reason::InternalError:
+        return "internal_error";
     case Reason::BadSignature:
         return "bad_signature";
     case Reason::UnknownKey:
--- a/src/common/reason.h
+++ b/src/common/reason.h
@@ -36,6 +36,8 @@
     /// An opening packet that was read only after a stall of the process. Its caller has
     /// retransmitted it or given up.
     StalePacket,
+    /// The handler of a packet, message or timer threw an exception.
+    InternalError,
     // Peer messages
     BadSignature,
     /// The message is signed with a key that the settings do not hold.
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -45,6 +45,8 @@
 // nothing, since each event holds the newest state.
 constexpr double ChangeEventsPerSecond = 10.0;
 constexpr double ChangeBurst = 30.0;
+constexpr double ErrorEventsPerSecond = 5.0;
+constexpr double ErrorBurst = 20.0;
 
 udp::endpoint toAsio(Endpoint endpoint)
 {
@@ -84,6 +86,7 @@
     , m_format(format)
     , m_metrics(metrics)
     , m_changeLog(ChangeEventsPerSecond, ChangeBurst)
+    , m_errorLog(ErrorEventsPerSecond, ErrorBurst)
     , m_flowLog(format)
     , m_sync(syncOptions(m_settings), m_directory)
     , m_forwarder({ .ownZone = common::idFromName<common::ZoneId>(m_settings.zone),
@@ -118,6 +121,19 @@
     LogEvent(LogLevel::Info, "stopped").with("packets", m_metrics.value(Counter::FabricDatagrams));
 }
 
+template<typename Handler>
+void FlowDaemon::runGuarded(std::string_view handlerName, const Handler &handler)
+{
+    try {
+        handler();
+    } catch (const std::exception &error) {
+        m_metrics.countRefusal(common::Reason::InternalError);
+        if (auto event = m_errorLog.event(LogLevel::Error, "handler_failed", bootTimeNow())) {
+            event->with("handler", handlerName).with("problem", error.what());
+        }
+    }
+}
+
 void FlowDaemon::startTraffic(TimePoint now)
 {
     if (m_isReceiving || (!m_directory.isLoaded() && now - m_startedAt < MaxDirectoryWait)) {
@@ -136,8 +152,10 @@
         const auto now = bootTimeNow();
         m_stallDetector.onWakeup(now);
         for (int packet = 0; packet < PacketsPerWakeup && receivePacket(now); ++packet) { }
-        sendHealthReports(now);
-        resetUnresponsiveFlows(now);
+        runGuarded("health_report", [&] {
+            sendHealthReports(now);
+            resetUnresponsiveFlows(now);
+        });
         receiveTraffic();
     });
 }
@@ -152,7 +170,7 @@
         m_stallDetector.onSocketEmpty();
         return false;
     }
-    onPacket(bytes, from, now);
+    runGuarded("packet", [&] { onPacket(bytes, from, now); });
     return true;
 }
 
@@ -242,10 +260,10 @@
             const auto bytes =
                     m_peerSocket.receive_from(boost::asio::buffer(m_peerBuffer), from, 0, error);
             if (!error) {
-                onPeerDatagram(bytes, from);
+                runGuarded("peer_message", [&] { onPeerDatagram(bytes, from); });
             }
         }
-        resetUnresponsiveFlows(bootTimeNow());
+        runGuarded("reset", [this] { resetUnresponsiveFlows(bootTimeNow()); });
         receivePeers();
     });
 }
@@ -311,6 +329,12 @@
         m_context.stop();
         return;
     }
+    runGuarded("tick", [&] { doPeriodicWork(now); });
+    scheduleTick();
+}
+
+void FlowDaemon::doPeriodicWork(TimePoint now)
+{
     perform(m_sync.onTick(now), now);
     startTraffic(now);
     if (now - m_lastSweepAt >= SweepInterval) {
@@ -322,7 +346,6 @@
     resetUnresponsiveFlows(now);
     logStateChanges();
     checkSettingsFile(now);
-    scheduleTick();
 }
 
 void FlowDaemon::sendHealthReports(TimePoint now)
@@ -362,13 +385,17 @@
 
 void FlowDaemon::startRead()
 {
-    m_store.readAll([this](const StoreAnswer &answer) { onStoreAnswer("read", answer); });
+    m_store.readAll([this](const StoreAnswer &answer) {
+        runGuarded("store_read", [&] { onStoreAnswer("read", answer); });
+    });
 }
 
 void FlowDaemon::startWatch(const WatchStore &watch)
 {
     m_store.watch(watch.after, watch.wait,
-                  [this](const StoreAnswer &answer) { onStoreAnswer("watch", answer); });
+                  [this](const StoreAnswer &answer) {
+                      runGuarded("store_watch", [&] { onStoreAnswer("watch", answer); });
+                  });
 }
 
 void FlowDaemon::startRegister(const RegisterMember &registration)
@@ -376,7 +403,7 @@
     m_store.registerMember(registration.member, [this](bool isAccepted) {
         const auto now = bootTimeNow();
         LogEvent(LogLevel::Info, "member_registered").with("accepted", isAccepted);
-        perform(m_sync.onRegistered(isAccepted, now), now);
+        runGuarded("registration", [&] { perform(m_sync.onRegistered(isAccepted, now), now); });
     });
 }
 
@@ -457,11 +484,13 @@
         if (error) {
             return;
         }
-        if (signal == SIGHUP) {
-            reloadSettings();
-        } else {
-            beginShutdown();
-        }
+        runGuarded("signal", [&] {
+            if (signal == SIGHUP) {
+                reloadSettings();
+            } else {
+                beginShutdown();
+            }
+        });
         waitForSignal();
     });
 }
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -38,6 +38,10 @@
     /// Room for the largest packet of the fabric and its prefix.
     static constexpr std::size_t BufferBytes = 2'048;
 
+    /// Runs a handler. An exception costs only what the handler was working on: it is counted and
+    /// logged, and the process goes on.
+    template<typename Handler>
+    void runGuarded(std::string_view handlerName, const Handler &handler);
     /// Begins to read packets once the directory is loaded, or 1 s after the start.
     void startTraffic(common::TimePoint now);
     void receiveTraffic();
@@ -58,6 +62,8 @@
 
     void scheduleTick();
     void onTick(common::TimePoint now);
+    /// The work of a tick.
+    void doPeriodicWork(common::TimePoint now);
     void perform(const SyncActions &actions, common::TimePoint now);
     void startRead();
     void startWatch(const WatchStore &watch);
@@ -86,6 +92,7 @@
     const PacketFormat &m_format;
     Metrics &m_metrics;
     RateLimitedLog m_changeLog;
+    RateLimitedLog m_errorLog;
     FlowLog m_flowLog;
     version::Directory m_directory;
     DirectorySync m_sync;
--- a/src/tests/flowsettingstest.cpp
+++ b/src/tests/flowsettingstest.cpp
@@ -123,10 +123,17 @@
     checkError("key 'listen.traffic': not an address");
 }
 
+// With a grace time of 1 s the process ended while the fabric still sent packets to it.
+TEST(FlowSettings, graceShorterThanTheRotationIsAnError)
+{
+    replace("6000", "1600");
+    checkError("an integer from 1700 to 600000");
+}
+
 TEST(FlowSettings, graceOutOfRangeIsAnError)
 {
     replace("6000", "10");
-    checkError("an integer from 1000 to 600000");
+    checkError("an integer from 1700 to 600000");
 }
 
 TEST(FlowSettings, brokenFileIsAnErrorWithItsLine)
