Leave the rotation when a cut-off zone has no usable upstream

Cause: a zone is cut off while its own upstreams are withdrawn.

Ruled out: to use the withdrawn upstreams; the operator's withdrawal goes first. To reject openings at once; callers use up their attempts within milliseconds, while the fabric needs a second to send them elsewhere. The age of the last confirmation by the store: up to 1.5 s without any fault.

Change: IsolationDetector. An instance is isolated when its zone has no upstream that may take flows, all zones that have some are silent to it, and its zone has had neither a message of another zone nor an answer of the store for 1 s. It is not ready until there is such contact again. Heartbeats carry the age of the contact and whether the leader is isolated, which instances with few packets follow. Refutations don't count here, because the fabric asks for agreement of all instances.

Conclusion: what is left of this cut is the second until the verdict and the second that the fabric needs.

--- a/src/benchmarks/syncfleet.h
+++ b/src/benchmarks/syncfleet.h
@@ -173,6 +173,36 @@
         return rules == nullptr ? 0 : rules->version;
     }
 
+    /// Longest time since an instance, as far as it knows, had contact with other zones or the store.
+    [[nodiscard]] common::Duration longestOutsideContactAge() const
+    {
+        common::Duration longest {};
+        for (const auto &[endpoint, instance] : m_instances) {
+            longest = std::max(longest, m_now - instance->sync.outsideContactAt());
+        }
+        return longest;
+    }
+
+    /// Time since an instance, as far as it knows, had contact with other zones or the store.
+    [[nodiscard]] common::Duration outsideContactAge(Endpoint endpoint) const
+    {
+        return m_now - m_instances.at(endpoint)->sync.outsideContactAt();
+    }
+
+    /// Sets whether an instance is isolated.
+    void setIsolated(Endpoint endpoint, bool isIsolated)
+    {
+        m_instances.at(endpoint)->sync.setIsolated(isIsolated);
+    }
+
+    /// Number of instances of a zone whose leader reports that it is isolated.
+    [[nodiscard]] std::size_t countIsolatedLeaders(common::ZoneId zone) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(m_instances, [&](const auto &item) {
+            return item.second->member.zone == zone && item.second->sync.isLeaderIsolated();
+        }));
+    }
+
     [[nodiscard]] std::vector<Endpoint> endpoints() const
     {
         std::vector<Endpoint> endpoints;
--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -61,6 +61,7 @@
     , m_onResponseTime(std::move(onResponseTime))
     , m_upstreams(options.instance)
     , m_policy(m_upstreams)
+    , m_isolation(options.ownZone)
     , m_observer(options.observedFlowSets)
 { }
 
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -2,6 +2,7 @@
 
 #include "connection/flowobserver.h"
 #include "connection/flowpacket.h"
+#include "connection/isolationdetector.h"
 #include "connection/openingpolicy.h"
 #include "connection/outlierdetector.h"
 #include "connection/upstreamtable.h"
@@ -103,6 +104,15 @@
     /// Finds overdue requests and upstreams that are outliers; called every 100 ms or more often.
     void findOutliers(common::TimePoint now);
 
+    /// Finds out whether this instance is isolated; called every 100 ms or more often.
+    void findIsolation(const ZoneContact &contact, common::TimePoint now)
+    {
+        m_isolation.update(m_upstreams, contact, now);
+    }
+    /// Whether this instance reaches no upstream that may take flows, so that the fabric had better
+    /// send its packets to instances of other zones.
+    [[nodiscard]] bool isIsolated() const { return m_isolation.isIsolated(); }
+
     /// Returns the last packet of each flow that is to be reset now. Callers wait longer before
     /// each further retransmission, so a flow is reset as soon as its upstream is found
     /// unresponsive and not only at the caller's next retransmission.
@@ -167,6 +177,7 @@
     ResponseTimeSink m_onResponseTime;
     UpstreamTable m_upstreams;
     OpeningPolicy m_policy;
+    IsolationDetector m_isolation;
     OutlierDetector m_outliers;
     common::TimePoint m_nextOutlierScan;
     FlowObserver m_observer;
--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -100,6 +100,20 @@
     return found == m_withdrawnAt.end() ? std::nullopt : std::optional(found->second);
 }
 
+std::vector<common::ZoneId> UpstreamTable::usableZones() const
+{
+    std::vector<common::ZoneId> zones;
+    for (const auto &[token, upstream] : m_upstreams) {
+        const auto &record = upstream->record;
+        const bool isUsable =
+                upstream->isRegistered && !record.draining && !isWithdrawn(record.zone);
+        if (isUsable && std::ranges::find(zones, record.zone) == zones.end()) {
+            zones.push_back(record.zone);
+        }
+    }
+    return zones;
+}
+
 std::vector<common::ZoneId> UpstreamTable::zonesToReport(TimePoint now)
 {
     std::vector<common::ZoneId> zones;
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -78,6 +78,9 @@
     /// All upstreams of a service that are kept, including those without a directory entry.
     [[nodiscard]] const Group &ofService(common::ServiceId service) const;
     [[nodiscard]] bool isWithdrawn(common::ZoneId zone) const;
+    /// Zones with at least one upstream that may take flows: registered, not draining, and not in a
+    /// withdrawn zone.
+    [[nodiscard]] std::vector<common::ZoneId> usableZones() const;
     /// When this instance learned of the withdrawal; empty while the zone is not withdrawn.
     [[nodiscard]] std::optional<common::TimePoint> withdrawnAt(common::ZoneId zone) const;
 
--- a/src/connection/zonehealth.cpp
+++ b/src/connection/zonehealth.cpp
@@ -84,14 +84,19 @@
     m_lastPeerReport = now;
 }
 
-bool ZoneHealth::isUnreachable(TimePoint now) const
+bool ZoneHealth::isSilent(TimePoint now) const
 {
     const auto minSuspects = hasPeerReport(now) ? 1 : MinSuspects;
-    return m_suspectCount >= minSuspects && m_otherZoneResponses >= MinOtherZoneResponses
-            && now - std::max(m_lastResponse, m_lastPeerResponse) > responseTimeout()
+    return m_suspectCount >= minSuspects && now - m_lastResponse > responseTimeout()
             && now - m_lastRetransmission < MaxObservationAge;
 }
 
+bool ZoneHealth::isUnreachable(TimePoint now) const
+{
+    return isSilent(now) && now - m_lastPeerResponse > responseTimeout()
+            && m_otherZoneResponses >= MinOtherZoneResponses;
+}
+
 bool ZoneHealth::isUnrefuted(TimePoint now) const
 {
     return isUnreachable(now) && m_firstReport != TimePoint()
--- a/src/connection/zonehealth.h
+++ b/src/connection/zonehealth.h
@@ -33,10 +33,15 @@
     /// response timeout is longer.
     void setHasPeers(bool hasPeers) { m_hasPeers = hasPeers; }
 
-    /// Callers retransmitted packets to several upstreams of the zone, no upstream of the zone has
-    /// responded within the response timeout, and no other instance has refuted this. One upstream
-    /// with retransmissions is enough when another instance has reported the zone.
+    /// Callers retransmitted packets to several upstreams of the zone, and no upstream of the zone
+    /// has responded to this instance within the response timeout. One upstream with
+    /// retransmissions is enough when another instance has reported the zone.
+    [[nodiscard]] bool isSilent(common::TimePoint now) const;
+    /// The zone is silent while upstreams of other zones respond, so that the fault is not that of
+    /// this instance, and no other instance has refuted this.
     [[nodiscard]] bool isUnreachable(common::TimePoint now) const;
+    /// When an upstream of the zone last responded to this instance.
+    [[nodiscard]] common::TimePoint lastResponse() const { return m_lastResponse; }
     /// The zone is unreachable, and the other instances had time to refute the report of it.
     [[nodiscard]] bool isUnrefuted(common::TimePoint now) const;
     /// Unrefuted, and another instance has come to the same verdict.
--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -134,6 +134,9 @@
 SyncActions DirectorySync::onStoreAnswer(const StoreAnswer &answer, TimePoint now)
 {
     SyncActions actions;
+    if (!std::holds_alternative<StoreFailure>(answer)) {
+        m_outsideContactAt = now;
+    }
     if (std::holds_alternative<StoreProgress>(answer)) {
         m_lastReadProgress = now;
         return actions;
@@ -192,6 +195,10 @@
 {
     SyncActions actions;
     m_liveness.onMessageReceived(from, now);
+    if (const auto sender = m_members.find(from);
+        sender != m_members.end() && sender->second.zone != m_options.self.zone) {
+        m_outsideContactAt = now;
+    }
     switch (message.body_case()) {
     case DirectoryMessage::kAssurance:
         onHeartbeat(from, message.assurance(), now, actions);
@@ -441,6 +448,7 @@
 void DirectorySync::onHeartbeat(Endpoint from, const wire::proto::DirectoryAssurance &heartbeat,
                                 TimePoint now, SyncActions &actions)
 {
+    recordZoneContact(heartbeat, now);
     const StoreRevision revision(heartbeat.revision());
     const auto leaderConfirmedAt = now - milliseconds(heartbeat.age_ms());
     if (heartbeat.leaving()) {
@@ -472,6 +480,19 @@
     }
 }
 
+void DirectorySync::recordZoneContact(const wire::proto::DirectoryAssurance &heartbeat,
+                                      TimePoint now)
+{
+    if (common::ZoneId(heartbeat.zone()) != m_options.self.zone) {
+        return;
+    }
+    m_outsideContactAt =
+            std::max(m_outsideContactAt, now - milliseconds(heartbeat.outside_age_ms()));
+    if (heartbeat.leading()) {
+        m_isLeaderIsolated = heartbeat.isolated();
+    }
+}
+
 void DirectorySync::onFetch(Endpoint from, const wire::proto::DirectoryFetch &fetch, TimePoint now,
                             SyncActions &actions)
 {
@@ -557,8 +578,13 @@
     DirectoryMessage message;
     auto &body = *message.mutable_assurance();
     body.set_revision(m_directory.revision().value());
-    const auto age = std::chrono::duration_cast<milliseconds>(now - m_confirmedAt).count();
-    body.set_age_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX)));
+    const auto ageInMs = [&](TimePoint time) {
+        const auto age = std::chrono::duration_cast<milliseconds>(now - time).count();
+        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
+    };
+    body.set_age_ms(ageInMs(m_confirmedAt));
+    body.set_outside_age_ms(ageInMs(m_outsideContactAt));
+    body.set_isolated(m_isIsolated);
     body.set_zone(m_options.self.zone.value());
     body.set_leaving(isLeaving);
     body.set_leading(m_isLeading);
--- a/src/process/directorysync.h
+++ b/src/process/directorysync.h
@@ -130,6 +130,16 @@
     /// Time when the store last confirmed the directory as current.
     [[nodiscard]] common::TimePoint confirmedAt() const { return m_confirmedAt; }
 
+    /// Last time when this instance or, as far as it knows, another one of its zone got a message
+    /// from another zone or an answer of the store.
+    [[nodiscard]] common::TimePoint outsideContactAt() const { return m_outsideContactAt; }
+
+    /// Whether the leader of the zone reported in its last heartbeat that it is isolated.
+    [[nodiscard]] bool isLeaderIsolated() const { return m_isLeaderIsolated; }
+
+    /// Sets whether this instance is isolated, which its heartbeats report.
+    void setIsolated(bool isIsolated) { m_isIsolated = isIsolated; }
+
     [[nodiscard]] bool isWatching() const { return m_isWatching; }
 
     [[nodiscard]] bool isLeading() const { return m_isLeading; }
@@ -189,6 +199,8 @@
     [[nodiscard]] wire::proto::DirectoryMessage heartbeatMessage(common::TimePoint now,
                                                                  bool isLeaving) const;
     void onStoreUpdate(const StoreUpdate &update, common::TimePoint now, SyncActions &actions);
+    /// A heartbeat of an instance of the own zone shows whether the zone is in contact with others.
+    void recordZoneContact(const wire::proto::DirectoryAssurance &heartbeat, common::TimePoint now);
     [[nodiscard]] bool isHigherRanked(common::Endpoint member) const;
     [[nodiscard]] bool isHigherRankedZone(common::ZoneId zone) const;
     [[nodiscard]] std::vector<common::Endpoint> otherZoneLeaders(common::TimePoint now);
@@ -200,6 +212,9 @@
 
     common::TimePoint m_startedAt;
     common::TimePoint m_confirmedAt;
+    common::TimePoint m_outsideContactAt;
+    bool m_isLeaderIsolated = false;
+    bool m_isIsolated = false;
     bool m_hasStarted = false;
     bool m_isLeaving = false;
 
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -342,6 +342,8 @@
         m_forwarder.removeExpired(now);
     }
     m_forwarder.findOutliers(now);
+    m_forwarder.findIsolation({ m_sync.outsideContactAt(), m_sync.isLeaderIsolated() }, now);
+    m_sync.setIsolated(m_forwarder.isIsolated());
     sendHealthReports(now);
     resetUnresponsiveFlows(now);
     logStateChanges();
@@ -474,7 +476,9 @@
         m_wasReady = isReady();
         LogEvent(LogLevel::Info, m_wasReady ? "ready" : "not_ready")
                 .with("revision", m_directory.revision().value())
-                .with("upstreams", m_forwarder.upstreams().size());
+                .with("upstreams", m_forwarder.upstreams().size())
+                .with("isolated", m_forwarder.isIsolated())
+                .with("stopping", m_isShuttingDown);
     }
 }
 
@@ -545,7 +549,8 @@
 
 bool FlowDaemon::isReady() const
 {
-    return !m_isShuttingDown && m_directory.isLoaded() && m_directory.rules() != nullptr;
+    return !m_isShuttingDown && m_directory.isLoaded() && m_directory.rules() != nullptr
+            && !m_forwarder.isIsolated();
 }
 
 std::string FlowDaemon::metricsText() const
@@ -561,6 +566,8 @@
          << "# TYPE banyanwall_token_collisions_total counter\n"
          << "banyanwall_token_collisions_total " << m_forwarder.upstreams().tokenCollisions()
          << "\n"
+         << "# TYPE banyanwall_isolated gauge\n"
+         << "banyanwall_isolated " << (m_forwarder.isIsolated() ? 1 : 0) << "\n"
          << "# TYPE banyanwall_watching gauge\n"
          << "banyanwall_watching " << (m_sync.isWatching() ? 1 : 0) << "\n";
     return text.str();
--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -392,3 +392,63 @@
     CHECK(fleet->busiestBytes() - heartbeatBytes < 160'000);
     LONGS_EQUAL(0, fleet->outdated());
 }
+
+// Guards against instances that take their zone for cut off although it is not. Without a fault,
+// each instance learns at least once a second that its zone is in contact with others; with a tenth
+// of the messages lost, every two seconds.
+TEST(DirectorySync, instancesKnowThatTheirZoneIsInContact)
+{
+    startFleet(5, 59);
+    for (const auto &[loss, bound] : { std::pair { 0U, 1'000ms }, std::pair { 10U, 2'000ms } }) {
+        fleet->messageLoss = loss;
+        common::Duration longest {};
+        for (int check = 0; check < 100; ++check) {
+            fleet->run(100ms);
+            longest = std::max(longest, fleet->longestOutsideContactAge());
+        }
+        CHECK(longest < bound);
+    }
+}
+
+// All instances of a zone that is cut off from the store and the other zones find out at the same
+// time, and learn of the end of the cut. Instances that start meanwhile know it from their peers.
+TEST(DirectorySync, instancesOfACutOffZoneKnowTheAgeOfTheLastContact)
+{
+    using Zones = std::pair<common::ZoneId, common::ZoneId>;
+    fleet->cutZones = { Zones { 1, 2 }, Zones { 2, 3 } };
+    for (int index = 0; index < 7; ++index) {
+        fleet->cutFromStore.insert(SyncFleet::memberAt(1, index).endpoint);
+    }
+    fleet->run(2s);
+    fleet->restart(SyncFleet::memberAt(1, 3).endpoint);
+    fleet->run(1s);
+    for (int index = 0; index < 7; ++index) {
+        CHECK(fleet->outsideContactAge(SyncFleet::memberAt(1, index).endpoint) > 2'300ms);
+    }
+    CHECK(fleet->outsideContactAge(SyncFleet::memberAt(0, 0).endpoint) < 1'000ms);
+    fleet->cutZones.clear();
+    fleet->cutFromStore.clear();
+    fleet->run(2s);
+    CHECK(fleet->longestOutsideContactAge() < 1'000ms);
+}
+
+// The instances of a zone learn from the heartbeats of their leader that it is isolated; those of
+// other zones do not follow it.
+TEST(DirectorySync, isolationOfALeaderIsKnownInItsZone)
+{
+    const auto leaders = fleet->leaders();
+    fleet->setIsolated(leaders.front(), true);
+    fleet->run(500ms);
+    std::size_t informed = 0;
+    for (std::uint32_t zone = 1; zone <= 3; ++zone) {
+        const auto count = fleet->countIsolatedLeaders(common::ZoneId(zone));
+        CHECK(count == 0 || count == 6);
+        informed += count;
+    }
+    LONGS_EQUAL(6, informed);
+    fleet->setIsolated(leaders.front(), false);
+    fleet->run(500ms);
+    for (std::uint32_t zone = 1; zone <= 3; ++zone) {
+        LONGS_EQUAL(0, fleet->countIsolatedLeaders(common::ZoneId(zone)));
+    }
+}
