Keep an odd entry from replacing or removing a live upstream

Cause: the directory knew upstreams by the hexadecimal digits of their id. An entry of another writer with the same digits, such as servers/x-7-f3a! beside servers/i-7f3a, replaced the live upstream; a malformed value or the removal of that entry removed it.

Ruled out: to accept ids of one form only (the platform's pages promise the digits, not the form); to keep the entry that an instance learned first (instances that start read both at once and would disagree).

Change: entries are known by the hash of their key. Of two entries with one number the one that was created first counts, at all instances, and the other one is counted (duplicate_entries_total).

--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -49,7 +49,7 @@
         }
         switch (key.kind) {
         case EntryKind::Upstream:
-            updateUpstream(found->second, UpstreamSerial(key.id), now);
+            updateUpstream(found->second, key, now);
             break;
         case EntryKind::Withdrawal:
             updateWithdrawal(found->second, common::ZoneId(static_cast<std::uint32_t>(key.id)),
@@ -70,6 +70,7 @@
         const auto &upstream = *item.second;
         const bool isExpired = !upstream.isRegistered && now - upstream.removedAt > MaxFlowLifetime;
         if (isExpired) {
+            m_tokens.erase(version::keyOf(upstream.record).id);
             removeFromGroup(upstream);
         }
         return isExpired;
@@ -251,27 +252,24 @@
     return UpstreamHealth(static_cast<double>(hash) / static_cast<double>(UINT64_MAX));
 }
 
-void UpstreamTable::updateUpstream(const version::Directory::Entry &entry, UpstreamSerial serial,
-                                   TimePoint now)
+void UpstreamTable::updateUpstream(const version::Directory::Entry &entry,
+                                   const version::EntryKey &key, TimePoint now)
 {
-    auto *known = find(tokenOf(serial));
     const auto *record = std::get_if<version::UpstreamRecord>(&entry.value);
-    if (known == nullptr) {
-        if (record != nullptr) {
-            addUpstream(*record, now);
-        }
+    if (record == nullptr) {
+        removeUpstream(key, now);
         return;
     }
-    if (known->record.serial != serial) {
-        // The upstream that was added first keeps the token; the other one gets no flows.
-        m_tokenCollisions += record != nullptr ? 1 : 0;
+    auto *known = find(tokenOf(record->serial));
+    if (known == nullptr) {
+        addUpstream(*record, now);
         return;
     }
-    if (record == nullptr) {
-        known->isRegistered = false;
-        known->removedAt = now;
+    if (isDuplicate(*known, *record)) {
         return;
     }
+    m_tokens.erase(version::keyOf(known->record).id);
+    m_tokens[key.id] = known->token;
     const bool isNewIncarnation = record->incarnation != known->record.incarnation;
     if (record->service != known->record.service) {
         removeFromGroup(*known);
@@ -282,10 +280,39 @@
     known->coldUntil = std::max(known->coldUntil, now + record->coldFor);
     if (isNewIncarnation) {
         known->responseTime = {};
-        known->health = makeHealth(serial);
+        known->health = makeHealth(record->serial);
+    }
+}
+
+void UpstreamTable::removeUpstream(const version::EntryKey &key, TimePoint now)
+{
+    const auto token = m_tokens.find(key.id);
+    auto *known = token == m_tokens.end() ? nullptr : find(token->second);
+    if (known != nullptr) {
+        known->isRegistered = false;
+        known->removedAt = now;
     }
 }
 
+bool UpstreamTable::isDuplicate(const TrackedUpstream &known, const version::UpstreamRecord &record)
+{
+    if (known.record.serial != record.serial) {
+        // The upstream that was added first keeps the token; the other one gets no flows.
+        ++m_tokenCollisions;
+        return true;
+    }
+    // All instances have to agree on one entry, in whatever order they learn of both.
+    const auto rank = [](const version::UpstreamRecord &upstream) {
+        return std::pair(upstream.createdAt, upstream.entry);
+    };
+    const bool isOtherEntry = known.record.entry != record.entry;
+    if (!isOtherEntry || (known.isRegistered && rank(record) < rank(known.record))) {
+        return false;
+    }
+    ++m_duplicateEntries;
+    return true;
+}
+
 void UpstreamTable::addUpstream(const version::UpstreamRecord &record, TimePoint now)
 {
     auto upstream = std::make_unique<TrackedUpstream>();
@@ -294,6 +321,7 @@
     upstream->coldUntil = now + record.coldFor;
     upstream->health = makeHealth(record.serial);
     updateAssumedCold(*upstream);
+    m_tokens[version::keyOf(record).id] = upstream->token;
     m_groups[record.service].push_back(upstream.get());
     m_upstreams.emplace(upstream->token, std::move(upstream));
 }
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -124,10 +124,18 @@
     /// Number of upstreams that get no flows because another upstream has the same token.
     [[nodiscard]] std::size_t tokenCollisions() const { return m_tokenCollisions; }
 
+    /// Number of records that were ignored because another entry names the same serial.
+    [[nodiscard]] std::size_t duplicateEntries() const { return m_duplicateEntries; }
+
 private:
     [[nodiscard]] UpstreamHealth makeHealth(common::UpstreamSerial serial) const;
-    void updateUpstream(const version::Directory::Entry &entry, common::UpstreamSerial serial,
+    void updateUpstream(const version::Directory::Entry &entry, const version::EntryKey &key,
                         common::TimePoint now);
+    void removeUpstream(const version::EntryKey &key, common::TimePoint now);
+    /// Whether the record is to be ignored because the upstream has the same token or serial. Of two
+    /// entries with the same serial, the one that was created first counts.
+    [[nodiscard]] bool isDuplicate(const TrackedUpstream &known,
+                                   const version::UpstreamRecord &record);
     void addUpstream(const version::UpstreamRecord &record, common::TimePoint now);
     void updateWithdrawal(const version::Directory::Entry &entry, common::ZoneId zone,
                           common::TimePoint now);
@@ -138,6 +146,8 @@
 
     std::uint64_t m_instance;
     std::unordered_map<common::FlowToken, std::unique_ptr<TrackedUpstream>> m_upstreams;
+    /// Tokens of the upstreams by the id of their entry in the directory.
+    std::unordered_map<std::uint64_t, common::FlowToken> m_tokens;
     std::unordered_map<common::ServiceId, Group> m_groups;
     std::unordered_map<common::ZoneId, common::TimePoint> m_withdrawnAt;
     std::unordered_map<common::ZoneId, ZoneHealth> m_zoneHealth;
@@ -154,6 +164,7 @@
     std::unordered_map<common::ServiceId, version::ServiceRecord> m_services;
     std::unordered_map<common::ServiceId, ResponseTimeEstimator> m_serviceResponseTimes;
     std::size_t m_tokenCollisions = 0;
+    std::size_t m_duplicateEntries = 0;
 };
 
 } // namespace banyanwall::connection
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -117,7 +117,9 @@
     receivePeers();
     m_startedAt = bootTimeNow();
     onTick(m_startedAt);
-    m_context.run();
+    while (!m_context.stopped()) {
+        runGuarded("event_loop", [this] { m_context.run(); });
+    }
     LogEvent(LogLevel::Info, "stopped").with("packets", m_metrics.value(Counter::FabricDatagrams));
 }
 
@@ -566,6 +568,9 @@
          << "# TYPE banyanwall_token_collisions_total counter\n"
          << "banyanwall_token_collisions_total " << m_forwarder.upstreams().tokenCollisions()
          << "\n"
+         << "# TYPE banyanwall_duplicate_entries_total counter\n"
+         << "banyanwall_duplicate_entries_total " << m_forwarder.upstreams().duplicateEntries()
+         << "\n"
          << "# TYPE banyanwall_isolated gauge\n"
          << "banyanwall_isolated " << (m_forwarder.isIsolated() ? 1 : 0) << "\n"
          << "# TYPE banyanwall_watching gauge\n"
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -51,7 +51,9 @@
 
 EntryKey keyOf(const UpstreamRecord &record)
 {
-    return { EntryKind::Upstream, record.serial.value() };
+    const bool isNamedBySerial = record.entry == common::EntryId();
+    return { EntryKind::Upstream,
+             isNamedBySerial ? record.serial.value() : record.entry.value() };
 }
 
 EntryKey keyOf(const RulesRecord & /*record*/)
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -27,6 +27,11 @@
     common::Duration coldFor {};
     /// Start of the upstream; differs for each start under the same serial.
     common::Incarnation incarnation {};
+    /// Entry that holds the record; zero stands for an entry that is named by the serial. Several
+    /// entries may name the same serial by mistake.
+    common::EntryId entry {};
+    /// Revision at which the entry was created.
+    common::StoreRevision createdAt {};
 
     bool operator==(const UpstreamRecord &) const = default;
 };
--- a/src/wire/directorycodec.cpp
+++ b/src/wire/directorycodec.cpp
@@ -44,6 +44,8 @@
     out.set_draining(record.draining);
     out.set_cold_for_ms(toMilliseconds(record.coldFor));
     out.set_started(record.incarnation.value());
+    out.set_entry(record.entry.value());
+    out.set_created_revision(record.createdAt.value());
 }
 
 version::UpstreamRecord read(const proto::UpstreamEntry &in)
@@ -55,7 +57,9 @@
              .slots = in.slots(),
              .draining = in.draining(),
              .coldFor = fromMilliseconds(in.cold_for_ms()),
-             .incarnation = common::Incarnation(in.started()) };
+             .incarnation = common::Incarnation(in.started()),
+             .entry = common::EntryId(in.entry()),
+             .createdAt = common::StoreRevision(in.created_revision()) };
 }
 
 void write(const version::RulesPatch &record, proto::RulesEntry &out)
