Tell a restart of an upstream from the silence of a path

Cause: since each silence that ends with a new flow counts as a restart, an instance whose own path failed for a while assumed that all upstreams had restarted, and told its zone so. Where flows are short no older flow refutes it, and with a contract that allows no openings on cold upstreams nothing would be left for new flows until the store confirms, 1 s to 2 s later.

Change: while the directory is younger than 1 s, a silence of this instance's path or of the upstream's zone is no restart, and an instance ignores the report of another one if the upstream responded to it meanwhile. With an older directory all of them count, as before.

Conclusion: the assumption is limited to what a crash looks like.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -211,17 +211,54 @@
     }
     if (upstream.health.isSuspected(now)) {
         m_report.recovered.push_back(upstream.record.serial);
-        const AssumedRestart restart { upstream.record.serial, upstream.health.silentSince(), now };
-        if (m_upstreams.assumeRestart(restart) && !restart.isRefutedBy(flowOpenSince)) {
-            m_report.assumedRestarts.push_back(restart);
-        }
+        recordRecovery(upstream, flowOpenSince, now);
     }
     m_upstreams.onResponse(upstream, flowOpenSince);
     upstream.health.onResponse(now);
     m_upstreams.recordResponse(upstream.record.zone, now);
+    if (now - m_lastResponseAt > IsolationTimeout) {
+        m_silentUntil = now;
+    }
     m_lastResponseAt = now;
 }
 
+void FlowForwarder::recordRecovery(TrackedUpstream &upstream, TimePoint flowOpenSince,
+                                   TimePoint now)
+{
+    // A current directory shows the restarts of upstreams behind a path that has failed.
+    const bool isDirectoryRecent = now - m_confirmedAt <= MaxRecordDelay;
+    if (isDirectoryRecent && !wasSilentAlone(upstream, now)) {
+        return;
+    }
+    const AssumedRestart restart { upstream.record.serial, upstream.health.silentSince(), now };
+    if (m_upstreams.assumeRestart(restart) && !restart.isRefutedBy(flowOpenSince)) {
+        m_report.assumedRestarts.push_back(restart);
+    }
+}
+
+bool FlowForwarder::wasSilentAlone(const TrackedUpstream &upstream, TimePoint now)
+{
+    const auto since = upstream.health.silentSince();
+    const auto &zone = m_upstreams.zoneHealth(upstream.record.zone);
+    const bool wasInstanceSilent =
+            now - m_lastResponseAt > IsolationTimeout || m_silentUntil > since;
+    return !wasInstanceSilent && !zone.isSilent(now) && zone.silentUntil() <= since;
+}
+
+bool FlowForwarder::isRestartPossible(const AssumedRestart &restart, TimePoint now)
+{
+    // The store has confirmed the record since, so that it shows whether the upstream is cold.
+    if (restart.respondedAt < m_confirmedAt - MaxRecordDelay) {
+        return false;
+    }
+    const auto *upstream = findBySerial(restart.upstream);
+    if (upstream == nullptr || now - m_confirmedAt > MaxRecordDelay) {
+        return true;
+    }
+    const auto lastResponse = upstream->health.lastResponse();
+    return lastResponse <= restart.silentSince || lastResponse >= restart.respondedAt;
+}
+
 void FlowForwarder::recordRetransmission(TrackedUpstream &upstream, const FlowPacket &packet,
                                          TimePoint now)
 {
@@ -372,7 +409,11 @@
     }
     for (const auto serial : report.recovered) {
         if (auto *upstream = findBySerial(serial)) {
+            const AssumedRestart restart { serial, upstream->health.silentSince(), now };
             upstream->health.onPeerResponse(now);
+            if (now - m_confirmedAt > MaxRecordDelay) {
+                m_upstreams.assumeRestart(restart);
+            }
         }
     }
     for (const auto &responding : report.respondingUpstreams) {
@@ -381,8 +422,7 @@
         }
     }
     for (const auto &restart : report.assumedRestarts) {
-        // The store has confirmed the record since, so that it shows whether the upstream is cold.
-        if (restart.respondedAt >= m_confirmedAt - MaxRecordDelay) {
+        if (isRestartPossible(restart, now)) {
             m_upstreams.assumeRestart(restart);
         }
     }
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -151,6 +151,13 @@
                            common::TimePoint now);
     void recordResponse(TrackedUpstream &upstream, common::TimePoint flowOpenSince,
                         common::TimePoint now);
+    /// Handles the first response of a suspected upstream.
+    void recordRecovery(TrackedUpstream &upstream, common::TimePoint flowOpenSince,
+                        common::TimePoint now);
+    /// Whether this instance got responses of other upstreams of the zone while the upstream was
+    /// silent, so that the silence was not that of a path.
+    [[nodiscard]] bool wasSilentAlone(const TrackedUpstream &upstream, common::TimePoint now);
+    [[nodiscard]] bool isRestartPossible(const AssumedRestart &restart, common::TimePoint now);
     void recordRetransmission(TrackedUpstream &upstream, const FlowPacket &packet,
                               common::TimePoint now);
     void recordWaitingFlow(const TrackedUpstream &upstream, const FlowPacket &packet,
@@ -189,6 +196,8 @@
     common::TimePoint m_confirmedSince;
     /// When any upstream last responded to a caller.
     common::TimePoint m_lastResponseAt;
+    /// When an upstream last responded after none had for a while.
+    common::TimePoint m_silentUntil;
     PassiveHealthReport m_report;
 
     struct Retransmission
--- a/src/connection/upstreamhealth.h
+++ b/src/connection/upstreamhealth.h
@@ -39,6 +39,8 @@
     [[nodiscard]] bool isSuspected(common::TimePoint now) const;
     /// When a caller first retransmitted a packet that the upstream has not responded to since.
     [[nodiscard]] common::TimePoint silentSince() const { return m_firstRetransmission; }
+    /// When the upstream last responded to a caller of this instance.
+    [[nodiscard]] common::TimePoint lastResponse() const { return m_lastResponse; }
     /// A caller retransmitted a packet recently and the upstream has not responded since.
     [[nodiscard]] bool hasRecentRetransmissions(common::TimePoint now) const;
     /// Several flows wait without a response, so that their callers should open new flows. Based on
--- a/src/connection/zonehealth.cpp
+++ b/src/connection/zonehealth.cpp
@@ -40,6 +40,9 @@
 
 void ZoneHealth::onResponse(TimePoint now)
 {
+    if (isSilent(now)) {
+        m_silentUntil = now;
+    }
     m_lastResponse = now;
     m_otherZoneResponses = 0;
     m_lastPeerReport = {};
--- a/src/connection/zonehealth.h
+++ b/src/connection/zonehealth.h
@@ -42,6 +42,8 @@
     [[nodiscard]] bool isUnreachable(common::TimePoint now) const;
     /// When an upstream of the zone last responded to this instance.
     [[nodiscard]] common::TimePoint lastResponse() const { return m_lastResponse; }
+    /// When an upstream of the zone last responded after the zone had been silent.
+    [[nodiscard]] common::TimePoint silentUntil() const { return m_silentUntil; }
     /// The zone is unreachable, and the other instances had time to refute the report of it.
     [[nodiscard]] bool isUnrefuted(common::TimePoint now) const;
     /// Unrefuted, and another instance has come to the same verdict.
@@ -69,6 +71,7 @@
     /// Responses of other zones since the last response of this zone.
     std::uint32_t m_otherZoneResponses = 0;
     common::TimePoint m_lastResponse;
+    common::TimePoint m_silentUntil;
     common::TimePoint m_lastAnswer;
     common::TimePoint m_lastRetransmission;
     common::TimePoint m_lastPeerReport;
