Drop heartbeats from before a stall, and confirm once after a path failed

An instance that was frozen read heartbeats of the time before when it woke, took their ages for those of now, and told its zone that it was in contact again: five instances were ready 1 s before the end of the cut. And when the cut ended, the instances assumed that all upstreams had restarted and rejected openings (no_upstream, 183 times) until the store confirmed the directory 1 s later.

Ruled out: to assume no restart with a stale directory; upstreams may have restarted meanwhile, and their records arrive with the first confirmation.

Change: after a stall, messages of peers that waited in the socket are dropped, but for changes of the directory. A restart behind a path that failed counts until the first confirmation after the response instead of one that is 1 s later.

Conclusion: what is left of the cuts is the time until the verdict and the rotation.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -22,9 +22,6 @@
 // During a longer gap between two confirmations by the store, entries may have expired.
 constexpr std::chrono::milliseconds MaxConfirmationGap { 1'500 };
 constexpr std::chrono::seconds UnknownTokenRetention { 10 };
-// An upstream writes its record when it starts, and the update reaches all instances well within
-// this time.
-constexpr std::chrono::milliseconds MaxRecordDelay { 1'000 };
 // The work of requests varies by half of its mean, so a working upstream rarely takes this many
 // times the mean response time.
 constexpr double OverdueFactor = 6.0;
@@ -89,7 +86,7 @@
         m_confirmedSince = time;
     }
     m_confirmedAt = time;
-    m_upstreams.confirmRecords(time - MaxRecordDelay);
+    m_upstreams.confirmRecords(time);
 }
 
 PacketVerdict FlowForwarder::handle(const FlowPacket &packet, TimePoint now)
@@ -227,10 +224,12 @@
 {
     // A current directory shows the restarts of upstreams behind a path that has failed.
     const bool isDirectoryRecent = now - m_confirmedAt <= MaxRecordDelay;
-    if (isDirectoryRecent && !wasSilentAlone(upstream, now)) {
+    const bool isPathSuspected = !wasSilentAlone(upstream, now);
+    if (isDirectoryRecent && isPathSuspected) {
         return;
     }
-    const AssumedRestart restart { upstream.record.serial, upstream.health.silentSince(), now };
+    const AssumedRestart restart { upstream.record.serial, upstream.health.silentSince(), now,
+                                   isPathSuspected };
     if (m_upstreams.assumeRestart(restart) && !restart.isRefutedBy(flowOpenSince)) {
         m_report.assumedRestarts.push_back(restart);
     }
@@ -247,8 +246,7 @@
 
 bool FlowForwarder::isRestartPossible(const AssumedRestart &restart, TimePoint now)
 {
-    // The store has confirmed the record since, so that it shows whether the upstream is cold.
-    if (restart.respondedAt < m_confirmedAt - MaxRecordDelay) {
+    if (restart.isShownBy(m_confirmedAt)) {
         return false;
     }
     const auto *upstream = findBySerial(restart.upstream);
@@ -409,11 +407,7 @@
     }
     for (const auto serial : report.recovered) {
         if (auto *upstream = findBySerial(serial)) {
-            const AssumedRestart restart { serial, upstream->health.silentSince(), now };
             upstream->health.onPeerResponse(now);
-            if (now - m_confirmedAt > MaxRecordDelay) {
-                m_upstreams.assumeRestart(restart);
-            }
         }
     }
     for (const auto &responding : report.respondingUpstreams) {
--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -35,6 +35,13 @@
     return openSince + MinOldFlowAge <= silentSince;
 }
 
+bool AssumedRestart::isShownBy(TimePoint confirmedAt) const
+{
+    // Behind a path that failed, an upstream rarely restarts just before it responds again.
+    const auto delay = isPathSuspected ? common::Duration {} : MaxRecordDelay;
+    return respondedAt + delay < confirmedAt;
+}
+
 UpstreamTable::UpstreamTable(std::uint64_t instance)
     : m_instance(instance)
 { }
@@ -185,10 +192,10 @@
     }
 }
 
-void UpstreamTable::confirmRecords(TimePoint respondedBefore)
+void UpstreamTable::confirmRecords(TimePoint confirmedAt)
 {
     std::erase_if(m_assumedRestarts, [&](const auto &item) {
-        const bool isConfirmed = item.second.restart.respondedAt < respondedBefore;
+        const bool isConfirmed = item.second.restart.isShownBy(confirmedAt);
         if (auto *upstream = find(tokenOf(item.first)); isConfirmed && upstream != nullptr) {
             upstream->assumedColdUntil = {};
         }
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -15,6 +15,10 @@
 
 namespace banyanwall::connection {
 
+/// An upstream writes its record when it starts, and the update reaches all instances well within
+/// this time.
+inline constexpr std::chrono::milliseconds MaxRecordDelay { 1'000 };
+
 /// An upstream stopped responding and then responded to a new flow, but to none that was open
 /// before. It may have restarted, so it is treated as cold until the store has confirmed its record.
 struct AssumedRestart
@@ -24,9 +28,13 @@
     common::TimePoint silentSince;
     /// First response after that.
     common::TimePoint respondedAt;
+    /// Upstreams that did not restart were silent as well, so that the path may have failed.
+    bool isPathSuspected = false;
 
     /// Whether a response on a flow that was open at openSince shows that there was no restart.
     [[nodiscard]] bool isRefutedBy(common::TimePoint openSince) const;
+    /// Whether a directory that the store confirmed at this time shows the restart.
+    [[nodiscard]] bool isShownBy(common::TimePoint confirmedAt) const;
 
     bool operator==(const AssumedRestart &) const = default;
 };
@@ -89,9 +97,9 @@
     bool assumeRestart(const AssumedRestart &restart);
     /// An upstream responded to a flow that was open at openSince, so it has not restarted since.
     void onResponse(const TrackedUpstream &upstream, common::TimePoint openSince);
-    /// The store confirmed the directory: records written before are known, and they show which of
-    /// the upstreams that responded by respondedBefore are cold.
-    void confirmRecords(common::TimePoint respondedBefore);
+    /// The store confirmed the directory: its records show which upstreams are cold that restarted
+    /// some time before.
+    void confirmRecords(common::TimePoint confirmedAt);
     [[nodiscard]] std::vector<AssumedRestart> assumedRestarts() const;
 
     /// Marks exactly these upstreams as outliers; returns those that were not marked before.
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -257,12 +257,15 @@
         if (error) {
             return;
         }
+        m_peerStallDetector.onWakeup(bootTimeNow());
         udp::endpoint from;
         for (int message = 0; message < PacketsPerWakeup && !error; ++message) {
             const auto bytes =
                     m_peerSocket.receive_from(boost::asio::buffer(m_peerBuffer), from, 0, error);
             if (!error) {
                 runGuarded("peer_message", [&] { onPeerDatagram(bytes, from); });
+            } else {
+                m_peerStallDetector.onSocketEmpty();
             }
         }
         runGuarded("reset", [this] { resetUnresponsiveFlows(bootTimeNow()); });
@@ -280,6 +283,12 @@
         m_flowLog.logMalformed("peer_message_dropped", fromAsio(from), bytes, now);
         return;
     }
+    // The ages that heartbeats and reports hold were right when they arrived. Changes of the directory
+    // do not grow old.
+    if (m_peerStallDetector.hasStalePackets() && !message.has_fragment()) {
+        m_metrics.countRefusal(common::Reason::StalePacket);
+        return;
+    }
     if (message.has_silence()) {
         const auto refutations =
                 m_forwarder.onPeerHealthReport(wire::decodePassiveHealth(message.silence(), now), now);
@@ -327,6 +336,7 @@
 void FlowDaemon::onTick(TimePoint now)
 {
     m_stallDetector.onWakeup(now);
+    m_peerStallDetector.onWakeup(now);
     if (m_isShuttingDown && mayStop(now)) {
         m_context.stop();
         return;
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -105,6 +105,7 @@
     std::array<std::uint8_t, BufferBytes> m_buffer {};
     std::array<std::uint8_t, BufferBytes> m_peerBuffer {};
     StallDetector m_stallDetector;
+    StallDetector m_peerStallDetector;
     common::TimePoint m_startedAt;
     common::TimePoint m_lastPacketAt;
     common::TimePoint m_shutdownAt;
--- a/src/tests/directorycodectest.cpp
+++ b/src/tests/directorycodectest.cpp
@@ -111,7 +111,7 @@
         .zones = { common::ZoneId(4) },
         .respondingZones = { { common::ZoneId(5), 50ms } },
         .respondingUpstreams = { { common::UpstreamSerial(6), 60ms } },
-        .assumedRestarts = { { common::UpstreamSerial(8), sentAt - 900ms, sentAt - 70ms } },
+        .assumedRestarts = { { common::UpstreamSerial(8), sentAt - 900ms, sentAt - 70ms, true } },
     };
     const auto decoded =
             wire::decodePassiveHealth(wire::encodePassiveHealth(report, sentAt).silence(), sentAt);
@@ -124,9 +124,7 @@
     CHECK(decoded.respondingZones.front().age == 50ms);
     CHECK(decoded.respondingUpstreams.front().upstream == common::UpstreamSerial(6));
     CHECK(decoded.respondingUpstreams.front().age == 60ms);
-    CHECK(decoded.assumedRestarts.front().upstream == common::UpstreamSerial(8));
-    CHECK(decoded.assumedRestarts.front().silentSince == sentAt - 900ms);
-    CHECK(decoded.assumedRestarts.front().respondedAt == sentAt - 70ms);
+    CHECK(decoded.assumedRestarts == report.assumedRestarts);
 }
 
 // Guards against a delta that is joined from fragments of two transfers.
--- a/src/tests/flowdaemontest.cpp
+++ b/src/tests/flowdaemontest.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <functional>
 #include <stdexcept>
+#include <thread>
 
 using namespace banyanwall;
 using namespace std::chrono_literals;
@@ -155,6 +156,26 @@
     LONGS_EQUAL(2, metrics.value(process::Counter::PacketsToUpstream));
 }
 
+// An instance that was frozen reads heartbeats of the time before. It took their ages for those of
+// now, so that instances of a cut-off zone believed that the zone was in contact again.
+TEST(FlowDaemon, heartbeatsThatWaitedDuringAStallAreDropped)
+{
+    const auto sendHeartbeat = [this] {
+        wire::proto::DirectoryMessage message;
+        message.mutable_assurance()->set_zone(Zone.value());
+        message.mutable_assurance()->set_leading(true);
+        caller.send_to(boost::asio::buffer(message.SerializeAsString()),
+                       { boost::asio::ip::address_v4(Loopback), settings.peerListen.port });
+    };
+    runDaemon([&] {
+        sendHeartbeat();
+        sendHeartbeat();
+        std::this_thread::sleep_for(1'200ms);
+    });
+    LONGS_EQUAL(2, metrics.refusals(common::Reason::StalePacket));
+    LONGS_EQUAL(0, metrics.refusals(common::Reason::InternalError));
+}
+
 // Guards against packets of callers that are lost because the process stops to forward at SIGTERM,
 // while the fabric still sends to it.
 TEST(FlowDaemon, packetsAreForwardedAfterTheRequestToStop)
--- a/src/tests/flowforwardertest.cpp
+++ b/src/tests/flowforwardertest.cpp
@@ -292,7 +292,7 @@
 TEST(FlowForwarder, upstreamThatRecoversDuringAStoreOutageIsAssumedCold)
 {
     now += 2s;
-    makeUnresponsive(2);
+    makeUnresponsiveAlone(2);
     answer(2, 500);
     now += 100ms;
     LONGS_EQUAL(0, openingsOf(2));
@@ -374,6 +374,21 @@
     LONGS_EQUAL(0, forwarder.restartReport().assumedRestarts.size());
 }
 
+// A zone is cut off from the store and from its upstreams. When the cut ends, its instances assumed
+// that all upstreams had restarted and rejected all openings until the store confirmed the directory
+// again 1 s later (days/cut-withdrawn-zone on kivisoe-orders).
+TEST(FlowForwarder, pathThatFailedWithTheStoreNeedsOneConfirmation)
+{
+    answer(2, 400);
+    now += 2s;
+    makeUnresponsive(2);
+    answer(2, 500);
+    LONGS_EQUAL(0, openingsOf(2));
+    now += 50ms;
+    forwarder.setConfirmedAt(now);
+    CHECK(openingsOf(2) > 0);
+}
+
 // An instance with a bad path reports upstreams as restarted. Instances that got responses meanwhile
 // ignore it while the store confirms the directory.
 TEST(FlowForwarder, restartReportIsIgnoredWhereTheUpstreamResponded)
@@ -395,7 +410,7 @@
 TEST(FlowForwarder, startingInstanceLearnsAssumedRestartsFromAPeer)
 {
     now += 2s;
-    makeUnresponsive(2);
+    makeUnresponsiveAlone(2);
     answer(2, 500);
     const auto report = forwarder.restartReport();
     FlowForwarder peer { { .ownZone = OwnZone, .instance = 2 }, [](common::Duration) {} };
--- a/src/wire/passivehealthcodec.cpp
+++ b/src/wire/passivehealthcodec.cpp
@@ -32,6 +32,7 @@
     entry.set_upstream(restart.upstream.value());
     entry.set_silent_age_ms(toMilliseconds(now - restart.silentSince));
     entry.set_response_age_ms(toMilliseconds(now - restart.respondedAt));
+    entry.set_path_suspected(restart.isPathSuspected);
 }
 
 connection::WaitingFlow decodeFlow(const proto::WaitingFlow &entry)
@@ -110,6 +111,7 @@
                                    common::UpstreamSerial(restart.upstream()),
                                    now - std::chrono::milliseconds(restart.silent_age_ms()),
                                    now - std::chrono::milliseconds(restart.response_age_ms()),
+                                   restart.path_suspected(),
                                };
                            });
     return report;
