Ignore deltas of the past, which brought removed entries back

It can happen here: an instance that starts reads the store and, when that takes 0.4 s, asks a peer too. When the answer of a peer that lags behind, or was cut off, arrives last, its entries at revisions that the instance has passed were added again if the instance did not know them. The same after a peer was cut off for longer than removals are kept. Nothing removed them until the next read of all entries.

Ruled out: to keep removals for longer; an instance that just started has none.

Change: a delta that ends before the known revision changes nothing.

--- a/src/tests/directorytest.cpp
+++ b/src/tests/directorytest.cpp
@@ -231,3 +231,28 @@
     std::get<UpstreamRecord>(draining.value).draining = true;
     LONGS_EQUAL(1, directory.apply(delta(13, 14, { draining }), now).size());
 }
+
+// An instance starts, reads the store and asks a peer as well. The answer of a peer that lags behind
+// arrives last and holds an upstream that has left meanwhile: it must not be in use again.
+TEST(Directory, answerOfALaggingPeerBringsNoRemovedEntryBack)
+{
+    directory.apply(complete(200, { upstream(1, 20) }), now);
+    directory.apply(complete(190, { upstream(1, 20), upstream(2, 50) }), now);
+    CHECK_FALSE(holds(2));
+    directory.apply(delta(100, 195, { upstream(3, 150) }), now);
+    CHECK_FALSE(holds(3));
+    CHECK(holds(1));
+}
+
+// A peer was cut off for longer than removals are kept, so that nothing here tells that the entry
+// was removed.
+TEST(Directory, answerOfAPeerThatWasCutOffBringsNoRemovedEntryBack)
+{
+    directory.apply(complete(100, { upstream(1, 20), upstream(2, 30) }), now);
+    directory.apply(delta(100, 110, { removal(2, 110) }), now);
+    now += 61s;
+    directory.apply(delta(110, 120, {}), now);
+    directory.apply(delta(0, 100, { upstream(2, 30) }), now);
+    directory.apply(complete(100, { upstream(1, 20), upstream(2, 30) }), now);
+    CHECK_FALSE(holds(2));
+}
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -80,7 +80,9 @@
 std::vector<EntryKey> Directory::apply(const DirectoryDelta &delta, TimePoint now)
 {
     const bool hasGap = !delta.complete && (!isLoaded() || delta.from > m_revision);
-    if (hasGap) {
+    // Entries that a delta of the past holds and this directory lacks may have been removed since.
+    const bool isObsolete = delta.to < m_revision;
+    if (hasGap || isObsolete) {
         return {};
     }
     std::vector<EntryKey> changed;
