--- a/src/benchmarks/syncfleet.h
+++ b/src/benchmarks/syncfleet.h
@@ -173,7 +173,8 @@
         return rules == nullptr ? 0 : rules->version;
     }
 
-    /// Longest time since an instance, as far as it knows, had contact with other zones or the store.
+    /// Longest time since an instance, as far as it knows, had contact with other zones or the
+    /// store.
     [[nodiscard]] common::Duration longestOutsideContactAge() const
     {
         common::Duration longest {};
--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -224,8 +224,8 @@
 void FlowForwarder::recordRecovery(TrackedUpstream &upstream, TimePoint flowOpenSince,
                                    TimePoint now)
 {
-    // A current directory shows the restarts of upstreams behind a path that has failed. An older one
-    // does not, so that a single retransmission without a response counts.
+    // A current directory shows the restarts of upstreams behind a path that has failed. An older
+    // one does not, so that a single retransmission without a response counts.
     const bool isDirectoryRecent = now - m_confirmedAt <= MaxRecordDelay;
     const bool isPathSuspected = !wasSilentAlone(upstream, now);
     if (isDirectoryRecent && (isPathSuspected || !upstream.health.isSuspected(now))) {
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -110,6 +110,7 @@
     {
         m_isolation.update(m_upstreams, contact, now);
     }
+
     /// Whether this instance reaches no upstream that may take flows, so that the fabric had better
     /// send its packets to instances of other zones.
     [[nodiscard]] bool isIsolated() const { return m_isolation.isIsolated(); }
@@ -122,14 +123,16 @@
     /// Returns the observations since the last call, for the other instances of the zone.
     [[nodiscard]] PassiveHealthReport takeHealthReport(common::TimePoint now);
     /// Applies the report of another instance and returns refutations of it, to be sent back.
-    /// Returns the upstreams that this instance assumes to have restarted, for an instance that asks
-    /// for the directory.
+    /// Returns the upstreams that this instance assumes to have restarted, for an instance that
+    /// asks for the directory.
     [[nodiscard]] PassiveHealthReport restartReport(common::TimePoint now);
+
     /// Returns the restarts that reports of other instances made known since the last call.
     [[nodiscard]] std::vector<AssumedRestart> takeLearnedRestarts()
     {
         return std::exchange(m_learnedRestarts, {});
     }
+
     [[nodiscard]] PassiveHealthReport onPeerHealthReport(const PassiveHealthReport &report,
                                                          common::TimePoint now);
 
--- a/src/connection/isolationdetector.cpp
+++ b/src/connection/isolationdetector.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// Leaders of different zones send each other heartbeats at least every 600 ms, and heartbeats within
-// the zone pass the time of the last one on every 300 ms.
+// Leaders of different zones send each other heartbeats at least every 600 ms, and heartbeats
+// within the zone pass the time of the last one on every 300 ms.
 constexpr std::chrono::milliseconds MinContactAge { 1'000 };
 // An instance that got a response more recently does not follow the leader of its zone.
 constexpr std::chrono::milliseconds MinResponseAge { 500 };
@@ -23,7 +23,8 @@
 void IsolationDetector::update(UpstreamTable &upstreams, const ZoneContact &contact, TimePoint now)
 {
     if (m_isolatedSince) {
-        // Observations of passive health checks expire without traffic, so they cannot show the end.
+        // Observations of passive health checks expire without traffic, so they cannot show the
+        // end.
         if (contact.outsideContactAt > *m_isolatedSince) {
             m_isolatedSince.reset();
         }
--- a/src/connection/isolationdetector.h
+++ b/src/connection/isolationdetector.h
@@ -22,9 +22,9 @@
 /// then serves the callers of the zone better through the instances of other zones, so an isolated
 /// instance is not ready. Not thread-safe.
 ///
-/// The fabric sends packets to other zones only when no instance of the zone is ready, so the verdict
-/// of a single instance changes nothing. For this reason refutations by other instances don't
-/// count, and instances that get too few packets to judge follow the leader of their zone.
+/// The fabric sends packets to other zones only when no instance of the zone is ready, so the
+/// verdict of a single instance changes nothing. For this reason refutations by other instances
+/// don't count, and instances that get too few packets to judge follow the leader of their zone.
 ///
 /// An instance is never isolated while its zone is in contact with other zones or the store, or
 /// while its own zone has an upstream that may take flows. So neither overload nor a crash of all
--- a/src/connection/upstreamhealth.h
+++ b/src/connection/upstreamhealth.h
@@ -40,10 +40,13 @@
     /// A caller retransmitted a packet, and the upstream has not responded since; weaker than
     /// isSuspected().
     [[nodiscard]] bool isSilent(common::TimePoint now) const;
+
     /// When a caller first retransmitted a packet that the upstream has not responded to since.
     [[nodiscard]] common::TimePoint silentSince() const { return m_firstRetransmission; }
+
     /// When the upstream last responded to a caller of this instance.
     [[nodiscard]] common::TimePoint lastResponse() const { return m_lastResponse; }
+
     /// A caller retransmitted a packet recently and the upstream has not responded since.
     [[nodiscard]] bool hasRecentRetransmissions(common::TimePoint now) const;
     /// Several flows wait without a response, so that their callers should open new flows. Based on
--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -187,8 +187,7 @@
 void UpstreamTable::onResponse(const TrackedUpstream &upstream, TimePoint openSince)
 {
     const auto known = m_assumedRestarts.find(upstream.record.serial);
-    if (known == m_assumedRestarts.end()
-        || !known->second.restart.isRefutedBy(openSince)) {
+    if (known == m_assumedRestarts.end() || !known->second.restart.isRefutedBy(openSince)) {
         return;
     }
     known->second.isRefuted = true;
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -20,7 +20,8 @@
 inline constexpr std::chrono::milliseconds MaxRecordDelay { 1'000 };
 
 /// An upstream stopped responding and then responded to a new flow, but to none that was open
-/// before. It may have restarted, so it is treated as cold until the store has confirmed its record.
+/// before. It may have restarted, so it is treated as cold until the store has confirmed its
+/// record.
 struct AssumedRestart
 {
     common::UpstreamSerial upstream;
@@ -141,8 +142,8 @@
     void updateUpstream(const version::Directory::Entry &entry, const version::EntryKey &key,
                         common::TimePoint now);
     void removeUpstream(const version::EntryKey &key, common::TimePoint now);
-    /// Whether the record is to be ignored because the upstream has the same token or serial. Of two
-    /// entries with the same serial, the one that was created first counts.
+    /// Whether the record is to be ignored because the upstream has the same token or serial. Of
+    /// two entries with the same serial, the one that was created first counts.
     [[nodiscard]] bool isDuplicate(const TrackedUpstream &known,
                                    const version::UpstreamRecord &record);
     void addUpstream(const version::UpstreamRecord &record, common::TimePoint now);
@@ -161,6 +162,7 @@
     std::unordered_map<common::ZoneId, common::TimePoint> m_withdrawnAt;
     std::unordered_map<common::ZoneId, ZoneHealth> m_zoneHealth;
     bool m_hasPeers = false;
+
     struct AssumedRestartState
     {
         AssumedRestart restart;
--- a/src/connection/zonehealth.h
+++ b/src/connection/zonehealth.h
@@ -40,10 +40,13 @@
     /// The zone is silent while upstreams of other zones respond, so that the fault is not that of
     /// this instance, and no other instance has refuted this.
     [[nodiscard]] bool isUnreachable(common::TimePoint now) const;
+
     /// When an upstream of the zone last responded to this instance.
     [[nodiscard]] common::TimePoint lastResponse() const { return m_lastResponse; }
+
     /// When an upstream of the zone last responded after the zone had been silent.
     [[nodiscard]] common::TimePoint silentUntil() const { return m_silentUntil; }
+
     /// The zone is unreachable, and the other instances had time to refute the report of it.
     [[nodiscard]] bool isUnrefuted(common::TimePoint now) const;
     /// Unrefuted, and another instance has come to the same verdict.
--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -167,8 +167,8 @@
 {
     m_backoff = {};
     const auto revision = m_directory.revision();
-    // Changes of peers may overtake a read of all entries. The directory ignores it then, so that the
-    // read is repeated if it was needed.
+    // Changes of peers may overtake a read of all entries. The directory ignores it then, so that
+    // the read is repeated if it was needed.
     const bool isObsolete = update.delta.to < revision;
     m_needsFullRead = m_needsFullRead && isObsolete;
     const milliseconds transfer(update.bytes * 1'000 / UpdateBytesPerSecond);
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -283,8 +283,8 @@
         m_flowLog.logMalformed("peer_message_dropped", fromAsio(from), bytes, now);
         return;
     }
-    // The ages that heartbeats and reports hold were right when they arrived. Changes of the directory
-    // do not grow old.
+    // The ages that heartbeats and reports hold were right when they arrived. Changes of the
+    // directory do not grow old.
     if (m_peerStallDetector.hasStalePackets() && !message.has_fragment()) {
         m_metrics.countRefusal(common::Reason::StalePacket);
         return;
@@ -293,8 +293,7 @@
         const auto report = wire::decodePassiveHealth(message.silence(), now);
         const auto refutations = m_forwarder.onPeerHealthReport(report, now);
         const auto &zonePeers = m_sync.zonePeers();
-        const bool isFromOwnZone =
-                std::ranges::find(zonePeers, fromAsio(from)) != zonePeers.end();
+        const bool isFromOwnZone = std::ranges::find(zonePeers, fromAsio(from)) != zonePeers.end();
         forwardRestarts(m_forwarder.takeLearnedRestarts(), isFromOwnZone, now);
         if (!refutations.isEmpty()) {
             sendToPeer({ fromAsio(from), wire::encodePassiveHealth(refutations, now) });
@@ -423,10 +422,9 @@
 
 void FlowDaemon::startWatch(const WatchStore &watch)
 {
-    m_store.watch(watch.after, watch.wait,
-                  [this](const StoreAnswer &answer) {
-                      runGuarded("store_watch", [&] { onStoreAnswer("watch", answer); });
-                  });
+    m_store.watch(watch.after, watch.wait, [this](const StoreAnswer &answer) {
+        runGuarded("store_watch", [&] { onStoreAnswer("watch", answer); });
+    });
 }
 
 void FlowDaemon::startRegister(const RegisterMember &registration)
--- a/src/process/flowsettings.cpp
+++ b/src/process/flowsettings.cpp
@@ -18,8 +18,9 @@
     { "log", { "level" } },
 };
 
-// The fabric sends to an instance for up to 1 s after it reported that it is not ready, and the exit
-// of the process takes up to 600 ms. With a shorter grace time, callers' packets would be lost.
+// The fabric sends to an instance for up to 1 s after it reported that it is not ready, and the
+// exit of the process takes up to 600 ms. With a shorter grace time, callers' packets would be
+// lost.
 constexpr std::int64_t MinGraceMs = 1'700;
 constexpr std::int64_t MaxGraceMs = 600'000;
 // Far above the 60 s that a flow lasts at most on the users' platform.
--- a/src/tests/directorytest.cpp
+++ b/src/tests/directorytest.cpp
@@ -232,8 +232,8 @@
     LONGS_EQUAL(1, directory.apply(delta(13, 14, { draining }), now).size());
 }
 
-// An instance starts, reads the store and asks a peer as well. The answer of a peer that lags behind
-// arrives last and holds an upstream that has left meanwhile: it must not be in use again.
+// An instance starts, reads the store and asks a peer as well. The answer of a peer that lags
+// behind arrives last and holds an upstream that has left meanwhile: it must not be in use again.
 TEST(Directory, answerOfALaggingPeerBringsNoRemovedEntryBack)
 {
     directory.apply(complete(200, { upstream(1, 20) }), now);
--- a/src/tests/flowforwardertest.cpp
+++ b/src/tests/flowforwardertest.cpp
@@ -382,8 +382,8 @@
     CHECK(openingsOf(2) > 0);
 }
 
-// The path of this instance fails, or that to a zone, while the store confirms the directory. When it
-// works again, the upstreams behind it are not all cold: nothing would be left for new flows.
+// The path of this instance fails, or that to a zone, while the store confirms the directory. When
+// it works again, the upstreams behind it are not all cold: nothing would be left for new flows.
 TEST(FlowForwarder, silenceOfAPathIsNoRestart)
 {
     answer(2, 400);
@@ -406,8 +406,8 @@
 }
 
 // A zone is cut off from the store and from its upstreams. When the cut ends, its instances assumed
-// that all upstreams had restarted and rejected all openings until the store confirmed the directory
-// again 1 s later (days/cut-withdrawn-zone on kivisoe-orders).
+// that all upstreams had restarted and rejected all openings until the store confirmed the
+// directory again 1 s later (days/cut-withdrawn-zone on kivisoe-orders).
 TEST(FlowForwarder, pathThatFailedWithTheStoreNeedsOneConfirmation)
 {
     answer(2, 400);
@@ -420,8 +420,8 @@
     CHECK(openingsOf(2) > 0);
 }
 
-// An instance with a bad path reports upstreams as restarted. Instances that got responses meanwhile
-// ignore it while the store confirms the directory.
+// An instance with a bad path reports upstreams as restarted. Instances that got responses
+// meanwhile ignore it while the store confirms the directory.
 TEST(FlowForwarder, restartReportIsIgnoredWhereTheUpstreamResponded)
 {
     confirmFor(100ms);
--- a/src/tests/isolationdetectortest.cpp
+++ b/src/tests/isolationdetectortest.cpp
@@ -37,7 +37,10 @@
     connection::ZoneContact contact { now };
     std::vector<FlowPacket> unanswered;
 
-    static std::uint64_t zoneOf(std::uint64_t serial) { return serial / 100; }
+    static std::uint64_t zoneOf(std::uint64_t serial)
+    {
+        return serial / 100;
+    }
 
     void setup() override
     {
@@ -76,7 +79,10 @@
         forwarder.update(directory, directory.apply(delta, now), now);
     }
 
-    void withdrawOwnZone() { write({ change(version::WithdrawalRecord { OwnZone }) }); }
+    void withdrawOwnZone()
+    {
+        write({ change(version::WithdrawalRecord { OwnZone }) });
+    }
 
     bool isReachable(const connection::ForwardPacket &forward) const
     {
@@ -222,7 +228,8 @@
 }
 
 // At the beginning of a cut some callers still acknowledge responses that were under way. When each
-// of these refuted the verdicts of all instances of the zone, most of them came 2.4 s after the cut.
+// of these refuted the verdicts of all instances of the zone, most of them came 2.4 s after the
+// cut.
 TEST(IsolationDetector, responsesOfOtherInstancesDoNotDelayTheVerdict)
 {
     withdrawOwnZone();
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -52,8 +52,7 @@
 EntryKey keyOf(const UpstreamRecord &record)
 {
     const bool isNamedBySerial = record.entry == common::EntryId();
-    return { EntryKind::Upstream,
-             isNamedBySerial ? record.serial.value() : record.entry.value() };
+    return { EntryKind::Upstream, isNamedBySerial ? record.serial.value() : record.entry.value() };
 }
 
 EntryKey keyOf(const RulesRecord & /*record*/)
