--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -122,7 +122,6 @@
 
     /// Returns the observations since the last call, for the other instances of the zone.
     [[nodiscard]] PassiveHealthReport takeHealthReport(common::TimePoint now);
-    /// Applies the report of another instance and returns refutations of it, to be sent back.
     /// Returns the upstreams that this instance assumes to have restarted, for an instance that
     /// asks for the directory.
     [[nodiscard]] PassiveHealthReport restartReport(common::TimePoint now);
@@ -133,6 +132,7 @@
         return std::exchange(m_learnedRestarts, {});
     }
 
+    /// Applies the report of another instance and returns refutations of it, to be sent back.
     [[nodiscard]] PassiveHealthReport onPeerHealthReport(const PassiveHealthReport &report,
                                                          common::TimePoint now);
 
@@ -166,6 +166,7 @@
     /// Whether this instance got responses of other upstreams of the zone while the upstream was
     /// silent, so that the silence was not that of a path.
     [[nodiscard]] bool wasSilentAlone(const TrackedUpstream &upstream, common::TimePoint now);
+    /// Whether nothing that this instance knows contradicts the report of a restart.
     [[nodiscard]] bool isRestartPossible(const AssumedRestart &restart, common::TimePoint now);
     void recordRetransmission(TrackedUpstream &upstream, const FlowPacket &packet,
                               common::TimePoint now);
@@ -208,6 +209,7 @@
     /// When an upstream last responded after none had for a while.
     common::TimePoint m_silentUntil;
     PassiveHealthReport m_report;
+    /// Assumed restarts from reports of other instances, until takeLearnedRestarts().
     std::vector<AssumedRestart> m_learnedRestarts;
 
     struct Retransmission
