Apply deltas of the past but for entries that are known to be gone

Cause: deltas that end before the known revision were ignored as a whole. A read of all entries that changes of peers overtake was then repeated at once, and did not confirm the directory, so that a fleet whose entries change all the time could read the store again and again.

Ruled out: to go back to the former rule; removed entries came back.

Change: of a delta of the past only those entries are left out that this directory lacks and whose revision is before the removals that it knows: their lack shows that they were removed. Everything else applies as before, and a read is no longer repeated.

Figures: the two tests of removed entries that come back, and all others of Directory (14), DirectorySync (32) and OddEntry (6) pass.

--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -166,18 +166,15 @@
 void DirectorySync::onStoreUpdate(const StoreUpdate &update, TimePoint now, SyncActions &actions)
 {
     m_backoff = {};
+    m_needsFullRead = false;
     const auto revision = m_directory.revision();
-    // Changes of peers may overtake a read of all entries. The directory ignores it then, so that
-    // the read is repeated if it was needed.
-    const bool isObsolete = update.delta.to < revision;
-    m_needsFullRead = m_needsFullRead && isObsolete;
     const milliseconds transfer(update.bytes * 1'000 / UpdateBytesPerSecond);
     const bool hasChanges = update.delta.to > revision;
     m_nextStoreCall = now
             + (hasChanges ? std::clamp(transfer, MinBatchInterval, MaxBatchInterval)
                           : milliseconds());
     // An answer with an older revision does not confirm that the directory is current.
-    if (!isObsolete) {
+    if (update.delta.to >= revision) {
         m_confirmedAt = now;
     }
     applyDelta(update.delta, now, actions);
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -79,14 +79,19 @@
 std::vector<EntryKey> Directory::apply(const DirectoryDelta &delta, TimePoint now)
 {
     const bool hasGap = !delta.complete && (!isLoaded() || delta.from > m_revision);
-    // Entries that a delta of the past holds and this directory lacks may have been removed since.
-    const bool isObsolete = delta.to < m_revision;
-    if (hasGap || isObsolete) {
+    if (hasGap) {
         return {};
     }
+    // A delta of the past may hold entries that were removed since. Removals before this revision
+    // are not known, so that the lack of an entry is all that shows them.
+    const bool isPast = delta.to < m_revision;
+    const auto isKnownToBeGone = [&](const DirectoryChange &change) {
+        return isPast && change.revision <= m_removalsCompleteAfter
+                && !m_entries.contains(change.key);
+    };
     std::vector<EntryKey> changed;
     for (const auto &change : delta.changes) {
-        if (applyChange(change, now)) {
+        if (!isKnownToBeGone(change) && applyChange(change, now)) {
             changed.push_back(change.key);
         }
     }
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -192,9 +192,9 @@
 
     [[nodiscard]] const std::map<EntryKey, Entry> &entries() const { return m_entries; }
 
-    /// Applies a delta and returns the keys of the changed entries. A delta that ends before the
-    /// known revision is ignored, and so is one that starts after it, unless it is complete,
-    /// because the changes in between are unknown.
+    /// Applies a delta and returns the keys of the changed entries. A delta that starts after the
+    /// known revision is ignored unless it is complete, because the changes in between are unknown.
+    /// A delta that ends before the known revision brings no entry back that was removed meanwhile.
     std::vector<EntryKey> apply(const DirectoryDelta &delta, common::TimePoint now);
 
     /// Returns the changes after a revision, or a complete delta if some removals since then have
