Test that an overtaken read of all entries is not repeated

Cause: the repeated reads that ended had no test.

Ruled out: a test with the simulated fleet; its reads hold the entries at the time of the answer, so that nothing overtakes them (tried, it passed with the faulty code as well).

Change: DirectorySync.overtakenReadIsNotRepeated gives one instance the events in that order.

Conclusion: closed.

--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -1,4 +1,6 @@
 #include "benchmarks/syncfleet.h"
+#include "process/fragmentassembler.h"
+#include "wire/directorycodec.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -452,3 +454,31 @@
         LONGS_EQUAL(0, fleet->countIsolatedLeaders(common::ZoneId(zone)));
     }
 }
+
+// A read of all entries is overtaken by changes of a peer while entries change all the time. When
+// such a read was repeated at once, the calls of some instances never ended (hunt on the large
+// site, restarted-again, seed 19821001209).
+TEST(DirectorySync, overtakenReadIsNotRepeated)
+{
+    const version::MemberRecord self { { 0x0a000001, 7720 }, common::ZoneId(1), 1 };
+    const common::Endpoint peer { 0x0a000002, 7720 };
+    version::Directory directory;
+    process::DirectorySync sync({ .self = self }, directory);
+    const auto readsOf = [](const process::SyncActions &actions) {
+        return std::ranges::count_if(actions, [](const auto &action) {
+            return std::holds_alternative<process::ReadStore>(action);
+        });
+    };
+    const version::DirectoryChange own { version::keyOf(self), common::StoreRevision(150), self };
+    common::TimePoint now { 100s };
+    LONGS_EQUAL(1, readsOf(sync.onTick(now)));
+    const version::DirectoryDelta fromPeer { {}, common::StoreRevision(205), true, { own } };
+    for (const auto &message : process::cutIntoFragments(wire::encodeDelta(fromPeer), 1)) {
+        static_cast<void>(sync.onMessage(peer, message, now));
+    }
+    now += 10ms;
+    const version::DirectoryDelta read { {}, common::StoreRevision(200), true, { own } };
+    LONGS_EQUAL(0, readsOf(sync.onStoreAnswer(process::StoreUpdate { read, 0 }, now)));
+    LONGS_EQUAL(0, readsOf(sync.onTick(now + 100ms)));
+    CHECK_TRUE(sync.isWatching());
+}
