--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -463,7 +463,7 @@
     const version::MemberRecord self { { 0x0a000001, 7720 }, common::ZoneId(1), 1 };
     const common::Endpoint peer { 0x0a000002, 7720 };
     version::Directory directory;
-    process::DirectorySync sync({ .self = self }, directory);
+    process::DirectorySync sync({ .self = self, .seeds = {}, .seed = 0 }, directory);
     const auto readsOf = [](const process::SyncActions &actions) {
         return std::ranges::count_if(actions, [](const auto &action) {
             return std::holds_alternative<process::ReadStore>(action);
