Give the daemon's test an address of its own

Ruled out: a fault of the daemon; it reports the failed bind as it should. Load: the port was taken, nothing was late.

Change: the test binds fixed ports of a loopback address that depends on the process id, so that no other program shares it.

--- a/src/tests/flowdaemontest.cpp
+++ b/src/tests/flowdaemontest.cpp
@@ -3,6 +3,8 @@
 #include <CppUTest/TestHarness.h>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <unistd.h>
+
 #include <csignal>
 #include <functional>
 #include <stdexcept>
@@ -17,7 +19,12 @@
 
 const common::ServiceId Service { 1 };
 const common::ZoneId Zone { 1 };
-constexpr std::uint32_t Loopback = 0x7f000001;
+// An address of its own for each process, so that no other program uses its ports: 127.64.0.0 and
+// the lower bits of the process id.
+const std::uint32_t Loopback = 0x7f400000U | (static_cast<std::uint32_t>(::getpid()) & 0x3fffffU);
+constexpr std::uint16_t TrafficPort = 20'001;
+constexpr std::uint16_t PeerPort = 20'002;
+constexpr std::uint16_t AdminPort = 20'003;
 constexpr std::uint8_t OpeningByte = 'o';
 /// The first byte of packets whose handler throws.
 constexpr std::uint8_t ThrowingByte = 't';
@@ -90,16 +97,12 @@
 
     void setup() override
     {
-        const auto freeEndpoint = [&] {
-            udp::socket socket(context, udp::endpoint(boost::asio::ip::address_v4(Loopback), 0));
-            return endpointOf(socket);
-        };
         settings.name = "instance";
         settings.zone = "zone-a";
-        settings.trafficListen = freeEndpoint();
-        settings.peerListen = freeEndpoint();
+        settings.trafficListen = { Loopback, TrafficPort };
+        settings.peerListen = { Loopback, PeerPort };
         settings.peerAdvertised = settings.peerListen;
-        settings.adminListen = freeEndpoint();
+        settings.adminListen = { Loopback, AdminPort };
         settings.shutdownGrace = 2s;
         settings.logLevel = "error";
     }
