--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -82,8 +82,8 @@
 
     def _free_ports(self):
         """First of six ports that are free at the addresses which the world uses."""
-        hosts = ["127.0.0.2", "127.0.1.1", "127.0.1.2"]
-        hosts += [f"127.0.0.{last}" for last in (*range(11, 17), *range(101, 109))]
+        hosts = ["127.0.0.2", *(f"127.0.1.{last}" for last in range(1, 6))]
+        hosts += [f"127.0.0.{last}" for last in (*range(11, 20), *range(101, 110))]
         for base in range(20_000 + os.getpid() % 6_000 * 6, 60_000, 6):
             try:
                 for port, host in itertools.product(range(base, base + 6), hosts):
@@ -299,6 +299,7 @@
         self.world, self.ident, self.service, self.zone = world, ident, service, zone
         self.number = int(ident.removeprefix("i-"), 16)
         self.work_s, self.slots, self.queue_size = work_s, slots, queue
+        self.body_bytes = 0
         self.address = (f"127.0.0.{101 + number}", world.port + 4)
         self.entry = {"service": service, "address": "%s:%d" % self.address, "zone": zone, "version": "v1",
                       "slots": slots, "state": "ready", "cold_remaining_ms": 0, "seq": 1,
@@ -375,10 +376,13 @@
 
     def _receive_data(self, key, flow, packet):
         if packet.seq == flow["received"]:
-            if len(self.waiting) >= self.queue_size:
-                return
             flow["received"] += len(packet.data)
             flow["last"] = []
+            if len(self.waiting) >= self.queue_size:
+                text = (f"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Server-Stamp: {self.ident}\r\n"
+                        "Content-Length: 0\r\n\r\n")
+                self._answer(key, flow, text)
+                return
             self.waiting.append((key, packet))
             self.world.record("server", self.ident, "accepted", request_id(packet.data))
             self._work()
@@ -401,14 +405,21 @@
         self.busy -= 1
         flow = self.flows.get(key)
         if flow is not None:
-            body = f"{self.service} {self.ident} {request}"
+            body = f"{self.service} {self.ident} {request}".ljust(self.body_bytes)
             text = f"HTTP/1.1 200 OK\r\nX-Server-Stamp: {self.ident}\r\nContent-Length: {len(body)}\r\n\r\n{body}"
-            flags = ACK | (FIN if self.entry["state"] == "draining" else 0)
-            flow["last"] = [(flow["next"], flow["received"], flow["echo"], flags, text.encode())]
-            self._send(key, *flow["last"][0])
-            flow["next"] += len(text)
+            self._answer(key, flow, text)
         self._work()
 
+    def _answer(self, key, flow, text):
+        for first in range(0, len(text), 1200):
+            data = text[first:first + 1200].encode()
+            is_closing = self.entry["state"] == "draining" and first + 1200 >= len(text)
+            flags = ACK | FIN if is_closing else ACK
+            flow["last"].append((flow["next"], flow["received"], flow["echo"], flags, data))
+            flow["next"] += len(data)
+        for answer in flow["last"]:
+            self._send(key, *answer)
+
     def _send(self, key, seq, ack, echo, flags, data):
         src, sport, dst, dport = key
         packet = Packet(seq & 0xFFFFFFFF, ack & 0xFFFFFFFF, echo, 0, dport, dst, src, sport, flags, data)
@@ -493,7 +504,8 @@
                 flow["seq"] = (flow["seq"] + len(data)) & 0xFFFFFFFF
                 flow["ack"] = (flow["ack"] + len(packet.data)) & 0xFFFFFFFF
                 self._send(flow, ACK | FIN, b"")
-                return "ok", packet.data.decode().split("\r\n\r\n")[1]
+                head, _, body = packet.data.decode().partition("\r\n\r\n")
+                return ("ok" if " 200 " in head.split("\r\n")[0] else "503"), body
         return "unanswered", ""
 
     async def _open(self, flow, inbox, until):
