--- a/review/1/play.py
+++ b/review/1/play.py
@@ -14,11 +14,11 @@
 CONFIG_APPLY_S, CONTACT_S = 3.0, 4.0
 # Time between the versions of a series of configs, and number of routes without traffic.
 GAP_S, IDLE_ROUTES = 0.2, 350
-BENCH, OTHER = ("198.18.0.1", 8443), ("198.18.0.2", 8443)
+BENCH, OTHER = ("127.9.0.1", 8443), ("127.9.0.2", 8443)
 
 
 def routes(bench_service):
-    idle = [route(f"r-idle-{number}", (f"198.19.{number // 200}.{number % 200 + 1}", 8443), "certidao", "download")
+    idle = [route(f"r-idle-{number}", (f"127.8.{number // 200}.{number % 200 + 1}", 8443), "certidao", "download")
             for number in range(IDLE_ROUTES)]
     return [route("r-1", BENCH, bench_service, "unsafe"), route("r-2", OTHER, "certidao", "download"), *idle]
 
--- a/review/4/play.py
+++ b/review/4/play.py
@@ -11,7 +11,7 @@
 from world import MAX_LAG_S, Clients, Server, World, config, load, route  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-BENCH = ("198.18.0.1", 8443)
+BENCH = ("127.9.0.1", 8443)
 COLD_START_S, COLD_PER_S, COLD_OVER, COLD_SLACK = 2.0, 2.0, 1.5, 5
 SLOTS, WARM_WORK_S = 3, 0.05
 # Three slots at this duration bear COLD_PER_S requests a second.
