--- a/src/benchmarks/syncfleet.h
+++ b/src/benchmarks/syncfleet.h
@@ -80,13 +80,13 @@
         }
     }
 
-    /// Writes the next version of the contract to the store.
-    void changeRules()
+    /// Writes the next version of the contract to the store. All its routes lead to one service.
+    void changeRules(common::ServiceId service = common::ServiceId(1))
     {
         ++m_rulesVersion;
         version::RulesRecord rules { .version = m_rulesVersion };
         for (std::uint16_t port = 1; port <= routes; ++port) {
-            rules.routes.push_back({ { 0xc6120001, port }, { { common::ServiceId(1), 1 } }, true });
+            rules.routes.push_back({ { 0xc6120001, port }, { { service, 1 } }, true });
         }
         write({ version::keyOf(rules), {}, rules });
     }
@@ -221,6 +221,15 @@
         }));
     }
 
+    /// Number of instances whose directory does not hold the same entries as the store.
+    [[nodiscard]] std::size_t diverging() const
+    {
+        const auto expected = presentEntries(m_store);
+        return static_cast<std::size_t>(std::ranges::count_if(m_instances, [&](const auto &item) {
+            return presentEntries(item.second->directory.entries()) != expected;
+        }));
+    }
+
     /// Whether an instance has ever gone back to an older contract without a restart.
     [[nodiscard]] bool hasReverted() const { return m_hasReverted; }
 
@@ -295,17 +304,42 @@
     {
         change.revision = common::StoreRevision(++m_revision);
         m_store[change.key] = change;
+        m_history.push_back(std::move(change));
     }
 
-    [[nodiscard]] version::DirectoryDelta changesAfter(common::StoreRevision after) const
+    /// Entries of a directory or of the store that were not removed.
+    template<typename Entries>
+    [[nodiscard]] static std::map<version::EntryKey, version::DirectoryValue>
+    presentEntries(const Entries &entries)
     {
-        version::DirectoryDelta delta { after, common::StoreRevision(m_revision), false };
+        std::map<version::EntryKey, version::DirectoryValue> present;
+        for (const auto &[key, entry] : entries) {
+            if (!std::holds_alternative<version::RemovedRecord>(entry.value)) {
+                present.emplace(key, entry.value);
+            }
+        }
+        return present;
+    }
+
+    /// Answer to a read: all present entries.
+    [[nodiscard]] version::DirectoryDelta allEntries() const
+    {
+        version::DirectoryDelta delta { {}, common::StoreRevision(m_revision), true };
         for (const auto &[key, change] : m_store) {
-            if (change.revision > after) {
+            if (!std::holds_alternative<version::RemovedRecord>(change.value)) {
                 delta.changes.push_back(change);
             }
         }
-        delta.complete = after == common::StoreRevision();
+        return delta;
+    }
+
+    /// Answer to a watch: each change after a revision, in their order.
+    [[nodiscard]] version::DirectoryDelta changesAfter(common::StoreRevision after) const
+    {
+        version::DirectoryDelta delta { after, common::StoreRevision(m_revision), false };
+        const auto first =
+                std::ranges::upper_bound(m_history, after, {}, &version::DirectoryChange::revision);
+        delta.changes.assign(first, m_history.end());
         return delta;
     }
 
@@ -370,7 +404,8 @@
         }
         auto delta = watchesReceiveNoEvents && !call.isRead
                 ? version::DirectoryDelta { call.after, call.after, false }
-                : changesAfter(call.isRead ? common::StoreRevision() : call.after);
+                : call.isRead ? allEntries()
+                              : changesAfter(call.after);
         perform(instance,
                 instance.sync.onStoreAnswer(process::StoreUpdate { std::move(delta), answerBytes },
                                             m_now));
@@ -408,6 +443,7 @@
                                    deliver(instance, send);
                                },
                                [](const process::DirectoryChanged &) {},
+                               [](const process::DeltaRefused &) {},
                        },
                        action);
         }
@@ -464,7 +500,10 @@
 
     common::TimePoint m_now { std::chrono::seconds(100) };
     std::map<Endpoint, std::unique_ptr<Instance>> m_instances;
+    /// Last change of each entry, including removals.
     std::map<version::EntryKey, version::DirectoryChange> m_store;
+    /// All changes in their order.
+    std::vector<version::DirectoryChange> m_history;
     std::priority_queue<Message, std::vector<Message>, std::greater<>> m_inFlight;
     std::uint64_t m_revision = 0;
     std::uint64_t m_rulesVersion = 0;
--- a/src/common/reason.cpp
+++ b/src/common/reason.cpp
@@ -45,6 +45,8 @@
         return "replayed_message";
     case Reason::UnknownPeer:
         return "unknown_peer";
+    case Reason::InconsistentDelta:
+        return "inconsistent_delta";
     case Reason::RateLimit:
         return "rate_limit";
     case Reason::FairShare:
--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -364,9 +364,10 @@
     });
     std::ranges::shuffle(peers, m_random);
     const auto message = fetchMessage();
-    // While this instance has no directory, a peer answers with the whole directory. Several such
+    // While this instance needs all entries, a peer answers with the whole directory. Several such
     // answers at once would saturate a narrow link and delay each other.
-    const auto peerCount = m_directory.isLoaded() ? RandomFetchPeers : 1;
+    const bool needsAllEntries = !m_directory.isLoaded() || m_directory.needsAllEntries();
+    const auto peerCount = needsAllEntries ? 1 : RandomFetchPeers;
     peers.resize(std::min(peers.size(), peerCount));
     for (const auto peer : peers) {
         actions.push_back(SendDirectoryMessage { peer, message });
@@ -377,7 +378,11 @@
                                SyncActions &actions)
 {
     const auto before = m_directory.revision();
+    const bool neededAllEntries = m_directory.needsAllEntries();
     auto changed = m_directory.apply(delta, now);
+    if (m_directory.needsAllEntries() && !neededAllEntries) {
+        actions.push_back(DeltaRefused { delta.from, delta.to });
+    }
     if (before == StoreRevision() && m_directory.isLoaded()) {
         m_loadedAt = now;
     }
@@ -440,7 +445,8 @@
 DirectoryMessage DirectorySync::fetchMessage() const
 {
     DirectoryMessage message;
-    message.mutable_fetch()->set_since_revision(m_directory.revision().value());
+    const auto since = m_directory.needsAllEntries() ? StoreRevision() : m_directory.revision();
+    message.mutable_fetch()->set_since_revision(since.value());
     message.mutable_fetch()->set_zone(m_options.self.zone.value());
     return message;
 }
--- a/src/process/directorysync.h
+++ b/src/process/directorysync.h
@@ -55,8 +55,15 @@
     std::vector<version::EntryKey> keys;
 };
 
+/// The changes of a peer do not fit to the known entries, so that all entries are fetched.
+struct DeltaRefused
+{
+    common::StoreRevision from;
+    common::StoreRevision to;
+};
+
 using SyncAction = std::variant<ReadStore, WatchStore, RegisterMember, RemoveMember,
-                                SendDirectoryMessage, DirectoryChanged>;
+                                SendDirectoryMessage, DirectoryChanged, DeltaRefused>;
 using SyncActions = std::vector<SyncAction>;
 
 /// The store no longer holds the changes since the watched revision, so that the watch cannot
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -406,6 +406,7 @@
                            [this](const RemoveMember &removal) { startRemoval(removal); },
                            [this](const SendDirectoryMessage &send) { sendToPeer(send); },
                            [&](const DirectoryChanged &change) { onDirectoryChanged(change, now); },
+                           [this](const DeltaRefused &refused) { onDeltaRefused(refused); },
                    },
                    action);
     }
@@ -481,6 +482,15 @@
     }
 }
 
+void FlowDaemon::onDeltaRefused(const DeltaRefused &refused)
+{
+    m_metrics.countRefusal(common::Reason::InconsistentDelta);
+    LogEvent(LogLevel::Info, "delta_refused")
+            .with("revision", m_directory.revision().value())
+            .with("from", refused.from.value())
+            .with("to", refused.to.value());
+}
+
 connection::FleetPosition FlowDaemon::position() const
 {
     const auto self = instanceIdOf(m_settings.peerAdvertised);
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -75,6 +75,7 @@
     void startRemoval(const RemoveMember &removal);
     void onStoreAnswer(const char *call, const StoreAnswer &answer);
     void onDirectoryChanged(const DirectoryChanged &change, common::TimePoint now);
+    void onDeltaRefused(const DeltaRefused &refused);
     /// Sends the passive health observations of this instance to the other instances of the zone.
     void sendHealthReports(common::TimePoint now);
     [[nodiscard]] connection::FleetPosition position() const;
--- a/src/tests/directorycodectest.cpp
+++ b/src/tests/directorycodectest.cpp
@@ -25,6 +25,7 @@
     .routes = { { { 0xc6120001, 443 }, { { common::ServiceId(5), 90 } }, true } },
     .removedAddresses = { { 0xc6120002, 443 } },
     .services = { { common::ServiceId(5), 2s, 2.5, 4444 } },
+    .routesDigest = common::RoutesDigest(0x0123456789abcdef),
 };
 const version::WithdrawalRecord withdrawal { common::ZoneId(3) };
 const version::MemberRecord member { { 0x0a010001, 7720 }, common::ZoneId(3), 10 };
--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -482,3 +482,42 @@
     LONGS_EQUAL(0, readsOf(sync.onTick(now + 100ms)));
     CHECK_TRUE(sync.isWatching());
 }
+
+// Guards against an instance that sends new flows of a route to the service of an older contract.
+// It reads the store between two contracts, the second of which takes back what the first one
+// changed. The leader of its zone gets both contracts as one change, in which the route is as
+// before.
+TEST(DirectorySync, instanceThatStartsBetweenTwoContractsFollowsTheSecond)
+{
+    fleet->routes = 3;
+    fleet->changeRules(common::ServiceId(1));
+    fleet->run(1s);
+    for (const auto restarted : fleet->endpoints()) {
+        fleet->changeRules(common::ServiceId(1));
+        fleet->run(50ms);
+        fleet->changeRules(common::ServiceId(2));
+        fleet->restart(restarted);
+        fleet->run(100ms);
+        fleet->changeRules(common::ServiceId(1));
+        fleet->run(ChangeBound);
+        LONGS_EQUAL(0, fleet->diverging());
+    }
+}
+
+// Guards against a route that is still in use although the contract in force has dropped it: an
+// instance starts between the contract that adds the route and the one that drops it.
+TEST(DirectorySync, instanceThatStartsBetweenTwoContractsDropsARoute)
+{
+    for (const auto restarted : fleet->endpoints()) {
+        fleet->changeRules();
+        fleet->run(50ms);
+        fleet->routes = 1;
+        fleet->changeRules();
+        fleet->restart(restarted);
+        fleet->run(100ms);
+        fleet->routes = 0;
+        fleet->changeRules();
+        fleet->run(ChangeBound);
+        LONGS_EQUAL(0, fleet->diverging());
+    }
+}
--- a/src/tests/directorytest.cpp
+++ b/src/tests/directorytest.cpp
@@ -256,3 +256,33 @@
     directory.apply(complete(100, { upstream(1, 20), upstream(2, 30) }), now);
     CHECK_FALSE(holds(2));
 }
+
+// Guards against an instance that counts as current although its routes are those of a contract
+// that the sender of the changes never had.
+TEST(Directory, changesOfAnotherContractDoNotAdvanceTheRevision)
+{
+    const auto withService = [](std::uint64_t version, std::uint64_t revision,
+                                std::uint32_t service) {
+        const version::RulesRecord record {
+            .version = version,
+            .routes = { { { 1, 443 }, { { common::ServiceId(service), 1 } }, true } }
+        };
+        return DirectoryChange { version::keyOf(record), StoreRevision(revision), record };
+    };
+    Directory sender;
+    sender.apply(complete(10, { withService(1, 10, 1) }), now);
+    sender.apply(delta(10, 12, { withService(3, 12, 1) }), now);
+    Directory receiver;
+    receiver.apply(complete(11, { withService(2, 11, 2) }), now);
+
+    receiver.apply(sender.changesSince(StoreRevision(11), now), now);
+    LONGS_EQUAL(2, receiver.rules()->version);
+    LONGS_EQUAL(11, receiver.revision().value());
+    CHECK(receiver.needsAllEntries());
+
+    receiver.apply(sender.changesSince({}, now), now);
+    CHECK(receiver.rules()->routes == sender.rules()->routes);
+    LONGS_EQUAL(3, receiver.rules()->version);
+    LONGS_EQUAL(12, receiver.revision().value());
+    CHECK_FALSE(receiver.needsAllEntries());
+}
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -1,5 +1,7 @@
 #include "version/directory.h"
 
+#include "version/rulespatch.h"
+
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -90,11 +92,20 @@
                 && !m_entries.contains(change.key);
     };
     std::vector<EntryKey> changed;
+    bool isRefused = false;
     for (const auto &change : delta.changes) {
-        if (!isKnownToBeGone(change) && applyChange(change, now)) {
+        const auto outcome =
+                isKnownToBeGone(change) ? Outcome::Unchanged : applyChange(change, now);
+        isRefused = isRefused || outcome == Outcome::Refused;
+        if (outcome == Outcome::Changed) {
             changed.push_back(change.key);
         }
     }
+    if (isRefused) {
+        m_needsAllEntries = true;
+        return changed;
+    }
+    m_needsAllEntries = m_needsAllEntries && delta.to <= m_revision;
     if (delta.complete) {
         removeMissingEntries(delta, now, changed);
         if (!isLoaded()) {
@@ -140,53 +151,33 @@
     return members;
 }
 
-bool Directory::applyChange(const DirectoryChange &change, TimePoint now)
+Directory::Outcome Directory::applyChange(const DirectoryChange &change, TimePoint now)
 {
     auto &entry = m_entries[change.key];
     if (change.revision <= entry.revision) {
-        return false;
+        return Outcome::Unchanged;
     }
     if (isRedundantRecord(entry, change.value, now)) {
-        return false;
+        return Outcome::Unchanged;
     }
     auto value = change.value;
     if (const auto *patch = std::get_if<RulesPatch>(&value)) {
-        value = patchedRules(*patch);
+        auto patched = patchedRules(rules(), *patch);
+        if (!patched) {
+            return Outcome::Refused;
+        }
+        value.emplace<RulesRecord>(std::move(*patched));
     }
     if (const auto *newRules = std::get_if<RulesRecord>(&value)) {
         const auto *known = std::get_if<RulesRecord>(&entry.value);
         const auto previous = known == nullptr ? RulesRecord {} : *known;
         if (newRules->version < previous.version) {
-            return false;
+            return Outcome::Unchanged;
         }
         recordRouteChanges(previous, *newRules, change.revision, now);
     }
     entry = { change.revision, std::move(value), now };
-    return true;
-}
-
-RulesRecord Directory::patchedRules(const RulesPatch &patch) const
-{
-    std::map<common::Endpoint, RouteRecord> routes;
-    const auto setRoutes = [&](const auto &records) {
-        for (const auto &route : records) {
-            routes.insert_or_assign(route.address, route);
-        }
-    };
-    const auto *previous = rules();
-    if (previous != nullptr && !patch.complete) {
-        setRoutes(previous->routes);
-    }
-    for (const auto &address : patch.removedAddresses) {
-        routes.erase(address);
-    }
-    setRoutes(patch.routes);
-    RulesRecord record { .version = patch.version,
-                         .services = patch.services,
-                         .idleLimit = patch.idleLimit };
-    std::ranges::transform(routes, std::back_inserter(record.routes),
-                           [](const auto &item) { return item.second; });
-    return record;
+    return Outcome::Changed;
 }
 
 RulesPatch Directory::patchSince(StoreRevision since, bool complete) const
@@ -195,7 +186,8 @@
     RulesPatch patch { .version = record.version,
                        .idleLimit = record.idleLimit,
                        .complete = complete,
-                       .services = record.services };
+                       .services = record.services,
+                       .routesDigest = digestOf(record.routes) };
     const auto hasChanged = [&](const common::Endpoint &address) {
         return complete || m_routeChanges.at(address).revision > since;
     };
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -97,6 +97,8 @@
     std::vector<common::Endpoint> removedAddresses {};
     /// Always all services.
     std::vector<ServiceRecord> services {};
+    /// Digest of all routes of the later contract; empty in patches of older programs.
+    std::optional<common::RoutesDigest> routesDigest {};
 
     bool operator==(const RulesPatch &) const = default;
 };
@@ -190,10 +192,16 @@
 
     [[nodiscard]] bool isLoaded() const { return m_revision != common::StoreRevision(); }
 
+    /// Whether the last delta was refused because its changes do not fit to the known entries. Only
+    /// a complete delta, or one of another peer, leads to a later revision.
+    [[nodiscard]] bool needsAllEntries() const { return m_needsAllEntries; }
+
     [[nodiscard]] const std::map<EntryKey, Entry> &entries() const { return m_entries; }
 
     /// Applies a delta and returns the keys of the changed entries. A delta that starts after the
     /// known revision is ignored unless it is complete, because the changes in between are unknown.
+    /// A delta whose rules are changed from a contract that is not the known one does not advance
+    /// the revision, and needsAllEntries() returns true.
     /// A delta that ends before the known revision brings no entry back that was removed meanwhile.
     std::vector<EntryKey> apply(const DirectoryDelta &delta, common::TimePoint now);
 
@@ -206,8 +214,14 @@
     [[nodiscard]] std::vector<MemberRecord> members() const;
 
 private:
-    bool applyChange(const DirectoryChange &change, common::TimePoint now);
-    [[nodiscard]] RulesRecord patchedRules(const RulesPatch &patch) const;
+    enum class Outcome {
+        Unchanged,
+        Changed,
+        /// The change is a patch of other rules than the known ones.
+        Refused,
+    };
+
+    Outcome applyChange(const DirectoryChange &change, common::TimePoint now);
     [[nodiscard]] RulesPatch patchSince(common::StoreRevision since, bool complete) const;
     void recordRouteChanges(const RulesRecord &previous, const RulesRecord &rules,
                             common::StoreRevision revision, common::TimePoint now);
@@ -230,6 +244,7 @@
     /// Removals up to this revision may have expired, so that m_entries and m_routeChanges may lack
     /// them.
     common::StoreRevision m_removalsCompleteAfter;
+    bool m_needsAllEntries = false;
 };
 
 } // namespace banyanwall::version
--- a/src/wire/directorycodec.cpp
+++ b/src/wire/directorycodec.cpp
@@ -70,6 +70,9 @@
     }
     out.set_version(record.version);
     out.set_idle_limit_ms(toMilliseconds(record.idleLimit));
+    if (record.routesDigest) {
+        out.set_routes_digest(record.routesDigest->value());
+    }
     for (const auto &route : record.routes) {
         auto &entry = *out.add_routes();
         write(route.address, *entry.mutable_address());
@@ -103,6 +106,9 @@
     version::RulesPatch record { .version = in.version(),
                                  .idleLimit = fromMilliseconds(in.idle_limit_ms()),
                                  .complete = in.complete() };
+    if (in.has_routes_digest()) {
+        record.routesDigest = common::RoutesDigest(in.routes_digest());
+    }
     std::ranges::transform(in.removed_addresses(), std::back_inserter(record.removedAddresses),
                            [](const auto &address) { return read(address); });
     std::ranges::transform(in.routes(), std::back_inserter(record.routes),
