--- a/src/connection/openingpolicy.cpp
+++ b/src/connection/openingpolicy.cpp
@@ -75,7 +75,7 @@
         }
         if (!upstream->isRegistered) {
             m_expired.push_back(upstream);
-        } else if (!upstream->isCold(now) || mayOpenOnCold(*upstream, now)) {
+        } else if (isWithinColdLimit(*upstream, now)) {
             add(upstream);
         }
     }
@@ -83,7 +83,11 @@
     // have lost the store.
     const auto registered = m_candidates.healthy.size() + m_candidates.suspected.size();
     if (m_expired.size() > registered) {
-        std::ranges::for_each(m_expired, add);
+        for (auto *upstream : m_expired) {
+            if (isWithinColdLimit(*upstream, now)) {
+                add(upstream);
+            }
+        }
     }
 }
 
@@ -95,8 +99,11 @@
     return upstream.isRegistered || now - upstream.removedAt < ExpiryGracePeriod;
 }
 
-bool OpeningPolicy::mayOpenOnCold(const TrackedUpstream &upstream, TimePoint now)
+bool OpeningPolicy::isWithinColdLimit(const TrackedUpstream &upstream, TimePoint now)
 {
+    if (!upstream.isCold(now)) {
+        return true;
+    }
     const auto *rules = m_upstreams.serviceRules(upstream.record.service);
     return rules != nullptr
             && m_coldAdmission.admits(upstream.record.serial, rules->coldOpensPerSecond, now);
--- a/src/connection/openingpolicy.h
+++ b/src/connection/openingpolicy.h
@@ -51,7 +51,9 @@
 
     void collectCandidates(common::ServiceId service, common::TimePoint now);
     [[nodiscard]] bool mayTakeFlows(const TrackedUpstream &upstream, common::TimePoint now) const;
-    [[nodiscard]] bool mayOpenOnCold(const TrackedUpstream &upstream, common::TimePoint now);
+    /// Whether the upstream is warm, or this instance may open one more flow on it while it is
+    /// cold.
+    [[nodiscard]] bool isWithinColdLimit(const TrackedUpstream &upstream, common::TimePoint now);
     void recordOpening(TrackedUpstream &upstream, common::TimePoint now);
     [[nodiscard]] TrackedUpstream *highestRanked(const UpstreamTable::Group &group,
                                                  std::uint64_t flowHash,
--- a/src/tests/openingpolicytest.cpp
+++ b/src/tests/openingpolicytest.cpp
@@ -288,6 +288,38 @@
     LONGS_EQUAL(0, countOpenings(500).size());
 }
 
+// Guards against a full share of the flows for cold upstreams while their entries are missing: a
+// zone returns from a withdrawal after a store outage in which all entries have expired.
+TEST(OpeningPolicy, expiredEntriesOfAReturnedZoneAreCold)
+{
+    putRules(0.0);
+    putMany(1, 3);
+    putMany(11, 3, OtherZone);
+    withdraw(OtherZone, true);
+    for (const std::uint64_t serial : { 1, 2, 3, 11, 12, 13 }) {
+        remove(serial);
+    }
+    withdraw(OtherZone, false);
+    const auto openings = countOpenings(500);
+    LONGS_EQUAL(3, openings.size());
+    CHECK(std::ranges::all_of(openings, [](const auto &item) { return item.first < 10; }));
+}
+
+// Guards against openings on cold upstreams without an entry that do not count towards the limit.
+TEST(OpeningPolicy, expiredColdUpstreamsGetFlowsUpToTheirLimit)
+{
+    putRules(4.0);
+    for (std::uint64_t serial = 1; serial <= 3; ++serial) {
+        auto cold = upstream(serial);
+        cold.coldFor = 5s;
+        put(cold);
+        remove(serial);
+    }
+    const auto openings = countOpenings(500);
+    LONGS_EQUAL(3, openings.size());
+    CHECK(std::ranges::all_of(openings, [](const auto &item) { return item.second == 4; }));
+}
+
 // When a single entry is removed, its upstream has stopped. Only when most entries expire at once
 // do the upstreams still run.
 TEST(OpeningPolicy, singleRemovedUpstreamGetsNoFlows)
