--- a/src/benchmarks/syncfleet.h
+++ b/src/benchmarks/syncfleet.h
@@ -65,6 +65,16 @@
                              : version::DirectoryValue(version::RemovedRecord {}) });
     }
 
+    /// Withdraws a zone, or returns it.
+    void changeWithdrawal(common::ZoneId zone, bool isWithdrawn)
+    {
+        const version::WithdrawalRecord record { zone };
+        write({ version::keyOf(record),
+                {},
+                isWithdrawn ? version::DirectoryValue(record)
+                            : version::DirectoryValue(version::RemovedRecord {}) });
+    }
+
     /// The process of an instance exits and starts again with an empty directory.
     void restart(Endpoint endpoint)
     {
--- a/src/tests/directorycodectest.cpp
+++ b/src/tests/directorycodectest.cpp
@@ -36,7 +36,8 @@
            { version::keyOf(rules), StoreRevision(6), rules },
            { version::keyOf(withdrawal), StoreRevision(7), withdrawal },
            { version::keyOf(member), StoreRevision(8), member },
-           { { version::EntryKind::Upstream, 1 }, StoreRevision(9), version::RemovedRecord {} } } };
+           { { version::EntryKind::Upstream, 1 }, StoreRevision(9), version::RemovedRecord {} } },
+         true };
 }
 }
 ;
@@ -49,6 +50,7 @@
     const auto &delta = common::valueOf(decoded);
     CHECK(delta.changes == sample().changes);
     CHECK(delta.complete);
+    CHECK(delta.mayLackRemovals);
     LONGS_EQUAL(4, delta.from.value());
     LONGS_EQUAL(9, delta.to.value());
 }
--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -521,3 +521,24 @@
         LONGS_EQUAL(0, fleet->diverging());
     }
 }
+
+// Guards against upstreams and withdrawals that an instance keeps for ever. It reads the store
+// while they exist; the watching instance never sees them, because the store loses its history.
+TEST(DirectorySync, instanceThatStartsBeforeAFullReadForgetsRemovedEntries)
+{
+    for (const auto restarted : fleet->endpoints()) {
+        fleet->changeRules();
+        fleet->run(50ms);
+        fleet->historyIsLost = true;
+        fleet->changeUpstream(1, true);
+        fleet->changeWithdrawal(common::ZoneId(2), true);
+        fleet->restart(restarted);
+        fleet->run(100ms);
+        fleet->changeUpstream(1, false);
+        fleet->changeWithdrawal(common::ZoneId(2), false);
+        fleet->run(400ms);
+        fleet->historyIsLost = false;
+        fleet->run(ChangeBound);
+        LONGS_EQUAL(0, fleet->diverging());
+    }
+}
--- a/src/tests/directorytest.cpp
+++ b/src/tests/directorytest.cpp
@@ -47,12 +47,17 @@
         return { StoreRevision(from), StoreRevision(to), false, std::move(changes) };
     }
 
-    bool holds(std::uint64_t serial) const
+    static bool holds(const Directory &directory, std::uint64_t serial)
     {
         const auto found = directory.entries().find(upstream(serial, 0).key);
         return found != directory.entries().end()
                 && std::holds_alternative<UpstreamRecord>(found->second.value);
     }
+
+    bool holds(std::uint64_t serial) const
+    {
+        return holds(directory, serial);
+    }
 };
 
 // Guards against a peer with an older directory that brings back a former contract.
@@ -286,3 +291,62 @@
     LONGS_EQUAL(12, receiver.revision().value());
     CHECK_FALSE(receiver.needsAllEntries());
 }
+
+// Guards against a peer that keeps an entry which was created and removed before this instance read
+// all entries again: nothing here tells that the entry ever existed.
+TEST(Directory, peerForgetsAnEntryThatAFullReadSkipped)
+{
+    directory.apply(complete(10, { upstream(1, 3) }), now);
+    directory.apply(complete(20, { upstream(1, 3), upstream(4, 15) }), now);
+    Directory peer;
+    peer.apply(complete(14, { upstream(1, 3), upstream(2, 12) }), now);
+
+    peer.apply(directory.changesSince(StoreRevision(10), now), now);
+    LONGS_EQUAL(14, peer.revision().value());
+    CHECK(peer.needsAllEntries());
+
+    peer.apply(directory.changesSince(peer.revision(), now), now);
+    LONGS_EQUAL(20, peer.revision().value());
+    CHECK_FALSE(peer.needsAllEntries());
+    CHECK_FALSE(holds(peer, 2));
+    CHECK(holds(peer, 4));
+}
+
+// Guards against whole directories that are sent to all peers after each full read: a peer that
+// holds no entry that the read may have skipped gets changes only.
+TEST(Directory, fullReadLeadsToChangesForPeersThatWereCurrentBeforeIt)
+{
+    directory.apply(complete(10, { upstream(1, 3), upstream(2, 4) }), now);
+    Directory peer;
+    peer.apply(directory.changesSince({}, now), now);
+    Directory starting;
+    starting.apply(complete(15, { upstream(1, 3), upstream(4, 15) }), now);
+    directory.apply(complete(20, { upstream(1, 3), upstream(4, 15) }), now);
+
+    const auto changes = directory.changesSince(StoreRevision(10), now);
+    CHECK_FALSE(changes.complete);
+    for (auto *receiver : { &peer, &starting }) {
+        receiver->apply(changes, now);
+        LONGS_EQUAL(20, receiver->revision().value());
+        CHECK_FALSE(holds(*receiver, 2));
+        CHECK(holds(*receiver, 4));
+    }
+    CHECK_FALSE(directory.changesSince(StoreRevision(20), now).mayLackRemovals);
+}
+
+// Guards against an instance that passes changes on as if it knew all removals, although the
+// instance that it got them from did not.
+TEST(Directory, unknownRemovalsAreNotHiddenByAnInstanceInBetween)
+{
+    Directory leader;
+    leader.apply(complete(10, { upstream(1, 3) }), now);
+    directory.apply(complete(10, { upstream(1, 3) }), now);
+    directory.apply(complete(20, { upstream(1, 3) }), now);
+    leader.apply(directory.changesSince(StoreRevision(10), now), now);
+    LONGS_EQUAL(20, leader.revision().value());
+    Directory peer;
+    peer.apply(complete(14, { upstream(1, 3), upstream(2, 12) }), now);
+    peer.apply(leader.changesSince(StoreRevision(10), now), now);
+    CHECK(peer.needsAllEntries());
+    CHECK(leader.changesSince(StoreRevision(14), now).complete);
+}
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -91,8 +91,9 @@
         return isPast && change.revision <= m_removalsCompleteAfter
                 && !m_entries.contains(change.key);
     };
+    const bool isNewer = delta.to > m_revision;
     std::vector<EntryKey> changed;
-    bool isRefused = false;
+    bool isRefused = isNewer && delta.mayLackRemovals && holdsUnlistedEntries(delta);
     for (const auto &change : delta.changes) {
         const auto outcome =
                 isKnownToBeGone(change) ? Outcome::Unchanged : applyChange(change, now);
@@ -105,7 +106,10 @@
         m_needsAllEntries = true;
         return changed;
     }
-    m_needsAllEntries = m_needsAllEntries && delta.to <= m_revision;
+    m_needsAllEntries = m_needsAllEntries && !isNewer;
+    if (isLoaded() && isNewer && (delta.complete || delta.mayLackRemovals)) {
+        m_gaps.push_back({ m_revision, delta.to, now });
+    }
     if (delta.complete) {
         removeMissingEntries(delta, now, changed);
         if (!isLoaded()) {
@@ -120,7 +124,9 @@
 DirectoryDelta Directory::changesSince(StoreRevision since, TimePoint now) const
 {
     DirectoryDelta delta { .from = since, .to = m_revision };
-    delta.complete = since < m_removalsCompleteAfter || since == StoreRevision();
+    delta.complete = since < m_removalsCompleteAfter || since == StoreRevision() || isInGap(since);
+    delta.mayLackRemovals = !delta.complete
+            && std::ranges::any_of(m_gaps, [&](const auto &gap) { return since < gap.to; });
     for (const auto &[key, entry] : m_entries) {
         const bool isRemoved = std::holds_alternative<RemovedRecord>(entry.value);
         if (delta.complete ? !isRemoved : entry.revision > since) {
@@ -225,6 +231,24 @@
     }
 }
 
+bool Directory::holdsUnlistedEntries(const DirectoryDelta &delta) const
+{
+    std::set<EntryKey> listed;
+    std::ranges::transform(delta.changes, std::inserter(listed, listed.end()),
+                           &DirectoryChange::key);
+    return std::ranges::any_of(m_entries, [&](const auto &item) {
+        const auto &[key, entry] = item;
+        return entry.revision > delta.from && !listed.contains(key)
+                && !std::holds_alternative<RemovedRecord>(entry.value);
+    });
+}
+
+bool Directory::isInGap(StoreRevision revision) const
+{
+    return std::ranges::any_of(
+            m_gaps, [&](const auto &gap) { return gap.from < revision && revision < gap.to; });
+}
+
 void Directory::removeMissingEntries(const DirectoryDelta &delta, TimePoint now,
                                      std::vector<EntryKey> &changed)
 {
@@ -243,6 +267,13 @@
 
 void Directory::removeExpiredRemovals(TimePoint now)
 {
+    std::erase_if(m_gaps, [&](const auto &gap) {
+        const bool isExpired = now - gap.learnedAt > RemovalRetention;
+        if (isExpired) {
+            m_removalsCompleteAfter = std::max(m_removalsCompleteAfter, gap.to);
+        }
+        return isExpired;
+    });
     std::erase_if(m_routeChanges, [&](const auto &item) {
         const auto &change = item.second;
         const bool isExpired = change.isRemoved && now - change.receivedAt > RemovalRetention;
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -172,6 +172,9 @@
     /// changes holds all entries; all others were removed.
     bool complete = false;
     std::vector<DirectoryChange> changes {};
+    /// Entries that were created and removed between the two revisions may be unknown to the
+    /// sender, so that their removals are missing in changes.
+    bool mayLackRemovals = false;
 };
 
 /// Entries of the store that routing needs, each at its newest known revision. An entry never
@@ -200,8 +203,9 @@
 
     /// Applies a delta and returns the keys of the changed entries. A delta that starts after the
     /// known revision is ignored unless it is complete, because the changes in between are unknown.
-    /// A delta whose rules are changed from a contract that is not the known one does not advance
-    /// the revision, and needsAllEntries() returns true.
+    /// A delta whose rules are changed from a contract that is not the known one, or that may lack
+    /// the removal of a known entry, does not advance the revision, and needsAllEntries() returns
+    /// true.
     /// A delta that ends before the known revision brings no entry back that was removed meanwhile.
     std::vector<EntryKey> apply(const DirectoryDelta &delta, common::TimePoint now);
 
@@ -225,6 +229,9 @@
     [[nodiscard]] RulesPatch patchSince(common::StoreRevision since, bool complete) const;
     void recordRouteChanges(const RulesRecord &previous, const RulesRecord &rules,
                             common::StoreRevision revision, common::TimePoint now);
+    /// Whether an entry that is newer than the start of the delta is not listed in it.
+    [[nodiscard]] bool holdsUnlistedEntries(const DirectoryDelta &delta) const;
+    [[nodiscard]] bool isInGap(common::StoreRevision revision) const;
     void removeMissingEntries(const DirectoryDelta &delta, common::TimePoint now,
                               std::vector<EntryKey> &changed);
     void removeExpiredRemovals(common::TimePoint now);
@@ -244,6 +251,17 @@
     /// Removals up to this revision may have expired, so that m_entries and m_routeChanges may lack
     /// them.
     common::StoreRevision m_removalsCompleteAfter;
+
+    struct HistoryGap
+    {
+        common::StoreRevision from;
+        common::StoreRevision to;
+        common::TimePoint learnedAt;
+    };
+
+    /// Revisions between which entries may have been created and removed that were never known
+    /// here: those before and after a complete delta.
+    std::vector<HistoryGap> m_gaps;
     bool m_needsAllEntries = false;
 };
 
--- a/src/wire/directorycodec.cpp
+++ b/src/wire/directorycodec.cpp
@@ -206,6 +206,7 @@
     message.set_from_revision(delta.from.value());
     message.set_to_revision(delta.to.value());
     message.set_complete(delta.complete);
+    message.set_may_lack_removals(delta.mayLackRemovals);
     for (const auto &change : delta.changes) {
         auto &entry = *message.add_changes();
         entry.set_kind(static_cast<std::uint32_t>(change.key.kind));
@@ -224,7 +225,8 @@
     }
     version::DirectoryDelta delta { .from = common::StoreRevision(message.from_revision()),
                                     .to = common::StoreRevision(message.to_revision()),
-                                    .complete = message.complete() };
+                                    .complete = message.complete(),
+                                    .mayLackRemovals = message.may_lack_removals() };
     for (const auto &entry : message.changes()) {
         auto change = readChange(entry);
         if (!change) {
