--- a/src/tests/directorytest.cpp
+++ b/src/tests/directorytest.cpp
@@ -350,3 +350,18 @@
     CHECK(peer.needsAllEntries());
     CHECK(leader.changesSince(StoreRevision(14), now).complete);
 }
+
+// Guards against entries that a late answer brings back. They were created and removed before this
+// instance read all entries again, so that nothing but their absence shows the removal.
+TEST(Directory, lateAnswerBringsNoEntryBackThatAFullReadSkipped)
+{
+    directory.apply(complete(10, { upstream(1, 3), upstream(2, 4) }), now);
+    directory.apply(delta(10, 11, { removal(2, 11) }), now);
+    directory.apply(complete(20, { upstream(1, 3) }), now);
+    directory.apply(complete(15, { upstream(1, 3), upstream(3, 12) }), now);
+    CHECK_FALSE(holds(3));
+    // The former removal of this entry is known, the latter one is not.
+    directory.apply(delta(11, 15, { upstream(2, 13) }), now);
+    CHECK_FALSE(holds(2));
+    CHECK(holds(1));
+}
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -84,12 +84,12 @@
     if (hasGap) {
         return {};
     }
-    // A delta of the past may hold entries that were removed since. Removals before this revision
-    // are not known, so that the lack of an entry is all that shows them.
+    // A delta of the past may hold entries that were removed since. Where removals are not known,
+    // the lack of an entry is all that shows them.
     const bool isPast = delta.to < m_revision;
     const auto isKnownToBeGone = [&](const DirectoryChange &change) {
-        return isPast && change.revision <= m_removalsCompleteAfter
-                && !m_entries.contains(change.key);
+        return isPast && !isPresent(change.key)
+                && (change.revision <= m_removalsCompleteAfter || isInGap(change.revision));
     };
     const bool isNewer = delta.to > m_revision;
     std::vector<EntryKey> changed;
@@ -243,6 +243,12 @@
     });
 }
 
+bool Directory::isPresent(const EntryKey &key) const
+{
+    const auto found = m_entries.find(key);
+    return found != m_entries.end() && !std::holds_alternative<RemovedRecord>(found->second.value);
+}
+
 bool Directory::isInGap(StoreRevision revision) const
 {
     return std::ranges::any_of(
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -231,6 +231,8 @@
                             common::StoreRevision revision, common::TimePoint now);
     /// Whether an entry that is newer than the start of the delta is not listed in it.
     [[nodiscard]] bool holdsUnlistedEntries(const DirectoryDelta &delta) const;
+    /// Whether the entry exists and was not removed.
+    [[nodiscard]] bool isPresent(const EntryKey &key) const;
     [[nodiscard]] bool isInGap(common::StoreRevision revision) const;
     void removeMissingEntries(const DirectoryDelta &delta, common::TimePoint now,
                               std::vector<EntryKey> &changed);
