--- a/src/benchmarks/syncfleet.h
+++ b/src/benchmarks/syncfleet.h
@@ -346,7 +346,9 @@
     /// Answer to a watch: each change after a revision, in their order.
     [[nodiscard]] version::DirectoryDelta changesAfter(common::StoreRevision after) const
     {
-        version::DirectoryDelta delta { after, common::StoreRevision(m_revision), false };
+        version::DirectoryDelta delta { .from = after,
+                                        .to = common::StoreRevision(m_revision),
+                                        .holdsEachChange = true };
         const auto first =
                 std::ranges::upper_bound(m_history, after, {}, &version::DirectoryChange::revision);
         delta.changes.assign(first, m_history.end());
--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <random>
 
 using namespace banyanwall;
 using namespace std::chrono_literals;
@@ -542,3 +543,74 @@
         LONGS_EQUAL(0, fleet->diverging());
     }
 }
+
+// Guards against an instance that misses an upstream for ever. It reads the store while the entry
+// of the upstream is damaged; the leader of its zone gets the damage and the repair as one change,
+// in which the entry is as before.
+TEST(DirectorySync, instanceThatStartsWhileAnEntryIsDamagedGetsTheRepair)
+{
+    fleet->changeUpstream(1, true);
+    fleet->run(1s);
+    for (const auto restarted : fleet->endpoints()) {
+        fleet->changeRules();
+        fleet->run(50ms);
+        fleet->changeUpstream(1, false);
+        fleet->restart(restarted);
+        fleet->run(100ms);
+        fleet->changeUpstream(1, true);
+        fleet->run(ChangeBound);
+        LONGS_EQUAL(0, fleet->diverging());
+    }
+}
+
+// Guards against instances whose directories never agree with the store again. Contracts, upstreams
+// and withdrawals change and change back while instances restart, messages are lost, zones are cut
+// off, and the store is down or loses its history.
+TEST(DirectorySync, directoriesAgreeWithTheStoreAfterRandomFaults)
+{
+    for (std::uint32_t seed = 1; seed <= 200; ++seed) {
+        startFleet(3, 4);
+        std::mt19937 random(seed);
+        const auto below = [&](std::uint32_t limit) { return random() % limit; };
+        const auto endpoints = fleet->endpoints();
+        fleet->messageLoss = below(2) * 7;
+        for (int step = 0; step < 40; ++step) {
+            switch (below(8)) {
+            case 0:
+                fleet->routes = static_cast<std::uint16_t>(below(3));
+                fleet->changeRules(common::ServiceId(1 + below(2)));
+                break;
+            case 1:
+                fleet->changeUpstream(1 + below(4), below(2) == 0);
+                break;
+            case 2:
+                fleet->changeWithdrawal(common::ZoneId(1 + below(3)), below(2) == 0);
+                break;
+            case 3:
+                fleet->restart(endpoints[below(static_cast<std::uint32_t>(endpoints.size()))]);
+                break;
+            case 4:
+                fleet->historyIsLost = below(3) == 0;
+                break;
+            case 5:
+                fleet->storeIsDown = below(3) == 0;
+                break;
+            case 6:
+                fleet->cutZones.clear();
+                if (below(2) == 0) {
+                    const auto zone = 1 + below(2);
+                    fleet->cutZones = { { common::ZoneId(zone), common::ZoneId(zone + 1) } };
+                }
+                break;
+            default:
+                fleet->run(std::chrono::milliseconds(below(400)));
+            }
+            fleet->run(std::chrono::milliseconds(below(60)));
+        }
+        fleet->historyIsLost = false;
+        fleet->storeIsDown = false;
+        fleet->cutZones.clear();
+        fleet->run(2 * ChangeBound);
+        LONGS_EQUAL_TEXT(0, fleet->diverging(), StringFromFormat("seed %u", seed).asCharString());
+    }
+}
--- a/src/tests/directorytest.cpp
+++ b/src/tests/directorytest.cpp
@@ -41,12 +41,22 @@
         return { {}, StoreRevision(to), true, std::move(changes) };
     }
 
+    /// Changes that a peer sends.
     static DirectoryDelta delta(std::uint64_t from, std::uint64_t to,
                                 std::vector<DirectoryChange> changes)
     {
         return { StoreRevision(from), StoreRevision(to), false, std::move(changes) };
     }
 
+    /// Changes that the store returns to a watch.
+    static DirectoryDelta watched(std::uint64_t from, std::uint64_t to,
+                                  std::vector<DirectoryChange> changes)
+    {
+        auto watched = delta(from, to, std::move(changes));
+        watched.holdsEachChange = true;
+        return watched;
+    }
+
     static bool holds(const Directory &directory, std::uint64_t serial)
     {
         const auto found = directory.entries().find(upstream(serial, 0).key);
@@ -225,16 +235,16 @@
 {
     directory.apply(complete(10, { upstream(1, 10, 2s) }), now);
     now += 770ms;
-    LONGS_EQUAL(0, directory.apply(delta(10, 11, { upstream(1, 11, 1230ms) }), now).size());
+    LONGS_EQUAL(0, directory.apply(watched(10, 11, { upstream(1, 11, 1230ms) }), now).size());
     LONGS_EQUAL(11, directory.revision().value());
     LONGS_EQUAL(0, directory.changesSince(StoreRevision(10), now).changes.size());
     // Cold for longer than expected, as after a restart that was not observed.
-    LONGS_EQUAL(1, directory.apply(delta(11, 12, { upstream(1, 12, 2s) }), now).size());
+    LONGS_EQUAL(1, directory.apply(watched(11, 12, { upstream(1, 12, 2s) }), now).size());
     now += 5s;
-    LONGS_EQUAL(0, directory.apply(delta(12, 13, { upstream(1, 13) }), now).size());
+    LONGS_EQUAL(0, directory.apply(watched(12, 13, { upstream(1, 13) }), now).size());
     auto draining = upstream(1, 14);
     std::get<UpstreamRecord>(draining.value).draining = true;
-    LONGS_EQUAL(1, directory.apply(delta(13, 14, { draining }), now).size());
+    LONGS_EQUAL(1, directory.apply(watched(13, 14, { draining }), now).size());
 }
 
 // An instance starts, reads the store and asks a peer as well. The answer of a peer that lags
@@ -351,6 +361,18 @@
     CHECK(leader.changesSince(StoreRevision(14), now).complete);
 }
 
+// Guards against a peer that keeps the damaged state of an entry. This instance gets the damage and
+// the repair as one change, in which the entry is as before.
+TEST(Directory, peerGetsAnEntryThatChangedAndChangedBack)
+{
+    directory.apply(complete(10, { upstream(1, 3) }), now);
+    LONGS_EQUAL(0, directory.apply(delta(10, 14, { upstream(1, 14) }), now).size());
+    Directory peer;
+    peer.apply(complete(12, {}), now);
+    peer.apply(directory.changesSince(StoreRevision(12), now), now);
+    CHECK(holds(peer, 1));
+}
+
 // Guards against entries that a late answer brings back. They were created and removed before this
 // instance read all entries again, so that nothing but their absence shows the removal.
 TEST(Directory, lateAnswerBringsNoEntryBackThatAFullReadSkipped)
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -95,8 +95,9 @@
     std::vector<EntryKey> changed;
     bool isRefused = isNewer && delta.mayLackRemovals && holdsUnlistedEntries(delta);
     for (const auto &change : delta.changes) {
-        const auto outcome =
-                isKnownToBeGone(change) ? Outcome::Unchanged : applyChange(change, now);
+        const auto outcome = isKnownToBeGone(change)
+                ? Outcome::Unchanged
+                : applyChange(change, delta.holdsEachChange, now);
         isRefused = isRefused || outcome == Outcome::Refused;
         if (outcome == Outcome::Changed) {
             changed.push_back(change.key);
@@ -157,13 +158,18 @@
     return members;
 }
 
-Directory::Outcome Directory::applyChange(const DirectoryChange &change, TimePoint now)
+Directory::Outcome Directory::applyChange(const DirectoryChange &change, bool followsPrevious,
+                                          TimePoint now)
 {
     auto &entry = m_entries[change.key];
     if (change.revision <= entry.revision) {
         return Outcome::Unchanged;
     }
     if (isRedundantRecord(entry, change.value, now)) {
+        // The entry may have had another value in between, which other instances may hold.
+        if (!followsPrevious) {
+            entry.revision = change.revision;
+        }
         return Outcome::Unchanged;
     }
     auto value = change.value;
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -175,6 +175,9 @@
     /// Entries that were created and removed between the two revisions may be unknown to the
     /// sender, so that their removals are missing in changes.
     bool mayLackRemovals = false;
+    /// changes holds each change between the two revisions, and not only the last one of each
+    /// entry.
+    bool holdsEachChange = false;
 };
 
 /// Entries of the store that routing needs, each at its newest known revision. An entry never
@@ -225,7 +228,9 @@
         Refused,
     };
 
-    Outcome applyChange(const DirectoryChange &change, common::TimePoint now);
+    /// followsPrevious states that the entry has not changed between the known revision and the
+    /// change.
+    Outcome applyChange(const DirectoryChange &change, bool followsPrevious, common::TimePoint now);
     [[nodiscard]] RulesPatch patchSince(common::StoreRevision since, bool complete) const;
     void recordRouteChanges(const RulesRecord &previous, const RulesRecord &rules,
                             common::StoreRevision revision, common::TimePoint now);
