--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -289,7 +289,7 @@
     }
     known->record = *record;
     known->isRegistered = true;
-    known->coldUntil = std::max(known->coldUntil, now + record->coldFor);
+    known->coldUntil = std::max(known->coldUntil, coldUntilOf(*record, now));
     if (isNewIncarnation) {
         known->responseTime = {};
         known->health = makeHealth(record->serial);
@@ -330,7 +330,7 @@
     auto upstream = std::make_unique<TrackedUpstream>();
     upstream->record = record;
     upstream->token = tokenOf(record.serial);
-    upstream->coldUntil = now + record.coldFor;
+    upstream->coldUntil = coldUntilOf(record, now);
     upstream->health = makeHealth(record.serial);
     updateAssumedCold(*upstream);
     m_tokens[version::keyOf(record).id] = upstream->token;
@@ -345,19 +345,27 @@
         m_withdrawnAt.try_emplace(zone, now);
         return;
     }
-    const bool hasReturned = m_withdrawnAt.erase(zone) > 0;
-    if (!hasReturned) {
-        return;
-    }
-    // The records of these upstreams show only after a delay that the upstreams are cold.
+    // The withdrawal itself may be unknown here, when both changes arrived at the same time.
+    m_withdrawnAt.erase(zone);
+    m_returnedAt[zone] = now;
     for (auto &[token, upstream] : m_upstreams) {
-        const auto *rules = serviceRules(upstream->record.service);
-        if (upstream->record.zone == zone && rules != nullptr) {
-            upstream->coldUntil = std::max(upstream->coldUntil, now + rules->coldPeriod);
-        }
+        upstream->coldUntil = std::max(upstream->coldUntil, coldAfterReturnUntil(upstream->record));
     }
 }
 
+TimePoint UpstreamTable::coldUntilOf(const version::UpstreamRecord &record, TimePoint now) const
+{
+    return std::max(now + record.coldFor, coldAfterReturnUntil(record));
+}
+
+TimePoint UpstreamTable::coldAfterReturnUntil(const version::UpstreamRecord &record) const
+{
+    const auto returnedAt = m_returnedAt.find(record.zone);
+    const auto *rules = serviceRules(record.service);
+    const bool isKnown = returnedAt != m_returnedAt.end() && rules != nullptr;
+    return isKnown ? returnedAt->second + rules->coldPeriod : TimePoint();
+}
+
 void UpstreamTable::updateRules(const version::Directory &directory)
 {
     m_services.clear();
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -149,6 +149,14 @@
     void addUpstream(const version::UpstreamRecord &record, common::TimePoint now);
     void updateWithdrawal(const version::Directory::Entry &entry, common::ZoneId zone,
                           common::TimePoint now);
+    /// End of the cold period that a record received now shows, or that the return of its zone
+    /// starts, whichever is later.
+    [[nodiscard]] common::TimePoint coldUntilOf(const version::UpstreamRecord &record,
+                                                common::TimePoint now) const;
+    /// End of the cold period after the last return of the zone. Records show only after a delay
+    /// that the upstreams of a returned zone are cold.
+    [[nodiscard]] common::TimePoint
+    coldAfterReturnUntil(const version::UpstreamRecord &record) const;
     void updateRules(const version::Directory &directory);
     void removeFromGroup(const TrackedUpstream &upstream);
     /// Sets assumedColdUntil by the assumed restart of the upstream, if there is one.
@@ -160,6 +168,8 @@
     std::unordered_map<std::uint64_t, common::FlowToken> m_tokens;
     std::unordered_map<common::ServiceId, Group> m_groups;
     std::unordered_map<common::ZoneId, common::TimePoint> m_withdrawnAt;
+    /// When this instance last learned that the zone had returned from a withdrawal.
+    std::unordered_map<common::ZoneId, common::TimePoint> m_returnedAt;
     std::unordered_map<common::ZoneId, ZoneHealth> m_zoneHealth;
     bool m_hasPeers = false;
 
--- a/src/tests/openingpolicytest.cpp
+++ b/src/tests/openingpolicytest.cpp
@@ -205,6 +205,36 @@
     LONGS_EQUAL(6, countOpenings(300).size());
 }
 
+// Guards against a full share of the flows for the upstreams of a returned zone that this instance
+// learns of only after the return, for example because their entries had expired when it started.
+TEST(OpeningPolicy, upstreamThatIsAddedAfterTheReturnOfItsZoneIsCold)
+{
+    putRules(0.0);
+    putMany(1, 3);
+    withdraw(OtherZone, true);
+    withdraw(OtherZone, false);
+    now += 500ms;
+    putMany(11, 3, OtherZone);
+    CHECK(std::ranges::all_of(countOpenings(300),
+                              [](const auto &item) { return item.first < 10; }));
+    now += 1600ms;
+    LONGS_EQUAL(6, countOpenings(300).size());
+}
+
+// Guards against a full share of the flows for the cold upstreams of a zone whose withdrawal this
+// instance never saw, because it learned of the withdrawal and the return at the same time.
+TEST(OpeningPolicy, returnOfAZoneIsKnownWithoutItsWithdrawal)
+{
+    putRules(0.0);
+    putMany(1, 3);
+    putMany(11, 3, OtherZone);
+    withdraw(OtherZone, false);
+    CHECK(std::ranges::all_of(countOpenings(300),
+                              [](const auto &item) { return item.first < 10; }));
+    now += 2100ms;
+    LONGS_EQUAL(6, countOpenings(300).size());
+}
+
 TEST(OpeningPolicy, coldUpstreamGetsNoFlowsWhenItsLimitIsZero)
 {
     putRules(0.0);
