--- a/src/common/reason.h
+++ b/src/common/reason.h
@@ -45,7 +45,7 @@
     /// The sequence number was received before or is too old, or the sender has restarted since.
     ReplayedMessage,
     UnknownPeer,
-    /// The changes of a peer's directory do not fit to the entries that are known here.
+    /// The changes of a peer's directory do not fit the entries that are known here.
     InconsistentDelta,
     // Requests
     /// The customer sends more requests per second than the contract allows.
--- a/src/process/directorysync.h
+++ b/src/process/directorysync.h
@@ -55,7 +55,7 @@
     std::vector<version::EntryKey> keys;
 };
 
-/// The changes of a peer do not fit to the known entries, so that all entries are fetched.
+/// The changes of a peer do not fit the known entries, so that all entries are fetched.
 struct DeltaRefused
 {
     common::StoreRevision from;
--- a/src/tests/directorytest.cpp
+++ b/src/tests/directorytest.cpp
@@ -86,6 +86,10 @@
     directory.apply(complete(10, { rules(7, 9) }), now);
     directory.apply(delta(10, 11, { rules(5, 11) }), now);
     LONGS_EQUAL(7, directory.rules()->version);
+    const version::RulesPatch patch { .version = 6, .routesDigest = common::RoutesDigest(1) };
+    directory.apply(delta(11, 12, { { version::keyOf(patch), StoreRevision(12), patch } }), now);
+    LONGS_EQUAL(7, directory.rules()->version);
+    CHECK_FALSE(directory.needsAllEntries());
 }
 
 // Guards against entries that stay unknown: a delta before the first complete one, or one that
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -1,5 +1,6 @@
 #include "version/directory.h"
 
+#include "common/result.h"
 #include "version/rulespatch.h"
 
 #include <algorithm>
@@ -32,6 +33,18 @@
     return value;
 }
 
+/// Version of the contract; empty if the value holds no rules.
+std::optional<std::uint64_t> contractVersionOf(const DirectoryValue &value)
+{
+    using Version = std::optional<std::uint64_t>;
+    return std::visit(common::Overloaded {
+                              [](const RulesRecord &rules) { return Version(rules.version); },
+                              [](const RulesPatch &patch) { return Version(patch.version); },
+                              [](const auto & /*other*/) { return Version(); },
+                      },
+                      value);
+}
+
 /// Returns true if the record of an upstream changes only its cold time, and that time is no longer
 /// than the earlier record implies. A cold upstream writes its remaining cold time each time that
 /// it renews its entry in the store.
@@ -172,21 +185,22 @@
         }
         return Outcome::Unchanged;
     }
+    const auto *known = std::get_if<RulesRecord>(&entry.value);
+    const auto version = contractVersionOf(change.value);
+    if (known != nullptr && version && *version < known->version) {
+        return Outcome::Unchanged;
+    }
     auto value = change.value;
     if (const auto *patch = std::get_if<RulesPatch>(&value)) {
-        auto patched = patchedRules(rules(), *patch);
+        auto patched = patchedRules(known, *patch);
         if (!patched) {
             return Outcome::Refused;
         }
         value.emplace<RulesRecord>(std::move(*patched));
     }
     if (const auto *newRules = std::get_if<RulesRecord>(&value)) {
-        const auto *known = std::get_if<RulesRecord>(&entry.value);
-        const auto previous = known == nullptr ? RulesRecord {} : *known;
-        if (newRules->version < previous.version) {
-            return Outcome::Unchanged;
-        }
-        recordRouteChanges(previous, *newRules, change.revision, now);
+        recordRouteChanges(known == nullptr ? RulesRecord {} : *known, *newRules, change.revision,
+                           now);
     }
     entry = { change.revision, std::move(value), now };
     return Outcome::Changed;
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -198,7 +198,7 @@
 
     [[nodiscard]] bool isLoaded() const { return m_revision != common::StoreRevision(); }
 
-    /// Whether the last delta was refused because its changes do not fit to the known entries. Only
+    /// Whether the last delta was refused because its changes do not fit the known entries. Only
     /// a complete delta, or one of another peer, leads to a later revision.
     [[nodiscard]] bool needsAllEntries() const { return m_needsAllEntries; }
 
