--- a/src/connection/openingpolicy.cpp
+++ b/src/connection/openingpolicy.cpp
@@ -65,6 +65,9 @@
     m_candidates.suspected.clear();
     m_expired.clear();
     const auto add = [&](TrackedUpstream *upstream) {
+        if (!isWithinColdLimit(*upstream, now)) {
+            return;
+        }
         const bool isHealthy = !upstream->isOutlier && upstream->health.mayOpenFlow(now)
                 && m_upstreams.zoneHealth(upstream->record.zone).mayOpenFlow(now);
         (isHealthy ? m_candidates.healthy : m_candidates.suspected).push_back(upstream);
@@ -75,7 +78,7 @@
         }
         if (!upstream->isRegistered) {
             m_expired.push_back(upstream);
-        } else if (isWithinColdLimit(*upstream, now)) {
+        } else {
             add(upstream);
         }
     }
@@ -83,11 +86,7 @@
     // have lost the store.
     const auto registered = m_candidates.healthy.size() + m_candidates.suspected.size();
     if (m_expired.size() > registered) {
-        for (auto *upstream : m_expired) {
-            if (isWithinColdLimit(*upstream, now)) {
-                add(upstream);
-            }
-        }
+        std::ranges::for_each(m_expired, add);
     }
 }
 
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -33,6 +33,13 @@
     return value;
 }
 
+std::set<EntryKey> keysOf(const DirectoryDelta &delta)
+{
+    std::set<EntryKey> keys;
+    std::ranges::transform(delta.changes, std::inserter(keys, keys.end()), &DirectoryChange::key);
+    return keys;
+}
+
 /// Version of the contract; empty if the value holds no rules.
 std::optional<std::uint64_t> contractVersionOf(const DirectoryValue &value)
 {
@@ -93,8 +100,8 @@
 
 std::vector<EntryKey> Directory::apply(const DirectoryDelta &delta, TimePoint now)
 {
-    const bool hasGap = !delta.complete && (!isLoaded() || delta.from > m_revision);
-    if (hasGap) {
+    const bool startsTooLate = !delta.complete && (!isLoaded() || delta.from > m_revision);
+    if (startsTooLate) {
         return {};
     }
     // A delta of the past may hold entries that were removed since. Where removals are not known,
@@ -108,9 +115,8 @@
     std::vector<EntryKey> changed;
     bool isRefused = isNewer && delta.mayLackRemovals && holdsUnlistedEntries(delta);
     for (const auto &change : delta.changes) {
-        const auto outcome = isKnownToBeGone(change)
-                ? Outcome::Unchanged
-                : applyChange(change, delta.holdsEachChange, now);
+        const auto outcome =
+                isKnownToBeGone(change) ? Outcome::Unchanged : applyChange(delta, change, now);
         isRefused = isRefused || outcome == Outcome::Refused;
         if (outcome == Outcome::Changed) {
             changed.push_back(change.key);
@@ -171,8 +177,8 @@
     return members;
 }
 
-Directory::Outcome Directory::applyChange(const DirectoryChange &change, bool followsPrevious,
-                                          TimePoint now)
+Directory::Outcome Directory::applyChange(const DirectoryDelta &delta,
+                                          const DirectoryChange &change, TimePoint now)
 {
     auto &entry = m_entries[change.key];
     if (change.revision <= entry.revision) {
@@ -180,7 +186,7 @@
     }
     if (isRedundantRecord(entry, change.value, now)) {
         // The entry may have had another value in between, which other instances may hold.
-        if (!followsPrevious) {
+        if (!delta.holdsEachChange) {
             entry.revision = change.revision;
         }
         return Outcome::Unchanged;
@@ -253,9 +259,7 @@
 
 bool Directory::holdsUnlistedEntries(const DirectoryDelta &delta) const
 {
-    std::set<EntryKey> listed;
-    std::ranges::transform(delta.changes, std::inserter(listed, listed.end()),
-                           &DirectoryChange::key);
+    const auto listed = keysOf(delta);
     return std::ranges::any_of(m_entries, [&](const auto &item) {
         const auto &[key, entry] = item;
         return entry.revision > delta.from && !listed.contains(key)
@@ -278,9 +282,7 @@
 void Directory::removeMissingEntries(const DirectoryDelta &delta, TimePoint now,
                                      std::vector<EntryKey> &changed)
 {
-    std::set<EntryKey> listed;
-    std::ranges::transform(delta.changes, std::inserter(listed, listed.end()),
-                           &DirectoryChange::key);
+    const auto listed = keysOf(delta);
     for (auto &[key, entry] : m_entries) {
         const bool isMissing = !std::holds_alternative<RemovedRecord>(entry.value)
                 && !listed.contains(key) && entry.revision <= delta.to;
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -228,9 +228,8 @@
         Refused,
     };
 
-    /// followsPrevious states that the entry has not changed between the known revision and the
-    /// change.
-    Outcome applyChange(const DirectoryChange &change, bool followsPrevious, common::TimePoint now);
+    Outcome applyChange(const DirectoryDelta &delta, const DirectoryChange &change,
+                        common::TimePoint now);
     [[nodiscard]] RulesPatch patchSince(common::StoreRevision since, bool complete) const;
     void recordRouteChanges(const RulesRecord &previous, const RulesRecord &rules,
                             common::StoreRevision revision, common::TimePoint now);
@@ -266,8 +265,8 @@
         common::TimePoint learnedAt;
     };
 
-    /// Revisions between which entries may have been created and removed that were never known
-    /// here: those before and after a complete delta.
+    /// Gaps of the last minute. Entries may have been created and removed in one without ever being
+    /// known here.
     std::vector<HistoryGap> m_gaps;
     bool m_needsAllEntries = false;
 };
