--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -52,6 +52,18 @@
                       value);
 }
 
+/// Returns the rules to which a patch leads, and any other value as it is. Empty if the patch does
+/// not fit the known rules.
+std::optional<DirectoryValue> patchedValue(const RulesRecord *known, const DirectoryValue &value)
+{
+    const auto *patch = std::get_if<RulesPatch>(&value);
+    if (patch == nullptr) {
+        return value;
+    }
+    auto patched = patchedRules(known, *patch);
+    return patched ? std::optional<DirectoryValue>(std::move(*patched)) : std::nullopt;
+}
+
 /// Returns true if the record of an upstream changes only its cold time, and that time is no longer
 /// than the earlier record implies. A cold upstream writes its remaining cold time each time that
 /// it renews its entry in the store.
@@ -196,19 +208,15 @@
     if (known != nullptr && version && *version < known->version) {
         return Outcome::Unchanged;
     }
-    auto value = change.value;
-    if (const auto *patch = std::get_if<RulesPatch>(&value)) {
-        auto patched = patchedRules(known, *patch);
-        if (!patched) {
-            return Outcome::Refused;
-        }
-        value.emplace<RulesRecord>(std::move(*patched));
+    auto value = patchedValue(known, change.value);
+    if (!value) {
+        return Outcome::Refused;
     }
-    if (const auto *newRules = std::get_if<RulesRecord>(&value)) {
+    if (const auto *newRules = std::get_if<RulesRecord>(&*value)) {
         recordRouteChanges(known == nullptr ? RulesRecord {} : *known, *newRules, change.revision,
                            now);
     }
-    entry = { change.revision, std::move(value), now };
+    entry = { change.revision, std::move(*value), now };
     return Outcome::Changed;
 }
 
