Carry route terms, store eras and load reports between instances

Cause: priority, response aim and time budget of a route were dropped when the contract was decoded, so that no decision could follow from them; messages had no place for the store's era or for observed load. Ruled out: a separate entry for the terms (two entries of one contract would be in force at different times); refusing a contract with an unusable term (the operator's contract is in force once the store has accepted it). No decision uses them yet.

--- a/src/common/ids.h
+++ b/src/common/ids.h
@@ -48,6 +48,9 @@
 using FlowToken = StrongType<struct FlowTokenTag, std::uint32_t>;
 /// Position in the store's sequence of changes; zero means none.
 using StoreRevision = StrongType<struct StoreRevisionTag, std::uint64_t>;
+/// Period in which the store's revisions only grow. A store that comes back from an older copy
+/// starts a new era and gives revisions out again; zero means that the store names no era.
+using StoreEra = StrongType<struct StoreEraTag, std::uint64_t>;
 /// Hash of all routes of a contract.
 using RoutesDigest = StrongType<struct RoutesDigestTag, std::uint64_t>;
 /// An entry of the platform's store: the hash of its key.
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -4,6 +4,7 @@
 #include "common/time.h"
 #include "connection/responsetimeestimator.h"
 #include "connection/upstreamhealth.h"
+#include "connection/upstreamload.h"
 #include "connection/zonehealth.h"
 #include "version/directory.h"
 
@@ -56,6 +57,7 @@
     bool isOutlier = false;
     UpstreamHealth health;
     ResponseTimeEstimator responseTime;
+    UpstreamLoad load;
 
     [[nodiscard]] bool isCold(common::TimePoint now) const
     {
--- a/src/tests/directorycodectest.cpp
+++ b/src/tests/directorycodectest.cpp
@@ -22,7 +22,7 @@
 const version::RulesPatch rules {
     .version = 7,
     .idleLimit = 15s,
-    .routes = { { { 0xc6120001, 443 }, { { common::ServiceId(5), 90 } }, true } },
+    .routes = { { { 0xc6120001, 443 }, { { common::ServiceId(5), 90 } }, true, { 0, 400ms, 2s } } },
     .removedAddresses = { { 0xc6120002, 443 } },
     .services = { { common::ServiceId(5), 2s, 2.5, 4444 } },
     .routesDigest = common::RoutesDigest(0x0123456789abcdef),
--- a/src/tests/rulespatchtest.cpp
+++ b/src/tests/rulespatchtest.cpp
@@ -45,9 +45,15 @@
     repeatable.repeatable = true;
     auto otherAddress = route(1);
     otherAddress.address.address = 0xc6120002;
+    auto priority = route(1);
+    priority.terms.priority = 0;
+    auto responseAim = route(1);
+    responseAim.terms.responseAim = std::chrono::milliseconds(400);
+    auto timeBudget = route(1);
+    timeBudget.terms.timeBudget = std::chrono::milliseconds(400);
     const auto digest = version::digestOf({ route(1) });
-    for (const auto &other :
-         { otherWeight, twoServices, repeatable, otherAddress, route(2), route(1, 2) }) {
+    for (const auto &other : { otherWeight, twoServices, repeatable, otherAddress, priority,
+                               responseAim, timeBudget, route(2), route(1, 2) }) {
         CHECK_FALSE(version::digestOf({ other }) == digest);
     }
     CHECK_FALSE(version::digestOf({ route(1), route(2) }) == digest);
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -46,6 +46,20 @@
     bool operator==(const ServiceShare &) const = default;
 };
 
+/// What the contract promises to the callers of a route. A term that the contract does not name, or
+/// names with an unusable value, is empty; the decisions that need it are then not made.
+struct RouteTerms
+{
+    /// Rank of the requests when room is short; 0 is served first.
+    std::optional<std::uint32_t> priority {};
+    /// Time from the request to its answer that callers expect.
+    std::optional<common::Duration> responseAim {};
+    /// Time from the request until its caller gives up.
+    std::optional<common::Duration> timeBudget {};
+
+    bool operator==(const RouteTerms &) const = default;
+};
+
 /// Where new flows to one address of the fabric go.
 struct RouteRecord
 {
@@ -53,6 +67,7 @@
     std::vector<ServiceShare> shares {};
     /// Callers may send their requests again after any failure.
     bool repeatable = false;
+    RouteTerms terms {};
 
     bool operator==(const RouteRecord &) const = default;
 };
--- a/src/version/rulespatch.cpp
+++ b/src/version/rulespatch.cpp
@@ -22,11 +22,25 @@
             records, [&](const auto &route) { routes.insert_or_assign(route.address, route); });
 }
 
+/// Zero for a contract without terms, so that its digest is the same for programs that know none.
+std::uint64_t hashOf(const RouteTerms &terms)
+{
+    if (terms == RouteTerms {}) {
+        return 0;
+    }
+    const auto hashOfTime = [](const std::optional<common::Duration> &time) {
+        return time ? static_cast<std::uint64_t>(time->count()) + 1 : 0;
+    };
+    const auto priority = terms.priority ? std::uint64_t { *terms.priority } + 1 : 0;
+    return hashPair(hashPair(priority, hashOfTime(terms.responseAim)),
+                    hashOfTime(terms.timeBudget));
+}
+
 std::uint64_t hashOf(const RouteRecord &route)
 {
     const auto address = hashPair(route.address.address, route.address.port);
     return std::accumulate(route.shares.begin(), route.shares.end(),
-                           hashPair(address, route.repeatable ? 1 : 0),
+                           hashPair(address, route.repeatable ? 1 : 0) ^ hashOf(route.terms),
                            [](std::uint64_t hash, const ServiceShare &share) {
                                return hashPair(hash, hashPair(share.service.value(), share.weight));
                            });
--- a/src/wire/directorycodec.cpp
+++ b/src/wire/directorycodec.cpp
@@ -62,6 +62,25 @@
              .createdAt = common::StoreRevision(in.created_revision()) };
 }
 
+void write(const version::RouteTerms &terms, proto::RouteEntry &out)
+{
+    if (terms.priority) {
+        out.set_priority(*terms.priority);
+    }
+    out.set_response_aim_ms(toMilliseconds(terms.responseAim.value_or(Duration {})));
+    out.set_time_budget_ms(toMilliseconds(terms.timeBudget.value_or(Duration {})));
+}
+
+version::RouteTerms readTerms(const proto::RouteEntry &in)
+{
+    const auto timeOf = [](std::uint32_t milliseconds) {
+        return milliseconds == 0 ? std::nullopt : std::optional(fromMilliseconds(milliseconds));
+    };
+    return { .priority = in.has_priority() ? std::optional(in.priority()) : std::nullopt,
+             .responseAim = timeOf(in.response_aim_ms()),
+             .timeBudget = timeOf(in.time_budget_ms()) };
+}
+
 void write(const version::RulesPatch &record, proto::RulesEntry &out)
 {
     out.set_complete(record.complete);
@@ -77,6 +96,7 @@
         auto &entry = *out.add_routes();
         write(route.address, *entry.mutable_address());
         entry.set_repeatable(route.repeatable);
+        write(route.terms, entry);
         for (const auto &share : route.shares) {
             auto &part = *entry.add_shares();
             part.set_service(share.service.value());
@@ -94,7 +114,9 @@
 
 version::RouteRecord read(const proto::RouteEntry &in)
 {
-    version::RouteRecord route { .address = read(in.address()), .repeatable = in.repeatable() };
+    version::RouteRecord route { .address = read(in.address()),
+                                 .repeatable = in.repeatable(),
+                                 .terms = readTerms(in) };
     std::ranges::transform(in.shares(), std::back_inserter(route.shares), [](const auto &share) {
         return version::ServiceShare { common::ServiceId(share.service()), share.weight() };
     });
