--- a/src/connection/upstreamtable.cpp
+++ b/src/connection/upstreamtable.cpp
@@ -3,6 +3,7 @@
 #include "common/hash.h"
 
 #include <algorithm>
+#include <tuple>
 #include <unordered_set>
 
 namespace banyanwall::connection {
@@ -314,8 +315,10 @@
         return true;
     }
     // All instances have to agree on one entry, in whatever order they learn of both.
+    // The entry of a former start is older, whenever it was created.
     const auto rank = [](const version::UpstreamRecord &upstream) {
-        return std::pair(upstream.createdAt, upstream.entry);
+        return std::tuple(UINT64_MAX - upstream.incarnation.value(), upstream.createdAt,
+                          upstream.entry);
     };
     const bool isOtherEntry = known.record.entry != record.entry;
     if (!isOtherEntry || (known.isRegistered && rank(record) < rank(known.record))) {
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -145,7 +145,8 @@
                         common::TimePoint now);
     void removeUpstream(const version::EntryKey &key, common::TimePoint now);
     /// Whether the record is to be ignored because the upstream has the same token or serial. Of
-    /// two entries with the same serial, the one that was created first counts.
+    /// two entries with the same serial, the one of the later start counts, then the one that was
+    /// created first.
     [[nodiscard]] bool isDuplicate(const TrackedUpstream &known,
                                    const version::UpstreamRecord &record);
     void addUpstream(const version::UpstreamRecord &record, common::TimePoint now);
