Keep new flows in the zone of their callers while it has room

Cause: flows were hashed over the upstreams of all zones, so that three of four long flows crossed zones and a cut of one zone ended them; a slow upstream got as many flows as a fast one until it was 1.5 times slower. Ruled out: always preferring the own zone (one upstream of 18 would get the flows of a third of the callers); a switch at a threshold (swings, because the figures are seconds old); shares that instances agree on by messages (each can compute the same share from the same picture). Change: for routes with a response aim, ZoneRoom divides the openings of a zone by a hash of the flow that is independent of the ranking: all stay below the utilization at which 95 % wait for less than half of the aim, and beyond that the share falls in proportion, never below the zone's share of the room. Until a demand is known, zones count as bringing equal demand. Within the part that is chosen, weighted rendezvous hashing; with equal weights the former order. Without an aim the choice is the former one. The load is not filled yet, so that all upstreams count as usual, and no demand is set. Not run: other tests, benchmarks.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -132,8 +132,14 @@
         return DropPacket { Reason::UnknownService };
     }
     const auto hash = flowHashOf(packet);
-    auto *upstream = m_policy.choose(serviceOf(*route, hash), hash, packet.acknowledgement,
-                                     observation.upstream, now);
+    const bool isByContract = m_options.choice == UpstreamChoice::ByContract;
+    const Opening opening { .service = serviceOf(*route, hash),
+                            .flowHash = hash,
+                            .retransmissions = packet.acknowledgement,
+                            .avoidedToken = observation.upstream,
+                            .responseAim = isByContract ? route->record.terms.responseAim
+                                                        : std::nullopt };
+    auto *upstream = m_policy.choose(opening, now);
     if (upstream == nullptr) {
         return ResetFlow { Reason::NoUpstream };
     }
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -69,6 +69,14 @@
     }
 };
 
+/// How the upstream of a new flow is chosen.
+enum class UpstreamChoice {
+    /// By load where the contract names a response aim for the route, otherwise by hash.
+    ByContract,
+    /// By hash for all routes.
+    ByHash,
+};
+
 /// Decides where each packet of a caller goes on a fabric whose flows carry a token. Forwarding a
 /// packet of an open flow needs no state of the flow, because its token names the upstream. Not
 /// thread-safe.
@@ -85,6 +93,7 @@
         std::optional<common::Duration> openFlowsAfterWithdrawal {};
         /// Number of sets of four flows in the table that detects retransmissions; a power of two.
         std::size_t observedFlowSets = 1'024;
+        UpstreamChoice choice = UpstreamChoice::ByContract;
     };
 
     using ResponseTimeSink = std::function<void(common::Duration)>;
--- a/src/connection/openingpolicy.cpp
+++ b/src/connection/openingpolicy.cpp
@@ -1,6 +1,7 @@
 #include "connection/openingpolicy.h"
 
 #include "common/hash.h"
+#include "connection/upstreamweight.h"
 
 #include <algorithm>
 
@@ -16,10 +17,14 @@
 constexpr std::chrono::milliseconds ExpiryGracePeriod { 2'000 };
 // The work of requests varies; a smaller ratio of response times occurs by chance.
 constexpr double MinSlowerRatio = 1.5;
+// Makes the division between zones independent of the ranking of upstreams.
+constexpr std::uint64_t ZoneDivisionSeed = 0x7a6f6e65726f6f6dULL;
 
-std::uint64_t scoreOf(std::uint64_t flowHash, const TrackedUpstream &upstream)
+/// Position of a flow in the division between zones, from 0 to 1; the same at all instances.
+double divisionPosition(std::uint64_t flowHash)
 {
-    return common::hashPair(upstream.record.serial.value(), flowHash);
+    constexpr double hashRange = 0x1p64;
+    return static_cast<double>(common::hashPair(ZoneDivisionSeed, flowHash)) / hashRange;
 }
 
 } // namespace
@@ -28,24 +33,25 @@
     : m_upstreams(upstreams)
 { }
 
-TrackedUpstream *OpeningPolicy::choose(common::ServiceId service, std::uint64_t flowHash,
-                                       std::uint32_t retransmissions, FlowToken avoidedToken,
-                                       TimePoint now)
+TrackedUpstream *OpeningPolicy::choose(const Opening &opening, TimePoint now)
 {
-    collectCandidates(service, now);
-    if (retransmissions > 0 && avoidedToken == FlowToken()) {
+    collectCandidates(opening, now);
+    auto avoidedToken = opening.avoidedToken;
+    if (opening.retransmissions > 0 && avoidedToken == FlowToken()) {
         // Another instance received the first transmission and chose the same upstream as this
         // instance would have chosen.
-        const auto *first = highestRanked(m_candidates.healthy, flowHash, 0, avoidedToken);
+        const auto *first = opening.responseAim
+                ? choiceByLoad(opening)
+                : highestRanked(m_candidates.healthy, opening.flowHash, 0, avoidedToken);
         avoidedToken = first == nullptr ? FlowToken() : first->token;
     }
-    auto *chosen = highestRanked(m_candidates.healthy, flowHash, retransmissions, avoidedToken);
-    if (chosen != nullptr && retransmissions == 0) {
-        chosen = fasterOf(chosen, highestRanked(m_candidates.healthy, flowHash, 0, chosen->token),
-                          now);
-    }
+    auto *chosen = opening.retransmissions == 0
+            ? firstChoice(opening, now)
+            : highestRanked(m_candidates.healthy, opening.flowHash, opening.retransmissions,
+                            avoidedToken);
     if (chosen == nullptr) {
-        chosen = highestRanked(m_candidates.suspected, flowHash, retransmissions, avoidedToken);
+        chosen = highestRanked(m_candidates.suspected, opening.flowHash, opening.retransmissions,
+                               avoidedToken);
     }
     if (chosen != nullptr) {
         recordOpening(*chosen, now);
@@ -59,40 +65,71 @@
     m_coldAdmission.setFleet(position.instance, position.members, now);
 }
 
-void OpeningPolicy::collectCandidates(common::ServiceId service, TimePoint now)
+void OpeningPolicy::collectCandidates(const Opening &opening, TimePoint now)
 {
     m_candidates.healthy.clear();
     m_candidates.suspected.clear();
+    m_candidates.zones.clear();
+    m_candidates.own = {};
+    m_candidates.others = {};
     m_expired.clear();
-    const auto add = [&](TrackedUpstream *upstream) {
-        if (!isWithinColdLimit(*upstream, now)) {
-            return;
-        }
-        const bool isHealthy = !upstream->isOutlier && upstream->health.mayOpenFlow(now)
-                && m_upstreams.zoneHealth(upstream->record.zone).mayOpenFlow(now);
-        (isHealthy ? m_candidates.healthy : m_candidates.suspected).push_back(upstream);
-    };
-    for (auto *upstream : m_upstreams.ofService(service)) {
+    for (auto *upstream : m_upstreams.ofService(opening.service)) {
         if (!mayTakeFlows(*upstream, now)) {
             continue;
         }
         if (!upstream->isRegistered) {
             m_expired.push_back(upstream);
         } else {
-            add(upstream);
+            addCandidate(*upstream, opening, now);
         }
     }
     // When more entries have expired than are registered, their upstreams most likely still run and
     // have lost the store.
     const auto registered = m_candidates.healthy.size() + m_candidates.suspected.size();
     if (m_expired.size() > registered) {
-        std::ranges::for_each(m_expired, add);
+        std::ranges::for_each(m_expired,
+                              [&](auto *upstream) { addCandidate(*upstream, opening, now); });
+    }
+}
+
+void OpeningPolicy::addCandidate(TrackedUpstream &upstream, const Opening &opening, TimePoint now)
+{
+    const bool isCold = upstream.isCold(now);
+    if (isCold && !isWithinColdLimit(upstream, now)) {
+        return;
+    }
+    auto &zone = stateOf(upstream.record.zone, now);
+    if (upstream.isOutlier || !upstream.health.mayOpenFlow(now) || !zone.mayOpenFlow) {
+        m_candidates.suspected.push_back(&upstream);
+        return;
+    }
+    m_candidates.healthy.push_back(&upstream);
+    if (!opening.responseAim) {
+        return;
     }
+    zone.hasHealthy = true;
+    const auto slots = static_cast<double>(std::max(1U, upstream.record.slots));
+    auto effectiveSlots = slots / std::max(1.0, upstream.load.slowness);
+    if (isCold) {
+        effectiveSlots = std::min(effectiveSlots, coldSlots(upstream, opening.usualTime));
+    }
+    auto &pool = zone.zone == m_position.zone ? m_candidates.own : m_candidates.others;
+    pool.add(slots, effectiveSlots);
+}
+
+OpeningPolicy::ZoneState &OpeningPolicy::stateOf(common::ZoneId zone, TimePoint now)
+{
+    const auto found = std::ranges::find(m_candidates.zones, zone, &ZoneState::zone);
+    if (found != m_candidates.zones.end()) {
+        return *found;
+    }
+    return m_candidates.zones.emplace_back(ZoneState {
+            zone, m_upstreams.isWithdrawn(zone), m_upstreams.zoneHealth(zone).mayOpenFlow(now) });
 }
 
-bool OpeningPolicy::mayTakeFlows(const TrackedUpstream &upstream, TimePoint now) const
+bool OpeningPolicy::mayTakeFlows(const TrackedUpstream &upstream, TimePoint now)
 {
-    if (upstream.record.draining || m_upstreams.isWithdrawn(upstream.record.zone)) {
+    if (upstream.record.draining || stateOf(upstream.record.zone, now).isWithdrawn) {
         return false;
     }
     return upstream.isRegistered || now - upstream.removedAt < ExpiryGracePeriod;
@@ -100,14 +137,18 @@
 
 bool OpeningPolicy::isWithinColdLimit(const TrackedUpstream &upstream, TimePoint now)
 {
-    if (!upstream.isCold(now)) {
-        return true;
-    }
     const auto *rules = m_upstreams.serviceRules(upstream.record.service);
     return rules != nullptr
             && m_coldAdmission.admits(upstream.record.serial, rules->coldOpensPerSecond, now);
 }
 
+double OpeningPolicy::coldSlots(const TrackedUpstream &upstream, common::Duration usualTime) const
+{
+    const auto *rules = m_upstreams.serviceRules(upstream.record.service);
+    const std::chrono::duration<double> time = usualTime;
+    return rules == nullptr ? 0.0 : rules->coldOpensPerSecond * time.count();
+}
+
 void OpeningPolicy::recordOpening(TrackedUpstream &upstream, TimePoint now)
 {
     upstream.health.onFlowOpened(now);
@@ -117,6 +158,51 @@
     }
 }
 
+TrackedUpstream *OpeningPolicy::firstChoice(const Opening &opening, TimePoint now) const
+{
+    return opening.responseAim ? choiceByLoad(opening) : choiceByHash(opening.flowHash, now);
+}
+
+TrackedUpstream *OpeningPolicy::choiceByHash(std::uint64_t flowHash, TimePoint now) const
+{
+    auto *first = highestRanked(m_candidates.healthy, flowHash, 0, {});
+    if (first == nullptr) {
+        return nullptr;
+    }
+    return fasterOf(first, highestRanked(m_candidates.healthy, flowHash, 0, first->token), now);
+}
+
+TrackedUpstream *OpeningPolicy::choiceByLoad(const Opening &opening) const
+{
+    const bool isInOwnZone = staysInOwnZone(opening);
+    WeightedRanking ranking(opening.flowHash);
+    for (auto *upstream : m_candidates.healthy) {
+        if ((upstream->record.zone == m_position.zone) == isInOwnZone) {
+            ranking.add(*upstream);
+        }
+    }
+    return soonerOf(ranking.ranked(), opening.usualTime);
+}
+
+bool OpeningPolicy::staysInOwnZone(const Opening &opening) const
+{
+    if (m_candidates.own.upstreams == 0 || m_candidates.others.upstreams == 0) {
+        return m_candidates.own.upstreams > 0;
+    }
+    const auto known = std::ranges::find(m_demands, opening.service, &ServiceDemand::service);
+    const auto otherZones = std::ranges::count_if(m_candidates.zones, [&](const auto &state) {
+        return state.hasHealthy && state.zone != m_position.zone;
+    });
+    const ZoneDemand demand {
+        .busySlots = known == m_demands.end() ? std::nullopt : std::optional(known->busySlots),
+        .responseAim = *opening.responseAim,
+        .usualTime = opening.usualTime,
+    };
+    const auto share = ownZoneShare(m_candidates.own, m_candidates.others,
+                                    static_cast<std::uint32_t>(otherZones), demand);
+    return divisionPosition(opening.flowHash) < share;
+}
+
 TrackedUpstream *OpeningPolicy::fasterOf(TrackedUpstream *first, TrackedUpstream *second,
                                          TimePoint now) const
 {
@@ -144,7 +230,7 @@
         // A retransmission prefers the own zone, which this instance reaches even when other zones
         // are cut off.
         const bool isPreferred = retransmissions > 0 && upstream->record.zone == m_position.zone;
-        const std::pair rank { isPreferred, scoreOf(flowHash, *upstream) };
+        const std::pair rank { isPreferred, rendezvousScore(flowHash, *upstream) };
         if (highest == nullptr || rank > highestRank) {
             highest = upstream;
             highestRank = rank;
--- a/src/connection/openingpolicy.h
+++ b/src/connection/openingpolicy.h
@@ -3,9 +3,12 @@
 #include "common/ids.h"
 #include "common/time.h"
 #include "connection/coldadmission.h"
+#include "connection/servicedemand.h"
 #include "connection/upstreamtable.h"
+#include "connection/zoneroom.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace banyanwall::connection {
@@ -22,9 +25,28 @@
     std::uint32_t zonePeers = 0;
 };
 
-/// Chooses the upstream of a new flow by rendezvous hashing over the upstreams that may take it.
-/// The second-ranked upstream is chosen when the first-ranked one is much slower. A retransmitted
-/// opening packet goes to another upstream, because the first did not answer in time.
+/// A packet that opens a flow.
+struct Opening
+{
+    common::ServiceId service;
+    std::uint64_t flowHash = 0;
+    /// How many times the caller sent the opening packet before.
+    std::uint32_t retransmissions = 0;
+    /// Names the upstream to which the packet was forwarded before; zero when unknown.
+    common::FlowToken avoidedToken {};
+    /// Response time that the contract promises for requests of the flow.
+    std::optional<common::Duration> responseAim {};
+    /// Usual response time of the flow's requests; zero when unknown.
+    common::Duration usualTime {};
+};
+
+/// Chooses the upstream of a new flow by rendezvous hashing over the upstreams that may take it. A
+/// retransmitted opening packet goes to another upstream, because the first did not answer in time.
+///
+/// With a response aim, flows stay in the own zone as long as it has room for them within the aim,
+/// and upstreams get fewer flows the slower they respond. Without one, flows go to the upstreams of
+/// all zones alike, and the second-ranked upstream is chosen when the first-ranked one is much
+/// slower.
 class OpeningPolicy
 {
 public:
@@ -32,29 +54,53 @@
 
     void setPosition(const FleetPosition &position, common::TimePoint now);
 
-    /// Null when no upstream can take the flow. retransmissions is how many times the caller sent
-    /// the opening packet before; avoidedToken names the upstream to which it was forwarded then,
-    /// zero when unknown.
-    [[nodiscard]] TrackedUpstream *choose(common::ServiceId service, std::uint64_t flowHash,
-                                          std::uint32_t retransmissions,
-                                          common::FlowToken avoidedToken, common::TimePoint now);
+    /// Replaces what is known of the demand of the own zone's callers.
+    void setDemands(const std::vector<ServiceDemand> &demands) { m_demands = demands; }
+
+    /// Null when no upstream can take the flow.
+    [[nodiscard]] TrackedUpstream *choose(const Opening &opening, common::TimePoint now);
 
     /// Removes expired counts of openings; called about once a second.
     void removeExpired(common::TimePoint now) { m_coldAdmission.removeExpired(now); }
 
 private:
+    /// What decides whether the upstreams of a zone may take flows.
+    struct ZoneState
+    {
+        common::ZoneId zone;
+        bool isWithdrawn = false;
+        bool mayOpenFlow = false;
+        bool hasHealthy = false;
+    };
+
     struct Candidates
     {
         UpstreamTable::Group healthy;
         UpstreamTable::Group suspected;
+        std::vector<ZoneState> zones;
+        /// Healthy upstreams of the own zone.
+        UpstreamPool own;
+        /// Healthy upstreams of all other zones.
+        UpstreamPool others;
     };
 
-    void collectCandidates(common::ServiceId service, common::TimePoint now);
-    [[nodiscard]] bool mayTakeFlows(const TrackedUpstream &upstream, common::TimePoint now) const;
+    void collectCandidates(const Opening &opening, common::TimePoint now);
+    void addCandidate(TrackedUpstream &upstream, const Opening &opening, common::TimePoint now);
+    [[nodiscard]] ZoneState &stateOf(common::ZoneId zone, common::TimePoint now);
+    [[nodiscard]] bool mayTakeFlows(const TrackedUpstream &upstream, common::TimePoint now);
     /// Whether the upstream is warm, or this instance may open one more flow on it while it is
     /// cold.
     [[nodiscard]] bool isWithinColdLimit(const TrackedUpstream &upstream, common::TimePoint now);
+    /// Slots that the openings of a cold upstream can keep busy at its limit.
+    [[nodiscard]] double coldSlots(const TrackedUpstream &upstream,
+                                   common::Duration usualTime) const;
     void recordOpening(TrackedUpstream &upstream, common::TimePoint now);
+    /// Upstream of the first transmission.
+    [[nodiscard]] TrackedUpstream *firstChoice(const Opening &opening, common::TimePoint now) const;
+    [[nodiscard]] TrackedUpstream *choiceByHash(std::uint64_t flowHash,
+                                                common::TimePoint now) const;
+    [[nodiscard]] TrackedUpstream *choiceByLoad(const Opening &opening) const;
+    [[nodiscard]] bool staysInOwnZone(const Opening &opening) const;
     [[nodiscard]] TrackedUpstream *highestRanked(const UpstreamTable::Group &group,
                                                  std::uint64_t flowHash,
                                                  std::uint32_t retransmissions,
@@ -65,6 +111,7 @@
 
     UpstreamTable &m_upstreams;
     FleetPosition m_position;
+    std::vector<ServiceDemand> m_demands;
     /// Members only to reuse their memory: choose() allocates nothing.
     Candidates m_candidates;
     UpstreamTable::Group m_expired;
--- /dev/null
+++ b/src/connection/zoneroom.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "common/time.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace banyanwall::connection {
+
+/// Upstreams of one or more zones that may take flows now.
+struct UpstreamPool
+{
+    /// Sum of the slots.
+    double slots = 0.0;
+    /// Sum of the slots, each divided by the slowness of its upstream; a cold upstream counts with
+    /// the slots that its limit can keep busy.
+    double effectiveSlots = 0.0;
+    std::uint32_t upstreams = 0;
+
+    void add(double upstreamSlots, double upstreamEffectiveSlots)
+    {
+        slots += upstreamSlots;
+        effectiveSlots += upstreamEffectiveSlots;
+        ++upstreams;
+    }
+};
+
+/// What the division of a zone's openings depends on besides the upstreams.
+struct ZoneDemand
+{
+    /// Slots that the work of the zone's callers keeps busy; empty while it is not known.
+    std::optional<double> busySlots {};
+    /// Response time that callers expect.
+    common::Duration responseAim {};
+    /// Usual response time; zero while it is not known.
+    common::Duration usualTime {};
+};
+
+/// Share of the slots of the pool that may be busy such that requests still wait for at most half
+/// of the response aim, from 0 to 1. Smaller for small pools, because random peaks of demand are
+/// larger there in proportion, and for slow upstreams.
+[[nodiscard]] double targetUtilization(const UpstreamPool &pool, const ZoneDemand &demand);
+
+/// Share of the openings of a zone's callers that stays in the zone, from 0 to 1. others are the
+/// upstreams of all other zones, otherZones the number of those zones that have such upstreams.
+///
+/// All openings stay as long as the zone has room for them within the response aim. Beyond that the
+/// share falls in proportion, but not below the share of the zone in the room of all zones. While
+/// the demand is not known, each zone is taken to bring the same demand.
+[[nodiscard]] double ownZoneShare(const UpstreamPool &own, const UpstreamPool &others,
+                                  std::uint32_t otherZones, const ZoneDemand &demand);
+
+} // namespace banyanwall::connection
--- a/src/tests/openingpolicytest.cpp
+++ b/src/tests/openingpolicytest.cpp
@@ -1,126 +1,16 @@
-#include "connection/openingpolicy.h"
-
-#include "common/hash.h"
-
-#include <CppUTest/TestHarness.h>
-
-#include <algorithm>
-#include <map>
+#include "tests/openingfixture.h"
 
 using namespace banyanwall;
 using namespace std::chrono_literals;
-using common::FlowToken;
-using common::ServiceId;
-using common::StoreRevision;
 using common::UpstreamSerial;
-using common::ZoneId;
 using connection::OpeningPolicy;
 using connection::UpstreamTable;
-using version::Directory;
-using version::UpstreamRecord;
-
-namespace {
-
-const ServiceId Bancada { 1 };
-const ServiceId Certidao { 2 };
-const ZoneId OwnZone { 10 };
-const ZoneId OtherZone { 20 };
-
-} // namespace
-
-TEST_GROUP(OpeningPolicy)
-{
-    Directory directory;
-    UpstreamTable upstreams { 1 };
-    OpeningPolicy policy { upstreams };
-    common::TimePoint now { 100s };
-    std::uint64_t revision = 0;
-
-    void setup() override
-    {
-        policy.setPosition({ .zone = OwnZone, .instance = 1, .members = { 1 } }, now - 1min);
-        apply(true, {});
-    }
-
-    void apply(bool complete, std::vector<version::DirectoryChange> changes)
-    {
-        const StoreRevision from(revision);
-        ++revision;
-        std::ranges::for_each(changes,
-                              [&](auto &change) { change.revision = StoreRevision(revision); });
-        const auto changed = directory.apply(
-                { from, StoreRevision(revision), complete, std::move(changes) }, now);
-        upstreams.update(directory, changed, now);
-    }
-
-    void put(const UpstreamRecord &record)
-    {
-        apply(false, { { version::keyOf(record), {}, record } });
-    }
-
-    static UpstreamRecord upstream(std::uint64_t serial, ZoneId zone = OwnZone)
-    {
-        return { .serial = UpstreamSerial(serial),
-                 .service = Bancada,
-                 .endpoint = { 0x0a000000U + static_cast<std::uint32_t>(serial), 8080 },
-                 .zone = zone,
-                 .slots = 3 };
-    }
-
-    void putMany(std::uint64_t first, std::uint64_t count, ZoneId zone = OwnZone)
-    {
-        for (auto serial = first; serial < first + count; ++serial) {
-            put(upstream(serial, zone));
-        }
-    }
-
-    void remove(std::uint64_t serial)
-    {
-        apply(false, { { version::keyOf(upstream(serial)), {}, version::RemovedRecord {} } });
-    }
-
-    void withdraw(ZoneId zone, bool isWithdrawn)
-    {
-        const version::WithdrawalRecord record { zone };
-        auto value = isWithdrawn ? version::DirectoryValue(record)
-                                 : version::DirectoryValue(version::RemovedRecord {});
-        apply(false, { { version::keyOf(record), {}, value } });
-    }
-
-    void putRules(double coldOpensPerSecond)
-    {
-        const version::RulesRecord rules { .version = revision + 1,
-                                           .services = {
-                                                   { .service = Bancada,
-                                                     .coldPeriod = 2s,
-                                                     .coldOpensPerSecond = coldOpensPerSecond } } };
-        apply(false, { { version::keyOf(rules), {}, rules } });
-    }
-
-    /// Opens flows and returns the number of openings of each upstream.
-    std::map<std::uint64_t, int> countOpenings(int flows)
-    {
-        std::map<std::uint64_t, int> openings;
-        for (int flow = 0; flow < flows; ++flow) {
-            const auto *chosen = policy.choose(Bancada, common::mixBits(flow), 0, {}, now);
-            if (chosen != nullptr) {
-                ++openings[chosen->record.serial.value()];
-            }
-        }
-        return openings;
-    }
-
-    connection::TrackedUpstream &tracked(std::uint64_t serial)
-    {
-        return *upstreams.find(connection::tokenOf(UpstreamSerial(serial)));
-    }
+using tests::Bancada;
+using tests::Certidao;
+using tests::OtherZone;
+using tests::OwnZone;
 
-    void suspect(std::uint64_t serial)
-    {
-        tracked(serial).health.onDataRetransmitted(1, now);
-        tracked(serial).health.onDataRetransmitted(2, now);
-    }
-};
+TEST_GROUP_BASE(OpeningPolicy, tests::OpeningFixture) {};
 
 TEST(OpeningPolicy, flowsAreDistributedEvenly)
 {
@@ -149,8 +39,8 @@
             }(),
             now);
     for (std::uint64_t flow = 0; flow < 200; ++flow) {
-        CHECK(policy.choose(Bancada, flow, 0, {}, now)->record.serial
-              == other.choose(Bancada, flow, 0, {}, now)->record.serial);
+        CHECK(policy.choose({ Bancada, flow }, now)->record.serial
+              == other.choose({ Bancada, flow }, now)->record.serial);
     }
 }
 
@@ -160,13 +50,13 @@
     putMany(1, 14);
     std::map<std::uint64_t, std::uint64_t> before;
     for (std::uint64_t flow = 0; flow < 500; ++flow) {
-        before[flow] = policy.choose(Bancada, flow, 0, {}, now)->record.serial.value();
+        before[flow] = policy.choose({ Bancada, flow }, now)->record.serial.value();
     }
     auto drainingUpstream = upstream(3);
     drainingUpstream.draining = true;
     put(drainingUpstream);
     for (const auto &[flow, serial] : before) {
-        const auto after = policy.choose(Bancada, flow, 0, {}, now)->record.serial.value();
+        const auto after = policy.choose({ Bancada, flow }, now)->record.serial.value();
         CHECK(after == serial || serial == 3);
         CHECK(after != 3);
     }
@@ -177,8 +67,8 @@
     auto certidao = upstream(9);
     certidao.service = Certidao;
     put(certidao);
-    POINTERS_EQUAL(nullptr, policy.choose(Bancada, 5, 0, {}, now));
-    CHECK(policy.choose(Certidao, 5, 0, {}, now) != nullptr);
+    POINTERS_EQUAL(nullptr, policy.choose({ Bancada, 5 }, now));
+    CHECK(policy.choose({ Certidao, 5 }, now) != nullptr);
 }
 
 TEST(OpeningPolicy, withdrawnZoneGetsNoFlows)
@@ -282,11 +172,11 @@
 {
     putMany(1, 6);
     for (std::uint64_t flow = 0; flow < 100; ++flow) {
-        const auto *first = policy.choose(Bancada, flow, 0, {}, now);
-        const auto *second = policy.choose(Bancada, flow, 1, first->token, now);
+        const auto *first = policy.choose({ Bancada, flow }, now);
+        const auto *second = policy.choose({ Bancada, flow, 1, first->token }, now);
         CHECK(first != second);
         // An instance that did not see the first transmission avoids the same upstream.
-        CHECK(policy.choose(Bancada, flow, 1, {}, now) != first);
+        CHECK(policy.choose({ Bancada, flow, 1, {} }, now) != first);
     }
 }
 
@@ -296,14 +186,14 @@
     putMany(1, 3);
     putMany(11, 9, OtherZone);
     for (std::uint64_t flow = 0; flow < 100; ++flow) {
-        CHECK(policy.choose(Bancada, flow, 1, {}, now)->record.zone == OwnZone);
+        CHECK(policy.choose({ Bancada, flow, 1, {} }, now)->record.zone == OwnZone);
     }
 }
 
 TEST(OpeningPolicy, onlyUpstreamGetsTheRetransmittedOpening)
 {
     put(upstream(1));
-    CHECK(policy.choose(Bancada, 5, 1, connection::tokenOf(UpstreamSerial(1)), now) != nullptr);
+    CHECK(policy.choose({ Bancada, 5, 1, connection::tokenOf(UpstreamSerial(1)) }, now) != nullptr);
 }
 
 // After a store outage the entries of running upstreams have expired and return within two seconds.
@@ -381,3 +271,63 @@
     upstreams.find(connection::tokenOf(UpstreamSerial(2)))->responseTime.addSample(50ms, now);
     LONGS_EQUAL(before, countOpenings(2'000).count(2));
 }
+
+namespace {
+
+/// The choice for services without a response aim: the highest-ranked upstream of all zones, or the
+/// next one if that responds 1.5 times faster.
+const connection::TrackedUpstream *choiceByHash(const UpstreamTable::Group &healthy,
+                                                std::uint64_t flowHash, double serviceMean,
+                                                common::TimePoint now)
+{
+    auto ranked = healthy;
+    std::ranges::sort(ranked, std::greater {}, [&](const auto *upstream) {
+        return common::hashPair(upstream->record.serial.value(), flowHash);
+    });
+    const auto time = [&](std::size_t rank) {
+        return ranked[rank]->responseTime.estimate(serviceMean, now);
+    };
+    return ranked[ranked.size() > 1 && time(0) > time(1) * 1.5 ? 1 : 0];
+}
+
+} // namespace
+
+// Guards against other choices for routes without a response aim, whatever is known of the load:
+// random tables with draining, suspected and slow upstreams, outliers and a withdrawn zone.
+TEST(OpeningPolicy, withoutAResponseAimTheLoadDoesNotCount)
+{
+    std::uint64_t random = 20261206;
+    const auto draw = [&](std::uint64_t range) { return common::mixBits(++random) % range; };
+    for (int table = 0; table < 40; ++table) {
+        const auto count = 2 + draw(40);
+        for (std::uint64_t serial = 1; serial <= count; ++serial) {
+            auto record = upstream(serial, common::ZoneId(10 * (1 + draw(4))));
+            record.draining = draw(6) == 0;
+            put(record);
+            auto &added = tracked(serial);
+            added.isOutlier = draw(8) == 0;
+            added.load = { .slowness = 1.0 + draw(5), .workLeft = draw(900) * 1ms };
+            added.responseTime.addSample(draw(90) * 1ms, now);
+            upstreams.serviceResponseTime(Bancada).addSample(draw(90) * 1ms, now);
+            if (draw(8) == 0) {
+                suspect(serial);
+            }
+        }
+        withdraw(OtherZone, draw(2) == 0);
+        policy.setDemands({ { Bancada, static_cast<double>(draw(200)) } });
+        UpstreamTable::Group healthy;
+        std::ranges::copy_if(upstreams.ofService(Bancada), std::back_inserter(healthy),
+                             [&](const auto *item) {
+                                 return !item->record.draining && !item->isOutlier
+                                         && !upstreams.isWithdrawn(item->record.zone)
+                                         && item->health.mayOpenFlow(now);
+                             });
+        const auto mean = upstreams.serviceResponseTime(Bancada).mean();
+        for (std::uint64_t flow = 0; flow < 200 && !healthy.empty(); ++flow) {
+            const auto hash = common::mixBits(flow);
+            POINTERS_EQUAL(choiceByHash(healthy, hash, mean, now),
+                           policy.choose({ Bancada, hash, 0, {}, {}, 30ms }, now));
+        }
+        now += 10s;
+    }
+}
