--- a/src/connection/openingpolicy.cpp
+++ b/src/connection/openingpolicy.cpp
@@ -65,76 +65,65 @@
     m_coldAdmission.setFleet(position.instance, position.members, now);
 }
 
+inline OpeningPolicy::ZoneCandidates &OpeningPolicy::candidatesOf(common::ZoneId zone,
+                                                                  TimePoint now)
+{
+    const auto found = std::ranges::find(m_candidates.zones, zone, &ZoneCandidates::zone);
+    return found != m_candidates.zones.end() ? *found : addZone(zone, now);
+}
+
+inline void OpeningPolicy::addCandidate(TrackedUpstream &upstream, ZoneCandidates &zone,
+                                        const Opening &opening, TimePoint now)
+{
+    const bool isCold = upstream.isCold(now);
+    if (isCold && !isWithinColdLimit(upstream, now)) {
+        return;
+    }
+    if (upstream.isOutlier || !zone.mayOpenFlow || !upstream.health.mayOpenFlow(now)) {
+        m_candidates.suspected.push_back(&upstream);
+        return;
+    }
+    m_candidates.healthy.push_back(&upstream);
+    if (opening.responseAim) {
+        const auto maxSlots =
+                isCold ? coldSlots(upstream, opening.usualTime) : UpstreamPool::Unlimited;
+        zone.healthy.add(upstream.record.slots, upstream.load.slowness, maxSlots);
+    }
+}
+
 void OpeningPolicy::collectCandidates(const Opening &opening, TimePoint now)
 {
     m_candidates.healthy.clear();
     m_candidates.suspected.clear();
     m_candidates.zones.clear();
-    m_candidates.own = {};
-    m_candidates.others = {};
     m_expired.clear();
     for (auto *upstream : m_upstreams.ofService(opening.service)) {
-        if (!mayTakeFlows(*upstream, now)) {
+        auto &zone = candidatesOf(upstream->record.zone, now);
+        if (upstream->record.draining || zone.isWithdrawn) {
             continue;
         }
-        if (!upstream->isRegistered) {
+        if (upstream->isRegistered) {
+            addCandidate(*upstream, zone, opening, now);
+        } else if (now - upstream->removedAt < ExpiryGracePeriod) {
             m_expired.push_back(upstream);
-        } else {
-            addCandidate(*upstream, opening, now);
         }
     }
     // When more entries have expired than are registered, their upstreams most likely still run and
     // have lost the store.
     const auto registered = m_candidates.healthy.size() + m_candidates.suspected.size();
     if (m_expired.size() > registered) {
-        std::ranges::for_each(m_expired,
-                              [&](auto *upstream) { addCandidate(*upstream, opening, now); });
-    }
-}
-
-void OpeningPolicy::addCandidate(TrackedUpstream &upstream, const Opening &opening, TimePoint now)
-{
-    const bool isCold = upstream.isCold(now);
-    if (isCold && !isWithinColdLimit(upstream, now)) {
-        return;
-    }
-    auto &zone = stateOf(upstream.record.zone, now);
-    if (upstream.isOutlier || !upstream.health.mayOpenFlow(now) || !zone.mayOpenFlow) {
-        m_candidates.suspected.push_back(&upstream);
-        return;
-    }
-    m_candidates.healthy.push_back(&upstream);
-    if (!opening.responseAim) {
-        return;
-    }
-    zone.hasHealthy = true;
-    const auto slots = static_cast<double>(std::max(1U, upstream.record.slots));
-    auto effectiveSlots = slots / std::max(1.0, upstream.load.slowness);
-    if (isCold) {
-        effectiveSlots = std::min(effectiveSlots, coldSlots(upstream, opening.usualTime));
+        for (auto *upstream : m_expired) {
+            addCandidate(*upstream, candidatesOf(upstream->record.zone, now), opening, now);
+        }
     }
-    auto &pool = zone.zone == m_position.zone ? m_candidates.own : m_candidates.others;
-    pool.add(slots, effectiveSlots);
 }
 
-OpeningPolicy::ZoneState &OpeningPolicy::stateOf(common::ZoneId zone, TimePoint now)
+OpeningPolicy::ZoneCandidates &OpeningPolicy::addZone(common::ZoneId zone, TimePoint now)
 {
-    const auto found = std::ranges::find(m_candidates.zones, zone, &ZoneState::zone);
-    if (found != m_candidates.zones.end()) {
-        return *found;
-    }
-    return m_candidates.zones.emplace_back(ZoneState {
+    return m_candidates.zones.emplace_back(ZoneCandidates {
             zone, m_upstreams.isWithdrawn(zone), m_upstreams.zoneHealth(zone).mayOpenFlow(now) });
 }
 
-bool OpeningPolicy::mayTakeFlows(const TrackedUpstream &upstream, TimePoint now)
-{
-    if (upstream.record.draining || stateOf(upstream.record.zone, now).isWithdrawn) {
-        return false;
-    }
-    return upstream.isRegistered || now - upstream.removedAt < ExpiryGracePeriod;
-}
-
 bool OpeningPolicy::isWithinColdLimit(const TrackedUpstream &upstream, TimePoint now)
 {
     const auto *rules = m_upstreams.serviceRules(upstream.record.service);
@@ -186,21 +175,27 @@
 
 bool OpeningPolicy::staysInOwnZone(const Opening &opening) const
 {
-    if (m_candidates.own.upstreams == 0 || m_candidates.others.upstreams == 0) {
-        return m_candidates.own.upstreams > 0;
+    UpstreamPool own;
+    UpstreamPool others;
+    std::uint32_t otherZones = 0;
+    for (const auto &zone : m_candidates.zones) {
+        if (zone.zone == m_position.zone) {
+            own = zone.healthy;
+        } else if (zone.healthy.upstreams > 0) {
+            others.add(zone.healthy);
+            ++otherZones;
+        }
+    }
+    if (own.upstreams == 0 || otherZones == 0) {
+        return own.upstreams > 0;
     }
     const auto known = std::ranges::find(m_demands, opening.service, &ServiceDemand::service);
-    const auto otherZones = std::ranges::count_if(m_candidates.zones, [&](const auto &state) {
-        return state.hasHealthy && state.zone != m_position.zone;
-    });
     const ZoneDemand demand {
         .busySlots = known == m_demands.end() ? std::nullopt : std::optional(known->busySlots),
         .responseAim = *opening.responseAim,
         .usualTime = opening.usualTime,
     };
-    const auto share = ownZoneShare(m_candidates.own, m_candidates.others,
-                                    static_cast<std::uint32_t>(otherZones), demand);
-    return divisionPosition(opening.flowHash) < share;
+    return divisionPosition(opening.flowHash) < ownZoneShare(own, others, otherZones, demand);
 }
 
 TrackedUpstream *OpeningPolicy::fasterOf(TrackedUpstream *first, TrackedUpstream *second,
--- a/src/connection/openingpolicy.h
+++ b/src/connection/openingpolicy.h
@@ -64,30 +64,27 @@
     void removeExpired(common::TimePoint now) { m_coldAdmission.removeExpired(now); }
 
 private:
-    /// What decides whether the upstreams of a zone may take flows.
-    struct ZoneState
+    /// What decides whether the upstreams of a zone may take flows, and those that may.
+    struct ZoneCandidates
     {
         common::ZoneId zone;
         bool isWithdrawn = false;
         bool mayOpenFlow = false;
-        bool hasHealthy = false;
+        UpstreamPool healthy {};
     };
 
     struct Candidates
     {
         UpstreamTable::Group healthy;
         UpstreamTable::Group suspected;
-        std::vector<ZoneState> zones;
-        /// Healthy upstreams of the own zone.
-        UpstreamPool own;
-        /// Healthy upstreams of all other zones.
-        UpstreamPool others;
+        std::vector<ZoneCandidates> zones;
     };
 
     void collectCandidates(const Opening &opening, common::TimePoint now);
-    void addCandidate(TrackedUpstream &upstream, const Opening &opening, common::TimePoint now);
-    [[nodiscard]] ZoneState &stateOf(common::ZoneId zone, common::TimePoint now);
-    [[nodiscard]] bool mayTakeFlows(const TrackedUpstream &upstream, common::TimePoint now);
+    void addCandidate(TrackedUpstream &upstream, ZoneCandidates &zone, const Opening &opening,
+                      common::TimePoint now);
+    [[nodiscard]] ZoneCandidates &candidatesOf(common::ZoneId zone, common::TimePoint now);
+    ZoneCandidates &addZone(common::ZoneId zone, common::TimePoint now);
     /// Whether the upstream is warm, or this instance may open one more flow on it while it is
     /// cold.
     [[nodiscard]] bool isWithinColdLimit(const TrackedUpstream &upstream, common::TimePoint now);
--- a/src/connection/zoneroom.cpp
+++ b/src/connection/zoneroom.cpp
@@ -1,6 +1,5 @@
 #include "connection/zoneroom.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace banyanwall::connection {
--- a/src/connection/zoneroom.h
+++ b/src/connection/zoneroom.h
@@ -2,7 +2,9 @@
 
 #include "common/time.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <optional>
 
 namespace banyanwall::connection {
@@ -17,12 +19,23 @@
     double effectiveSlots = 0.0;
     std::uint32_t upstreams = 0;
 
-    void add(double upstreamSlots, double upstreamEffectiveSlots)
+    static constexpr double Unlimited = std::numeric_limits<double>::infinity();
+
+    /// maxSlots is how many slots the limit of a cold upstream can keep busy.
+    void add(std::uint32_t upstreamSlots, double slowness, double maxSlots = Unlimited)
     {
-        slots += upstreamSlots;
-        effectiveSlots += upstreamEffectiveSlots;
+        const auto counted = static_cast<double>(std::max(1U, upstreamSlots));
+        slots += counted;
+        effectiveSlots += std::min(maxSlots, slowness > 1.0 ? counted / slowness : counted);
         ++upstreams;
     }
+
+    void add(const UpstreamPool &other)
+    {
+        slots += other.slots;
+        effectiveSlots += other.effectiveSlots;
+        upstreams += other.upstreams;
+    }
 };
 
 /// What the division of a zone's openings depends on besides the upstreams.
