Add the setting balancing.choice

Cause: an operator who wants the choice by hash, for example to compare both, could only get it by a contract without response aims. Ruled out: a term of the contract (it would be the same for all instances, so that a single one could not be compared with the others). Not run: other tests.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -137,8 +137,8 @@
                             .flowHash = hash,
                             .retransmissions = packet.acknowledgement,
                             .avoidedToken = observation.upstream,
-                            .responseAim = isByContract ? route->record.terms.responseAim
-                                                        : std::nullopt };
+                            .responseAim =
+                                    isByContract ? route->record.terms.responseAim : std::nullopt };
     auto *upstream = m_policy.choose(opening, now);
     if (upstream == nullptr) {
         return ResetFlow { Reason::NoUpstream };
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -5,6 +5,7 @@
 #include "connection/isolationdetector.h"
 #include "connection/openingpolicy.h"
 #include "connection/outlierdetector.h"
+#include "connection/upstreamchoice.h"
 #include "connection/upstreamtable.h"
 #include "version/directory.h"
 
@@ -69,14 +70,6 @@
     }
 };
 
-/// How the upstream of a new flow is chosen.
-enum class UpstreamChoice {
-    /// By load where the contract names a response aim for the route, otherwise by hash.
-    ByContract,
-    /// By hash for all routes.
-    ByHash,
-};
-
 /// Decides where each packet of a caller goes on a fabric whose flows carry a token. Forwarding a
 /// packet of an open flow needs no state of the flow, because its token names the upstream. Not
 /// thread-safe.
--- a/src/process/flowsettings.cpp
+++ b/src/process/flowsettings.cpp
@@ -15,6 +15,7 @@
     { "peers", { "seeds" } },
     { "shutdown", { "grace_ms" } },
     { "withdrawal", { "open_flows_ms" } },
+    { "balancing", { "choice" } },
     { "log", { "level" } },
 };
 
@@ -30,6 +31,10 @@
 constexpr double DefaultLinkMbps = 50.0;
 constexpr double CapacitySteps = 10.0;
 
+constexpr std::string_view ChoiceByContract = "contract";
+constexpr std::string_view ChoiceByHash = "hash";
+constexpr std::string_view ChoiceRule = "contract or hash";
+
 /// Rounds down to tenths, so that instances of the same kind get the same value and small
 /// differences do not change the roles.
 std::uint32_t capacityOf(SettingsReader &reader)
@@ -41,6 +46,19 @@
     return static_cast<std::uint32_t>(std::clamp(lowestRatio, 0.0, 1.0) * CapacitySteps);
 }
 
+connection::UpstreamChoice choiceOf(SettingsReader &reader)
+{
+    const auto choice = reader.string("balancing", "choice", ChoiceRule, false);
+    if (choice == ChoiceByHash) {
+        return connection::UpstreamChoice::ByHash;
+    }
+    if (!choice.empty() && choice != ChoiceByContract) {
+        reader.fail(reader.lineOf("balancing", "choice"), "balancing.choice", "unknown choice",
+                    ChoiceRule);
+    }
+    return connection::UpstreamChoice::ByContract;
+}
+
 } // namespace
 
 common::Result<FlowSettings> parseFlowSettings(std::string_view toml, std::string_view sourceName)
@@ -70,6 +88,7 @@
     if (openFlows) {
         settings.openFlowsAfterWithdrawal = std::chrono::milliseconds(*openFlows);
     }
+    settings.choice = choiceOf(reader);
     settings.logLevel = reader.logLevel(settings.logLevel);
     if (reader.error()) {
         return *reader.error();
--- a/src/process/flowsettings.h
+++ b/src/process/flowsettings.h
@@ -2,6 +2,7 @@
 
 #include "common/endpoint.h"
 #include "common/result.h"
+#include "connection/upstreamchoice.h"
 
 #include <chrono>
 #include <cstdint>
@@ -34,6 +35,8 @@
     /// How long packets of open flows are still sent into a withdrawn zone; empty: until the flows
     /// end.
     std::optional<std::chrono::milliseconds> openFlowsAfterWithdrawal {};
+    /// How the upstreams of new flows are chosen.
+    connection::UpstreamChoice choice = connection::UpstreamChoice::ByContract;
     /// Processor share and link relative to what the roles leader and watcher need, from 0 to 10.
     /// An instance of higher capacity ranks higher for these roles.
     std::uint32_t capacity = 0;
--- a/src/tests/flowforwardertest.cpp
+++ b/src/tests/flowforwardertest.cpp
@@ -609,6 +609,46 @@
     CHECK(forwarder.onPeerHealthReport({ .zones = { OtherZone } }, now + 1s).isEmpty());
 }
 
+// A route with a response aim keeps its flows in the zone of their callers; other routes, and all
+// routes of an instance that is set to the choice by hash, spread them over all zones.
+TEST(FlowForwarder, flowsOfARouteWithAnAimStayInTheOwnZone)
+{
+    auto withAim = rules();
+    withAim.version = 2;
+    withAim.routes.front().terms.responseAim = 400ms;
+    const StoreRevision revision(2);
+    update({ StoreRevision(1),
+             revision,
+             false,
+             { { version::keyOf(withAim), revision, withAim } } });
+    FlowForwarder byHash {
+        { .ownZone = OwnZone, .instance = 1, .choice = connection::UpstreamChoice::ByHash },
+        [](common::Duration) {}
+    };
+    const auto position = connection::FleetPosition { .zone = OwnZone, .instance = 1 };
+    byHash.setPosition(position, now);
+    forwarder.setPosition(position, now);
+    std::vector<version::EntryKey> keys;
+    std::ranges::transform(directory.entries(), std::back_inserter(keys),
+                           [](const auto &item) { return item.first; });
+    byHash.update(directory, keys, now);
+    forwarder.update(directory, keys, now);
+    const auto countOwn = [&](FlowForwarder &chooser, common::Endpoint service) {
+        int own = 0;
+        for (std::uint16_t port = 1'000; port < 1'300; ++port) {
+            const auto verdict = chooser.handle(opening(service, port), now);
+            own += as<ForwardPacket>(verdict).zone == OwnZone ? 1 : 0;
+        }
+        return own;
+    };
+    // The own zone has three of nine upstreams, and the demand is not known: its room is taken to
+    // be that for two thirds of its callers.
+    const auto own = countOwn(forwarder, FeedAddress);
+    CHECK(own > 160 && own < 240);
+    CHECK(countOwn(forwarder, SubmissionAddress) < 140);
+    CHECK(countOwn(byHash, FeedAddress) < 140);
+}
+
 // Open flows into a withdrawn zone go on, unless a limit after the withdrawal is set.
 TEST(FlowForwarder, packetsIntoAWithdrawnZoneAreDroppedAfterTheLimit)
 {
--- a/src/tests/flowsettingstest.cpp
+++ b/src/tests/flowsettingstest.cpp
@@ -99,6 +99,20 @@
     checkError("withdrawal.open_flows_ms");
 }
 
+// An operator can keep the choice by hash; a misspelt choice must not change it silently.
+TEST(FlowSettings, choiceFollowsTheContractUnlessTheHashIsSet)
+{
+    using connection::UpstreamChoice;
+    const auto parsed = [&] { return common::valueOf(process::parseFlowSettings(text, "f")); };
+    CHECK(parsed().choice == UpstreamChoice::ByContract);
+    text += "[balancing]\nchoice = \"contract\"\n";
+    CHECK(parsed().choice == UpstreamChoice::ByContract);
+    replace("\"contract\"", "\"hash\"");
+    CHECK(parsed().choice == UpstreamChoice::ByHash);
+    replace("\"hash\"", "\"hsah\"");
+    checkError("key 'balancing.choice': unknown choice; allowed: contract or hash");
+}
+
 TEST(FlowSettings, badAdvertisedAddressIsAnError)
 {
     replace("admin =", "peer_advertised = \"10.9.0.1\"\nadmin =");
