--- a/src/connection/openingpolicy.cpp
+++ b/src/connection/openingpolicy.cpp
@@ -1,6 +1,7 @@
 #include "connection/openingpolicy.h"
 
 #include "common/hash.h"
+#include "connection/upstreamweight.h"
 
 #include <algorithm>
 
@@ -16,10 +17,14 @@
 constexpr std::chrono::milliseconds ExpiryGracePeriod { 2'000 };
 // The work of requests varies; a smaller ratio of response times occurs by chance.
 constexpr double MinSlowerRatio = 1.5;
+// Makes the division between zones independent of the ranking of upstreams.
+constexpr std::uint64_t ZoneDivisionSeed = 0x7a6f6e65726f6f6dULL;
 
-std::uint64_t scoreOf(std::uint64_t flowHash, const TrackedUpstream &upstream)
+/// Position of a flow in the division between zones, from 0 to 1; the same at all instances.
+double divisionPosition(std::uint64_t flowHash)
 {
-    return common::hashPair(upstream.record.serial.value(), flowHash);
+    constexpr double hashRange = 0x1p64;
+    return static_cast<double>(common::hashPair(ZoneDivisionSeed, flowHash)) / hashRange;
 }
 
 } // namespace
@@ -28,24 +33,25 @@
     : m_upstreams(upstreams)
 { }
 
-TrackedUpstream *OpeningPolicy::choose(common::ServiceId service, std::uint64_t flowHash,
-                                       std::uint32_t retransmissions, FlowToken avoidedToken,
-                                       TimePoint now)
+TrackedUpstream *OpeningPolicy::choose(const Opening &opening, TimePoint now)
 {
-    collectCandidates(service, now);
-    if (retransmissions > 0 && avoidedToken == FlowToken()) {
+    collectCandidates(opening, now);
+    auto avoidedToken = opening.avoidedToken;
+    if (opening.retransmissions > 0 && avoidedToken == FlowToken()) {
         // Another instance received the first transmission and chose the same upstream as this
         // instance would have chosen.
-        const auto *first = highestRanked(m_candidates.healthy, flowHash, 0, avoidedToken);
+        const auto *first = opening.responseAim
+                ? choiceByLoad(opening)
+                : highestRanked(m_candidates.healthy, opening.flowHash, 0, avoidedToken);
         avoidedToken = first == nullptr ? FlowToken() : first->token;
     }
-    auto *chosen = highestRanked(m_candidates.healthy, flowHash, retransmissions, avoidedToken);
-    if (chosen != nullptr && retransmissions == 0) {
-        chosen = fasterOf(chosen, highestRanked(m_candidates.healthy, flowHash, 0, chosen->token),
-                          now);
-    }
+    auto *chosen = opening.retransmissions == 0
+            ? firstChoice(opening, now)
+            : highestRanked(m_candidates.healthy, opening.flowHash, opening.retransmissions,
+                            avoidedToken);
     if (chosen == nullptr) {
-        chosen = highestRanked(m_candidates.suspected, flowHash, retransmissions, avoidedToken);
+        chosen = highestRanked(m_candidates.suspected, opening.flowHash, opening.retransmissions,
+                               avoidedToken);
     }
     if (chosen != nullptr) {
         recordOpening(*chosen, now);
@@ -59,55 +65,79 @@
     m_coldAdmission.setFleet(position.instance, position.members, now);
 }
 
-void OpeningPolicy::collectCandidates(common::ServiceId service, TimePoint now)
+inline OpeningPolicy::ZoneCandidates &OpeningPolicy::candidatesOf(common::ZoneId zone,
+                                                                  TimePoint now)
+{
+    const auto found = std::ranges::find(m_candidates.zones, zone, &ZoneCandidates::zone);
+    return found != m_candidates.zones.end() ? *found : addZone(zone, now);
+}
+
+inline void OpeningPolicy::addCandidate(TrackedUpstream &upstream, ZoneCandidates &zone,
+                                        const Opening &opening, TimePoint now)
+{
+    const bool isCold = upstream.isCold(now);
+    if (isCold && !isWithinColdLimit(upstream, now)) {
+        return;
+    }
+    if (upstream.isOutlier || !zone.mayOpenFlow || !upstream.health.mayOpenFlow(now)) {
+        m_candidates.suspected.push_back(&upstream);
+        return;
+    }
+    m_candidates.healthy.push_back(&upstream);
+    if (opening.responseAim) {
+        const auto maxSlots =
+                isCold ? coldSlots(upstream, opening.usualTime) : UpstreamPool::Unlimited;
+        zone.healthy.add(upstream.record.slots, upstream.load.slowness, maxSlots);
+    }
+}
+
+void OpeningPolicy::collectCandidates(const Opening &opening, TimePoint now)
 {
     m_candidates.healthy.clear();
     m_candidates.suspected.clear();
+    m_candidates.zones.clear();
     m_expired.clear();
-    const auto add = [&](TrackedUpstream *upstream) {
-        if (!isWithinColdLimit(*upstream, now)) {
-            return;
-        }
-        const bool isHealthy = !upstream->isOutlier && upstream->health.mayOpenFlow(now)
-                && m_upstreams.zoneHealth(upstream->record.zone).mayOpenFlow(now);
-        (isHealthy ? m_candidates.healthy : m_candidates.suspected).push_back(upstream);
-    };
-    for (auto *upstream : m_upstreams.ofService(service)) {
-        if (!mayTakeFlows(*upstream, now)) {
+    for (auto *upstream : m_upstreams.ofService(opening.service)) {
+        auto &zone = candidatesOf(upstream->record.zone, now);
+        if (upstream->record.draining || zone.isWithdrawn) {
             continue;
         }
-        if (!upstream->isRegistered) {
+        if (upstream->isRegistered) {
+            addCandidate(*upstream, zone, opening, now);
+        } else if (now - upstream->removedAt < ExpiryGracePeriod) {
             m_expired.push_back(upstream);
-        } else {
-            add(upstream);
         }
     }
     // When more entries have expired than are registered, their upstreams most likely still run and
     // have lost the store.
     const auto registered = m_candidates.healthy.size() + m_candidates.suspected.size();
     if (m_expired.size() > registered) {
-        std::ranges::for_each(m_expired, add);
+        for (auto *upstream : m_expired) {
+            addCandidate(*upstream, candidatesOf(upstream->record.zone, now), opening, now);
+        }
     }
 }
 
-bool OpeningPolicy::mayTakeFlows(const TrackedUpstream &upstream, TimePoint now) const
+OpeningPolicy::ZoneCandidates &OpeningPolicy::addZone(common::ZoneId zone, TimePoint now)
 {
-    if (upstream.record.draining || m_upstreams.isWithdrawn(upstream.record.zone)) {
-        return false;
-    }
-    return upstream.isRegistered || now - upstream.removedAt < ExpiryGracePeriod;
+    return m_candidates.zones.emplace_back(ZoneCandidates {
+            zone, m_upstreams.isWithdrawn(zone), m_upstreams.zoneHealth(zone).mayOpenFlow(now) });
 }
 
 bool OpeningPolicy::isWithinColdLimit(const TrackedUpstream &upstream, TimePoint now)
 {
-    if (!upstream.isCold(now)) {
-        return true;
-    }
     const auto *rules = m_upstreams.serviceRules(upstream.record.service);
     return rules != nullptr
             && m_coldAdmission.admits(upstream.record.serial, rules->coldOpensPerSecond, now);
 }
 
+double OpeningPolicy::coldSlots(const TrackedUpstream &upstream, common::Duration usualTime) const
+{
+    const auto *rules = m_upstreams.serviceRules(upstream.record.service);
+    const std::chrono::duration<double> time = usualTime;
+    return rules == nullptr ? 0.0 : rules->coldOpensPerSecond * time.count();
+}
+
 void OpeningPolicy::recordOpening(TrackedUpstream &upstream, TimePoint now)
 {
     upstream.health.onFlowOpened(now);
@@ -117,6 +147,57 @@
     }
 }
 
+TrackedUpstream *OpeningPolicy::firstChoice(const Opening &opening, TimePoint now) const
+{
+    return opening.responseAim ? choiceByLoad(opening) : choiceByHash(opening.flowHash, now);
+}
+
+TrackedUpstream *OpeningPolicy::choiceByHash(std::uint64_t flowHash, TimePoint now) const
+{
+    auto *first = highestRanked(m_candidates.healthy, flowHash, 0, {});
+    if (first == nullptr) {
+        return nullptr;
+    }
+    return fasterOf(first, highestRanked(m_candidates.healthy, flowHash, 0, first->token), now);
+}
+
+TrackedUpstream *OpeningPolicy::choiceByLoad(const Opening &opening) const
+{
+    const bool isInOwnZone = staysInOwnZone(opening);
+    WeightedRanking ranking(opening.flowHash);
+    for (auto *upstream : m_candidates.healthy) {
+        if ((upstream->record.zone == m_position.zone) == isInOwnZone) {
+            ranking.add(*upstream);
+        }
+    }
+    return soonerOf(ranking.ranked(), opening.usualTime);
+}
+
+bool OpeningPolicy::staysInOwnZone(const Opening &opening) const
+{
+    UpstreamPool own;
+    UpstreamPool others;
+    std::uint32_t otherZones = 0;
+    for (const auto &zone : m_candidates.zones) {
+        if (zone.zone == m_position.zone) {
+            own = zone.healthy;
+        } else if (zone.healthy.upstreams > 0) {
+            others.add(zone.healthy);
+            ++otherZones;
+        }
+    }
+    if (own.upstreams == 0 || otherZones == 0) {
+        return own.upstreams > 0;
+    }
+    const auto known = std::ranges::find(m_demands, opening.service, &ServiceDemand::service);
+    const ZoneDemand demand {
+        .busySlots = known == m_demands.end() ? std::nullopt : std::optional(known->busySlots),
+        .responseAim = *opening.responseAim,
+        .usualTime = opening.usualTime,
+    };
+    return divisionPosition(opening.flowHash) < ownZoneShare(own, others, otherZones, demand);
+}
+
 TrackedUpstream *OpeningPolicy::fasterOf(TrackedUpstream *first, TrackedUpstream *second,
                                          TimePoint now) const
 {
@@ -144,7 +225,7 @@
         // A retransmission prefers the own zone, which this instance reaches even when other zones
         // are cut off.
         const bool isPreferred = retransmissions > 0 && upstream->record.zone == m_position.zone;
-        const std::pair rank { isPreferred, scoreOf(flowHash, *upstream) };
+        const std::pair rank { isPreferred, rendezvousScore(flowHash, *upstream) };
         if (highest == nullptr || rank > highestRank) {
             highest = upstream;
             highestRank = rank;
