Leave half of the link to traffic while a large directory is passed on

Cause: an instance that forwards a change with many routes to its group sent all fragments at once. Ruled out: the upstream, the path to its zone and the instances (postmortem). Change: SendPacer, through which messages with entries leave; heartbeats, reports and fetches are sent at once as before.

--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -41,6 +41,12 @@
 // Until the directory is loaded, packets stay in the socket's buffer. Callers retransmit opening
 // packets after 200 ms, so that a longer wait has little benefit.
 constexpr std::chrono::milliseconds MaxDirectoryWait { 1'000 };
+// Part of the link that messages with entries of the directory may take; the rest is for traffic.
+constexpr double DirectoryLinkPart = 0.5;
+constexpr double BytesPerMegabit = 125'000.0;
+constexpr double MinLinkMbps = 1.0;
+// Several queued messages are sent at each wake-up.
+constexpr std::chrono::milliseconds MinSendInterval { 10 };
 // An operator's edit causes many changes in quick succession. Leaving out some events loses
 // nothing, since each event holds the newest state.
 constexpr double ChangeEventsPerSecond = 10.0;
@@ -100,6 +106,8 @@
               { [this] { return isReady(); }, [this] { return metricsText(); },
                 [this] { return statusText(); } })
     , m_tickTimer(context)
+    , m_sendPacer(std::max(MinLinkMbps, m_settings.linkMbps) * BytesPerMegabit * DirectoryLinkPart)
+    , m_sendTimer(context)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
 {
     m_trafficSocket.non_blocking(true);
@@ -329,9 +337,23 @@
 
 void FlowDaemon::sendToPeer(const SendDirectoryMessage &send)
 {
-    const auto bytes = send.message.SerializeAsString();
+    auto bytes = send.message.SerializeAsString();
+    if (!send.message.has_fragment()) {
+        sendDatagram(send.to, bytes);
+        return;
+    }
+    if (!m_sendPacer.push({ send.to, std::move(bytes) })) {
+        m_metrics.count(Counter::SendErrors);
+    }
+    if (!m_isSendScheduled) {
+        sendQueued();
+    }
+}
+
+void FlowDaemon::sendDatagram(Endpoint to, const std::string &bytes)
+{
     boost::system::error_code error;
-    m_peerSocket.send_to(boost::asio::buffer(bytes), toAsio(send.to), 0, error);
+    m_peerSocket.send_to(boost::asio::buffer(bytes), toAsio(to), 0, error);
     if (error) {
         m_metrics.count(Counter::SendErrors);
     } else {
@@ -339,6 +361,25 @@
     }
 }
 
+void FlowDaemon::sendQueued()
+{
+    const auto now = bootTimeNow();
+    while (const auto message = m_sendPacer.takeDue(now)) {
+        sendDatagram(message->to, message->bytes);
+    }
+    const auto wait = m_sendPacer.untilNext(now);
+    m_isSendScheduled = wait.has_value();
+    if (!wait) {
+        return;
+    }
+    m_sendTimer.expires_after(std::max<common::Duration>(*wait, MinSendInterval));
+    m_sendTimer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            runGuarded("send_queued", [this] { sendQueued(); });
+        }
+    });
+}
+
 void FlowDaemon::scheduleTick()
 {
     m_tickTimer.expires_after(TickInterval);
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -9,6 +9,7 @@
 #include "process/metrics.h"
 #include "process/packetformat.h"
 #include "process/ratelimitedlog.h"
+#include "process/sendpacer.h"
 #include "process/stalldetector.h"
 #include "version/directory.h"
 
@@ -63,6 +64,9 @@
     void forwardRestarts(std::vector<connection::AssumedRestart> restarts, bool isFromOwnZone,
                          common::TimePoint now);
     void sendToPeer(const SendDirectoryMessage &send);
+    void sendDatagram(common::Endpoint to, const std::string &bytes);
+    /// Sends the queued messages that are due and schedules the next ones.
+    void sendQueued();
 
     void scheduleTick();
     void onTick(common::TimePoint now);
@@ -106,6 +110,9 @@
     boost::asio::ip::udp::socket m_peerSocket;
     AdminServer m_admin;
     boost::asio::steady_timer m_tickTimer;
+    SendPacer m_sendPacer;
+    boost::asio::steady_timer m_sendTimer;
+    bool m_isSendScheduled = false;
     boost::asio::signal_set m_signals;
     std::array<std::uint8_t, BufferBytes> m_buffer {};
     std::array<std::uint8_t, BufferBytes> m_peerBuffer {};
--- a/src/process/flowsettings.cpp
+++ b/src/process/flowsettings.cpp
@@ -37,12 +37,11 @@
 
 /// Rounds down to tenths, so that instances of the same kind get the same value and small
 /// differences do not change the roles.
-std::uint32_t capacityOf(SettingsReader &reader)
+std::uint32_t capacityOf(SettingsReader &reader, double linkMbps)
 {
     const auto share =
             reader.nonNegativeNumber("instance", "processor_share", DefaultProcessorShare);
-    const auto link = reader.nonNegativeNumber("instance", "link_mbps", DefaultLinkMbps);
-    const auto lowestRatio = std::min(share / DefaultProcessorShare, link / DefaultLinkMbps);
+    const auto lowestRatio = std::min(share / DefaultProcessorShare, linkMbps / DefaultLinkMbps);
     return static_cast<std::uint32_t>(std::clamp(lowestRatio, 0.0, 1.0) * CapacitySteps);
 }
 
@@ -81,7 +80,8 @@
     settings.seeds = reader.endpoints("peers", "seeds", false);
     std::ranges::for_each(settings.seeds,
                           [&](auto &seed) { seed.port = settings.peerAdvertised.port; });
-    settings.capacity = capacityOf(reader);
+    settings.linkMbps = reader.nonNegativeNumber("instance", "link_mbps", DefaultLinkMbps);
+    settings.capacity = capacityOf(reader, settings.linkMbps);
     const auto grace = reader.integer("shutdown", "grace_ms", MinGraceMs, MaxGraceMs, true);
     settings.shutdownGrace = std::chrono::milliseconds(grace.value_or(MinGraceMs));
     const auto openFlows = reader.integer("withdrawal", "open_flows_ms", 0, MaxOpenFlowsMs, false);
--- a/src/process/flowsettings.h
+++ b/src/process/flowsettings.h
@@ -40,6 +40,8 @@
     /// Processor share and link relative to what the roles leader and watcher need, from 0 to 10.
     /// An instance of higher capacity ranks higher for these roles.
     std::uint32_t capacity = 0;
+    /// Rate of the instance's link in Mbit/s.
+    double linkMbps = 0.0;
     /// One of trace, debug, info, warning, error.
     std::string logLevel = "info";
 
