Count the limit of cold upstreams in the room of a zone

Cause: a check with each line of the choice changed showed that no test noticed when cold upstreams counted with all their slots; the test that was added then showed that they counted as slow ones, so that the target was too low. Ruled out: leaving cold upstreams out (a zone that returns would get no openings of its own callers while others have room, and would not turn warm). Change: a cold upstream adds the slots that its limit can keep busy, and its service time counts as usual. Two tests: room of cold upstreams, and small differences of work left.

--- a/src/connection/zoneroom.cpp
+++ b/src/connection/zoneroom.cpp
@@ -43,7 +43,7 @@
     const auto slowness = pool.slots / pool.effectiveSlots;
     const auto serviceTime = static_cast<double>(demand.usualTime.count()) * slowness;
     const auto time = static_cast<double>(demand.responseAim.count()) * WaitingPart / serviceTime;
-    const auto slotsPerUpstream = pool.slots / std::max(1U, pool.upstreams);
+    const auto slotsPerUpstream = std::max(1.0, pool.slots / std::max(1U, pool.upstreams));
     return std::min(bySize, std::max(MinUtilization, utilizationByWait(slotsPerUpstream, time)));
 }
 
--- a/src/connection/zoneroom.h
+++ b/src/connection/zoneroom.h
@@ -12,10 +12,9 @@
 /// Upstreams of one or more zones that may take flows now.
 struct UpstreamPool
 {
-    /// Sum of the slots.
+    /// Sum of the slots; a cold upstream counts with those that its limit can keep busy.
     double slots = 0.0;
-    /// Sum of the slots, each divided by the slowness of its upstream; a cold upstream counts with
-    /// the slots that its limit can keep busy.
+    /// Sum of the slots, each divided by the slowness of its upstream.
     double effectiveSlots = 0.0;
     std::uint32_t upstreams = 0;
 
@@ -24,9 +23,9 @@
     /// maxSlots is how many slots the limit of a cold upstream can keep busy.
     void add(std::uint32_t upstreamSlots, double slowness, double maxSlots = Unlimited)
     {
-        const auto counted = static_cast<double>(std::max(1U, upstreamSlots));
+        const auto counted = std::min(maxSlots, static_cast<double>(std::max(1U, upstreamSlots)));
         slots += counted;
-        effectiveSlots += std::min(maxSlots, slowness > 1.0 ? counted / slowness : counted);
+        effectiveSlots += slowness > 1.0 ? counted / slowness : counted;
         ++upstreams;
     }
 
--- a/src/tests/openingbyloadtest.cpp
+++ b/src/tests/openingbyloadtest.cpp
@@ -152,6 +152,20 @@
     CHECK(shareOf(openings, 101, 103) * 20.0 < 0.85 * 9.0);
 }
 
+// All upstreams of the zone are cold, with limits that allow more openings than come: they count
+// with the work that their limits allow, and not with all their slots.
+TEST(OpeningByLoad, coldUpstreamsHaveTheRoomOfTheirLimits)
+{
+    putThreeZones();
+    putRules(20.0);
+    for (std::uint64_t serial = 101; serial <= 110; ++serial) {
+        tracked(serial).coldUntil = now + 2s;
+    }
+    policy.setDemands({ { Bancada, 9.0 } });
+    const auto own = shareOf(openingsOf(150), 101, 110);
+    CHECK(own > 0.2 && own < 0.7);
+}
+
 // Another zone is cut off: nothing changes for the flows of this one. All upstreams of the own zone
 // fall silent: all flows go elsewhere at once. All upstreams leave the own zone: likewise.
 TEST(OpeningByLoad, silentUpstreamsGiveNoRoom)
@@ -228,6 +242,18 @@
     CHECK(std::ranges::all_of(openings, [](const auto &item) { return item.second < 400; }));
 }
 
+// All upstreams have work left, as at high load: small differences between figures that are seconds
+// old must not move flows to and fro.
+TEST(OpeningByLoad, smallDifferencesOfWorkLeftMoveNoFlows)
+{
+    putMany(101, 10);
+    const auto before = openingsOf(2'000);
+    for (std::uint64_t serial = 101; serial <= 110; ++serial) {
+        tracked(serial).load.workLeft = serial % 2 == 0 ? 750ms : 900ms;
+    }
+    CHECK(before == openingsOf(2'000));
+}
+
 // Retransmitted openings go to another upstream of the own zone, whether or not this instance saw
 // the first transmission.
 TEST(OpeningByLoad, retransmittedOpeningGoesToAnotherUpstreamOfTheZone)
