Learn the load of upstreams and the demand of a zone

Cause: the choice of an upstream and admission need to know which upstreams are slow, how much work each has left and how much work callers bring; an instance of a large zone sees one request in 6 s to an upstream. Change: LoadPicture with RequestCost, RequestsInProgress, UpstreamEvidence and ReportBudget; FlowObserver tells when requests begin and end; FlowForwarder feeds the picture for routes with a response aim; codec of load reports. No decision uses it yet, and FlowDaemon does not send reports yet.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -57,6 +57,7 @@
     : m_options(options)
     , m_onResponseTime(std::move(onResponseTime))
     , m_upstreams(options.instance)
+    , m_load(m_upstreams)
     , m_policy(m_upstreams)
     , m_isolation(options.ownZone)
     , m_observer(options.observedFlowSets)
@@ -78,6 +79,7 @@
 {
     m_policy.setPosition(position, now);
     m_upstreams.setHasPeers(position.zonePeers >= MinRefutingPeers);
+    m_load.setZoneInstances(position.zonePeers + 1);
 }
 
 void FlowForwarder::setConfirmedAt(TimePoint time)
@@ -156,6 +158,7 @@
     // Other requests may still be running, so their flows are not reset.
     if (mayRetryRequest(packet) && packet.payloadBytes > 0
         && shouldReset(*upstream, observation.isRetransmission, now)) {
+        m_load.onFlowEnded(observation.flow, now);
         return ResetFlow { Reason::UpstreamSilent };
     }
     return ForwardPacket { upstream->record.endpoint, upstream->record.serial, packet.token,
@@ -198,6 +201,27 @@
     if (observation.isRetransmission) {
         recordRetransmission(*upstream, packet, now);
     }
+    if (observation.beginsRequest || observation.endsRequest) {
+        recordRequest(packet, observation, *upstream, now);
+    }
+}
+
+void FlowForwarder::recordRequest(const FlowPacket &packet, const FlowObservation &observation,
+                                  const TrackedUpstream &upstream, TimePoint now)
+{
+    const auto *route = routeOf(packet);
+    if (route == nullptr || !route->record.terms.responseAim) {
+        return;
+    }
+    const RequestKind kind { packet.service, observation.sizeClass };
+    if (observation.answerTime) {
+        m_load.onAnswer(kind, upstream, observation.flow, *observation.answerTime, now);
+    } else if (observation.endsRequest) {
+        m_load.onFlowEnded(observation.flow, now);
+    }
+    if (observation.beginsRequest) {
+        m_load.onRequest(kind, upstream, observation.flow, now);
+    }
 }
 
 void FlowForwarder::recordResponse(TrackedUpstream &upstream, TimePoint flowOpenSince,
@@ -343,6 +367,7 @@
         if (isObsolete || !shouldReset(*upstream, true, now)) {
             return isObsolete;
         }
+        m_load.onFlowEnded(FlowObserver::flowOf(retransmission.packet), now);
         flowsToReset.push_back(retransmission.packet);
         return true;
     });
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -3,6 +3,7 @@
 #include "connection/flowobserver.h"
 #include "connection/flowpacket.h"
 #include "connection/isolationdetector.h"
+#include "connection/loadpicture.h"
 #include "connection/openingpolicy.h"
 #include "connection/outlierdetector.h"
 #include "connection/upstreamtable.h"
@@ -136,6 +137,24 @@
     [[nodiscard]] PassiveHealthReport onPeerHealthReport(const PassiveHealthReport &report,
                                                          common::TimePoint now);
 
+    /// Updates the load of all upstreams; called every 100 ms.
+    void refreshLoad(common::TimePoint now) { m_load.refresh(now); }
+
+    /// Returns a report of the load for the other instances of the zone, when one is due.
+    [[nodiscard]] std::optional<LoadReport> takeLoadReport(common::TimePoint now)
+    {
+        return m_load.takeReport(now);
+    }
+
+    void onPeerLoadReport(const LoadReport &report, common::TimePoint now)
+    {
+        m_load.onPeerReport(report, now);
+    }
+
+    [[nodiscard]] const LoadPicture &load() const { return m_load; }
+
+    [[nodiscard]] LoadPicture &load() { return m_load; }
+
     /// Removes expired state; called about once a second.
     void removeExpired(common::TimePoint now);
 
@@ -158,6 +177,10 @@
     PacketVerdict handleUnknown(const FlowPacket &packet, common::TimePoint now);
     void recordObservation(const FlowPacket &packet, const FlowObservation &observation,
                            common::TimePoint now);
+    /// Tells the picture of the load that a request has begun or ended, if the contract names a
+    /// response aim for it.
+    void recordRequest(const FlowPacket &packet, const FlowObservation &observation,
+                       const TrackedUpstream &upstream, common::TimePoint now);
     void recordResponse(TrackedUpstream &upstream, common::TimePoint flowOpenSince,
                         common::TimePoint now);
     /// Handles the first response of an upstream after a silence.
@@ -193,6 +216,7 @@
     Options m_options;
     ResponseTimeSink m_onResponseTime;
     UpstreamTable m_upstreams;
+    LoadPicture m_load;
     OpeningPolicy m_policy;
     IsolationDetector m_isolation;
     OutlierDetector m_outliers;
--- a/src/connection/flowobserver.cpp
+++ b/src/connection/flowobserver.cpp
@@ -1,6 +1,7 @@
 #include "connection/flowobserver.h"
 
 #include "common/hash.h"
+#include "connection/requestsinprogress.h"
 
 #include <algorithm>
 #include <span>
@@ -16,15 +17,10 @@
     return (std::uint64_t { endpoint.address } << 16U) | endpoint.port;
 }
 
-std::uint64_t keyOf(const FlowPacket &packet)
-{
-    const auto key =
-            common::hashPair(packedEndpoint(packet.caller), packedEndpoint(packet.service));
-    return key == 0 ? 1 : key;
-}
-
 // Callers retransmit data after 200 ms. Data that arrives again sooner was overtaken by later data.
 constexpr std::chrono::milliseconds ReorderingWindow { 150 };
+// A caller sends the packets of a request without delay. A longer gap is a pause of the caller.
+constexpr std::chrono::milliseconds MaxRequestGap { 100 };
 
 /// Compares sequence numbers that wrap around.
 bool isAfter(std::uint32_t left, std::uint32_t right)
@@ -39,9 +35,16 @@
     , m_mask(sets - 1)
 { }
 
+std::uint64_t FlowObserver::flowOf(const FlowPacket &packet)
+{
+    const auto key =
+            common::hashPair(packedEndpoint(packet.caller), packedEndpoint(packet.service));
+    return key == 0 ? 1 : key;
+}
+
 FlowObservation FlowObserver::observe(const FlowPacket &packet, TimePoint now)
 {
-    const auto key = keyOf(packet);
+    const auto key = flowOf(packet);
     auto *known = find(key);
     if (known != nullptr && (known->isOpen || !packet.opens)) {
         return observeKnown(*known, packet, now);
@@ -63,8 +66,13 @@
              .acknowledged = packet.acknowledgement,
              .isOpen = true,
              .isWaiting = packet.payloadBytes > 0,
-             .isFinished = packet.finishes };
-    return { .upstream = packet.token, .openSince = now };
+             .isFinished = packet.finishes,
+             .sizeClass = sizeClassOf(packet.payloadBytes) };
+    return { .upstream = packet.token,
+             .openSince = now,
+             .flow = key,
+             .beginsRequest = flow.isWaiting,
+             .sizeClass = flow.sizeClass };
 }
 
 void FlowObserver::visitWaiting(TimePoint before, const WaitingVisitor &visitor)
@@ -78,14 +86,14 @@
 
 bool FlowObserver::isWaiting(const FlowPacket &packet)
 {
-    const auto *flow = find(keyOf(packet));
+    const auto *flow = find(flowOf(packet));
     return flow != nullptr && flow->isWaiting && flow->upstream == packet.token;
 }
 
 void FlowObserver::recordOpening(const FlowPacket &packet, common::FlowToken upstream,
                                  TimePoint now)
 {
-    const auto key = keyOf(packet);
+    const auto key = flowOf(packet);
     auto *known = find(key);
     auto &flow = known == nullptr ? replaceableEntry(key) : *known;
     flow = {
@@ -95,7 +103,7 @@
 
 FlowObservation FlowObserver::observeKnown(Flow &flow, const FlowPacket &packet, TimePoint now)
 {
-    FlowObservation observation { .upstream = packet.token };
+    FlowObservation observation { .upstream = packet.token, .flow = flow.key };
     flow.lastSeen = now;
     if (!flow.isOpen || flow.upstream != packet.token) {
         // The first packet after the opening packet acknowledges the upstream's reply to the
@@ -109,34 +117,63 @@
     }
     observation.openSince = flow.openSince;
     if (isAfter(packet.acknowledgement, flow.acknowledged)) {
-        // Data packets and the last packet of a flow may acknowledge a response that arrived long
-        // before.
-        const bool isPureAcknowledgement = packet.payloadBytes == 0 && !packet.finishes;
-        observation.hasResponse = observation.hasResponse || isPureAcknowledgement;
-        if (flow.isWaiting && isPureAcknowledgement) {
-            observation.responseTime = now - flow.waitingSince;
-        }
-        flow.acknowledged = packet.acknowledgement;
-        flow.isWaiting = false;
+        observeAcknowledgement(flow, packet, now, observation);
     }
-    const auto end = packet.sequence + packet.payloadBytes;
     if (packet.payloadBytes > 0) {
-        if (isAfter(end, flow.sentUpTo)) {
-            flow.waitingSince = flow.isWaiting ? flow.waitingSince : now;
-            flow.isOverdue = flow.isWaiting && flow.isOverdue;
-            flow.isWaiting = true;
-            flow.sentUpTo = end;
-            flow.newDataAt = now;
-        } else {
-            observation.isRetransmission = now - flow.newDataAt > ReorderingWindow;
-        }
+        observeData(flow, packet, now, observation);
     } else if (packet.finishes) {
         observation.isRetransmission = flow.isFinished;
         flow.isFinished = true;
     }
+    if ((packet.finishes || packet.resets) && flow.isWaiting) {
+        observation.endsRequest = true;
+    }
     return observation;
 }
 
+void FlowObserver::observeAcknowledgement(Flow &flow, const FlowPacket &packet, TimePoint now,
+                                          FlowObservation &observation)
+{
+    // Data packets and the last packet of a flow may acknowledge a response that arrived long
+    // before.
+    const bool isPureAcknowledgement = packet.payloadBytes == 0 && !packet.finishes;
+    observation.hasResponse = observation.hasResponse || isPureAcknowledgement;
+    if (flow.isWaiting) {
+        observation.endsRequest = true;
+        observation.sizeClass = flow.sizeClass;
+        if (isPureAcknowledgement) {
+            observation.responseTime = now - flow.waitingSince;
+            observation.answerTime = flow.isTimed ? observation.responseTime : std::nullopt;
+        }
+    }
+    flow.acknowledged = packet.acknowledgement;
+    flow.isWaiting = false;
+}
+
+void FlowObserver::observeData(Flow &flow, const FlowPacket &packet, TimePoint now,
+                               FlowObservation &observation)
+{
+    const auto end = packet.sequence + packet.payloadBytes;
+    if (!isAfter(end, flow.sentUpTo)) {
+        observation.isRetransmission = now - flow.newDataAt > ReorderingWindow;
+        flow.isTimed = flow.isTimed && !observation.isRetransmission;
+        return;
+    }
+    if (flow.isWaiting) {
+        flow.isTimed = flow.isTimed && now - flow.newDataAt <= MaxRequestGap;
+    } else {
+        flow.waitingSince = now;
+        flow.isOverdue = false;
+        flow.isWaiting = true;
+        flow.isTimed = true;
+        flow.sizeClass = sizeClassOf(packet.payloadBytes);
+        observation.beginsRequest = true;
+        observation.sizeClass = flow.sizeClass;
+    }
+    flow.sentUpTo = end;
+    flow.newDataAt = now;
+}
+
 FlowObserver::Flow *FlowObserver::find(std::uint64_t key)
 {
     const auto set = std::span(m_flows).subspan((key & m_mask) * Ways, Ways);
--- a/src/connection/flowobserver.h
+++ b/src/connection/flowobserver.h
@@ -25,6 +25,17 @@
     std::optional<common::Duration> responseTime {};
     /// When this instance first saw the flow open; the flow may be older.
     common::TimePoint openSince {};
+    /// Hash of the flow.
+    std::uint64_t flow = 0;
+    /// The caller has begun a request.
+    bool beginsRequest = false;
+    /// The flow's request has been answered, or its caller has given up.
+    bool endsRequest = false;
+    /// Like responseTime, but empty when the request was retransmitted, when its caller paused
+    /// while it sent the request, or when this instance may not have seen its first packet.
+    std::optional<common::Duration> answerTime {};
+    /// Size class of the request that begins or ends; see sizeClassOf().
+    std::uint8_t sizeClass = 0;
 };
 
 /// Tracks the sequence numbers of flows that pass through this instance to detect retransmissions
@@ -36,6 +47,9 @@
     /// sets is the number of sets of four flows; a power of two.
     explicit FlowObserver(std::size_t sets);
 
+    /// Hash of the packet's flow.
+    [[nodiscard]] static std::uint64_t flowOf(const FlowPacket &packet);
+
     FlowObservation observe(const FlowPacket &packet, common::TimePoint now);
     /// Gets the token of the upstream, the key of the flow and when its request was first sent.
     /// Returns true to leave the flow out until its next request.
@@ -70,12 +84,19 @@
         bool isFinished = false;
         /// The visitor returned true for the current request.
         bool isOverdue = false;
+        /// The time to the answer of the current request is that of the upstream.
+        bool isTimed = false;
+        std::uint8_t sizeClass = 0;
     };
 
     Flow *find(std::uint64_t key);
     Flow &replaceableEntry(std::uint64_t key);
     static FlowObservation observeKnown(Flow &flow, const FlowPacket &packet,
                                         common::TimePoint now);
+    static void observeAcknowledgement(Flow &flow, const FlowPacket &packet, common::TimePoint now,
+                                       FlowObservation &observation);
+    static void observeData(Flow &flow, const FlowPacket &packet, common::TimePoint now,
+                            FlowObservation &observation);
 
     std::vector<Flow> m_flows;
     std::size_t m_mask;
--- /dev/null
+++ b/src/connection/loadpicture.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "common/ids.h"
+#include "common/time.h"
+#include "connection/loadreport.h"
+#include "connection/requestcost.h"
+#include "connection/requestsinprogress.h"
+#include "connection/servicedemand.h"
+#include "connection/upstreamevidence.h"
+#include "connection/upstreamtable.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace banyanwall::connection {
+
+/// Mean load of the upstreams of a service.
+struct ServiceLoad
+{
+    common::ServiceId service;
+    double meanSlowness = 1.0;
+    std::size_t slowUpstreams = 0;
+};
+
+/// An upstream became slow, or usual again.
+struct SlownessChange
+{
+    common::UpstreamSerial upstream;
+    double slowness = 1.0;
+    bool isSlow = false;
+};
+
+/// Learns from the requests of this instance's callers, and from reports of the other instances of
+/// its zone, how long requests take, which upstreams are slow, how much work each upstream has
+/// left, and how much work callers bring. Without observations, upstreams count as usual. Not
+/// thread-safe.
+class LoadPicture
+{
+public:
+    explicit LoadPicture(UpstreamTable &upstreams);
+
+    /// Sets the number of instances of the own zone, this one included.
+    void setZoneInstances(std::uint32_t count);
+
+    /// A request was sent to an upstream for the first time; flow is a hash of the flow.
+    void onRequest(const RequestKind &kind, const TrackedUpstream &upstream, std::uint64_t flow,
+                   common::TimePoint now);
+    /// The caller got the first part of the answer. responseTime must not hold retransmissions or
+    /// pauses of the caller.
+    void onAnswer(const RequestKind &kind, const TrackedUpstream &upstream, std::uint64_t flow,
+                  common::Duration responseTime, common::TimePoint now);
+    /// The flow has ended, or its request was answered after an unknown time.
+    void onFlowEnded(std::uint64_t flow, common::TimePoint now);
+
+    /// Writes TrackedUpstream::load of all upstreams and drops expired state; called every 100 ms.
+    void refresh(common::TimePoint now);
+
+    void onPeerReport(const LoadReport &report, common::TimePoint now);
+    /// Returns a report to be sent to each other instance of the zone; empty when none is due
+    /// within the limits of ReportBudget.
+    [[nodiscard]] std::optional<LoadReport> takeReport(common::TimePoint now);
+
+    /// Mean time of requests of a kind at a usual upstream, or of all requests of its route when
+    /// the kind is not known; zero while unknown.
+    [[nodiscard]] common::Duration usualTime(const RequestKind &kind) const;
+    /// Work that the callers of the own zone bring, through all instances of the zone. Instances
+    /// that do not report count like the mean of the others.
+    [[nodiscard]] std::vector<ServiceDemand> demands(common::TimePoint now) const;
+
+    /// Services with observations; as of the last refresh.
+    [[nodiscard]] std::vector<ServiceLoad> serviceLoads() const;
+
+    /// Returns the upstreams that became slow or usual since the last call.
+    [[nodiscard]] std::vector<SlownessChange> takeSlownessChanges()
+    {
+        return std::exchange(m_changes, {});
+    }
+
+private:
+    struct Observed
+    {
+        common::Incarnation incarnation;
+        UpstreamEvidence evidence;
+        /// Work left at requests of other instances, in microseconds.
+        double peerWork = 0.0;
+        /// Work left at own requests that were not reported, in microseconds.
+        double unreportedWork = 0.0;
+        bool isSlow = false;
+    };
+
+    struct KnownKind
+    {
+        RequestCost cost;
+        common::TimePoint lastSample;
+    };
+
+    struct Service
+    {
+        /// Logarithm of the present response times of the service relative to the usual times of
+        /// the kinds: a median over the answers to own callers.
+        double shift = 0.0;
+        /// Mean usual time of a request in microseconds; zero while unknown.
+        double meanTime = 0.0;
+        /// Work that own callers have brought, in microseconds; decays.
+        double ownWork = 0.0;
+        /// Busy slots in reports of other instances; decays like m_peerReports.
+        double peerSlots = 0.0;
+        ServiceLoad load;
+    };
+
+    struct Row
+    {
+        ReportedUpstream reported;
+        double value = 0.0;
+    };
+
+    [[nodiscard]] const RequestCost *costOf(const RequestKind &kind) const;
+    void addSample(const RequestKind &kind, common::Duration responseTime, common::TimePoint now);
+    /// Empty observations when the upstream has restarted since the last ones.
+    [[nodiscard]] Observed &observedOf(const TrackedUpstream &upstream);
+    void decay(common::Duration elapsed);
+    void refreshSlowness(common::ServiceId service, const UpstreamTable::Group &group);
+    void refreshWork(common::TimePoint now);
+    /// Returns false when the request has ended unseen.
+    [[nodiscard]] bool addWork(const RequestInProgress &request, common::TimePoint now);
+    void recordSlowness(const TrackedUpstream &upstream, Observed &observed);
+    void addDemands(LoadReport &report) const;
+    void addUpstreams(LoadReport &report) const;
+    [[nodiscard]] std::vector<Row> rowsToReport() const;
+    [[nodiscard]] double valueOfWork(const Observed &observed,
+                                     const version::UpstreamRecord &record) const;
+    void markReported(const LoadReport &report);
+
+    UpstreamTable &m_upstreams;
+    std::uint32_t m_zoneInstances = 1;
+    std::unordered_map<RequestKind, KnownKind> m_kinds;
+    RequestsInProgress m_requests;
+    std::unordered_map<common::FlowToken, Observed> m_observed;
+    std::map<common::ServiceId, Service> m_services;
+    /// Number of reports with demands; old ones count less.
+    double m_peerReports = 0.0;
+    common::TimePoint m_refreshedAt;
+    ReportBudget m_budget;
+    common::TimePoint m_nextDemandAt;
+    std::vector<SlownessChange> m_changes;
+    /// Member only to reuse its memory.
+    std::vector<double> m_logs;
+};
+
+} // namespace banyanwall::connection
--- a/src/connection/upstreamtable.h
+++ b/src/connection/upstreamtable.h
@@ -88,6 +88,16 @@
     [[nodiscard]] TrackedUpstream *find(common::FlowToken token);
     /// All upstreams of a service that are kept, including those without a directory entry.
     [[nodiscard]] const Group &ofService(common::ServiceId service) const;
+
+    /// Calls visitor(ServiceId, const Group &) for each service.
+    template<typename Visitor>
+    void visitServices(const Visitor &visitor) const
+    {
+        for (const auto &[service, group] : m_groups) {
+            visitor(service, group);
+        }
+    }
+
     [[nodiscard]] bool isWithdrawn(common::ZoneId zone) const;
     /// Zones with at least one upstream that may take flows: registered, not draining, and not in a
     /// withdrawn zone.
