Choose by the learned load and demand

Cause: the choice knew no demand and counted all upstreams as usual; a demand that has just been learned is a mean that starts at zero, so that all openings would stay in a small zone after a restart. Ruled out: the age of the process (instances start long before the first callers). Change: FlowForwarder sets the demands with each refresh of the load and passes on the usual time of the route. A demand counts as known 2 s after its first work. Until then a zone keeps its callers when its room is at most a fifth below the mean of the zones. The simulated instances exchange reports of load.

--- a/src/benchmarks/flowbalancer.cpp
+++ b/src/benchmarks/flowbalancer.cpp
@@ -100,6 +100,20 @@
                                : forwardTo(*upstream);
 }
 
+std::optional<connection::LoadReport> FlowBalancer::takeLoadReport(common::TimePoint now)
+{
+    if (!std::holds_alternative<LoadChoice>(m_kind)) {
+        return std::nullopt;
+    }
+    m_forwarder.refreshLoad(now);
+    return m_forwarder.takeLoadReport(now);
+}
+
+void FlowBalancer::onLoadReport(const connection::LoadReport &report, common::TimePoint now)
+{
+    m_forwarder.onPeerLoadReport(report, now);
+}
+
 PacketVerdict FlowBalancer::chooseByHash(const FlowPacket &packet)
 {
     const auto upstreams = ranked(packet);
--- a/src/benchmarks/flowbalancer.h
+++ b/src/benchmarks/flowbalancer.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -54,6 +55,9 @@
     connection::PacketVerdict handle(const connection::FlowPacket &packet, common::TimePoint now);
     /// Passive health report for the other instances of the zone.
     [[nodiscard]] connection::PassiveHealthReport takeHealthReport(common::TimePoint now);
+    /// Load report for the other instances of the zone, when one is due; called every 100 ms.
+    [[nodiscard]] std::optional<connection::LoadReport> takeLoadReport(common::TimePoint now);
+    void onLoadReport(const connection::LoadReport &report, common::TimePoint now);
     /// Packets whose flows are to be reset because their upstream is unresponsive; empty for the
     /// baselines.
     [[nodiscard]] std::vector<connection::FlowPacket> takeFlowsToReset(common::TimePoint now);
--- a/src/benchmarks/flowload.cpp
+++ b/src/benchmarks/flowload.cpp
@@ -122,6 +122,7 @@
 {
     startTraffic();
     exchangeHealthReports();
+    exchangeLoadReports();
     m_events.runUntil(m_start + m_sizes.duration);
     return m_result;
 }
--- a/src/benchmarks/flowload.h
+++ b/src/benchmarks/flowload.h
@@ -75,6 +75,7 @@
     [[nodiscard]] const version::UpstreamRecord *soonestUpstream(std::size_t instance) const;
     void publish(const version::DirectoryChange &change);
     void exchangeHealthReports();
+    void exchangeLoadReports();
     void deliverResets();
 
     FlowLoadSizes m_sizes;
--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -112,6 +112,12 @@
                   [&](const auto &item) { return now - item.second > UnknownTokenRetention; });
 }
 
+void FlowForwarder::refreshLoad(TimePoint now)
+{
+    m_load.refresh(now);
+    m_policy.setDemands(m_load.demands(now), now);
+}
+
 bool FlowForwarder::isPastWithdrawalLimit(const FlowPacket &packet, TimePoint now)
 {
     const auto *upstream = m_upstreams.find(packet.token);
@@ -140,7 +146,8 @@
                             .retransmissions = packet.acknowledgement,
                             .avoidedToken = observation.upstream,
                             .responseAim =
-                                    isByContract ? route->record.terms.responseAim : std::nullopt };
+                                    isByContract ? route->record.terms.responseAim : std::nullopt,
+                            .usualTime = m_load.usualTime({ packet.service }) };
     auto *upstream = m_policy.choose(opening, now);
     if (upstream == nullptr) {
         return ResetFlow { Reason::NoUpstream };
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -140,7 +140,7 @@
                                                          common::TimePoint now);
 
     /// Updates the load of all upstreams; called every 100 ms.
-    void refreshLoad(common::TimePoint now) { m_load.refresh(now); }
+    void refreshLoad(common::TimePoint now);
 
     /// Returns a report of the load for the other instances of the zone, when one is due.
     [[nodiscard]] std::optional<LoadReport> takeLoadReport(common::TimePoint now)
--- a/src/connection/openingpolicy.cpp
+++ b/src/connection/openingpolicy.cpp
@@ -17,6 +17,10 @@
 constexpr std::chrono::milliseconds ExpiryGracePeriod { 2'000 };
 // The work of requests varies; a smaller ratio of response times occurs by chance.
 constexpr double MinSlowerRatio = 1.5;
+// A mean over some seconds is near its value after this time.
+constexpr std::chrono::seconds DemandLearningTime { 2 };
+// Less is no demand: about one short request in ten seconds.
+constexpr double MinDemand = 0.001;
 // Makes the division between zones independent of the ranking of upstreams.
 constexpr std::uint64_t ZoneDivisionSeed = 0x7a6f6e65726f6f6dULL;
 
@@ -41,7 +45,7 @@
         // Another instance received the first transmission and chose the same upstream as this
         // instance would have chosen.
         const auto *first = opening.responseAim
-                ? choiceByLoad(opening)
+                ? choiceByLoad(opening, now)
                 : highestRanked(m_candidates.healthy, opening.flowHash, 0, avoidedToken);
         avoidedToken = first == nullptr ? FlowToken() : first->token;
     }
@@ -91,6 +95,23 @@
     }
 }
 
+void OpeningPolicy::setDemands(const std::vector<ServiceDemand> &demands, TimePoint now)
+{
+    std::vector<KnownDemand> known;
+    for (const auto &demand : demands) {
+        const auto former = std::ranges::find(m_demands, demand.service,
+                                              [](const auto &item) { return item.demand.service; });
+        auto since = former == m_demands.end() ? std::nullopt : former->since;
+        if (demand.busySlots < MinDemand) {
+            since.reset();
+        } else if (!since) {
+            since = now;
+        }
+        known.push_back({ demand, since });
+    }
+    m_demands = std::move(known);
+}
+
 void OpeningPolicy::collectCandidates(const Opening &opening, TimePoint now)
 {
     m_candidates.healthy.clear();
@@ -149,7 +170,7 @@
 
 TrackedUpstream *OpeningPolicy::firstChoice(const Opening &opening, TimePoint now) const
 {
-    return opening.responseAim ? choiceByLoad(opening) : choiceByHash(opening.flowHash, now);
+    return opening.responseAim ? choiceByLoad(opening, now) : choiceByHash(opening.flowHash, now);
 }
 
 TrackedUpstream *OpeningPolicy::choiceByHash(std::uint64_t flowHash, TimePoint now) const
@@ -161,9 +182,9 @@
     return fasterOf(first, highestRanked(m_candidates.healthy, flowHash, 0, first->token), now);
 }
 
-TrackedUpstream *OpeningPolicy::choiceByLoad(const Opening &opening) const
+TrackedUpstream *OpeningPolicy::choiceByLoad(const Opening &opening, TimePoint now) const
 {
-    const bool isInOwnZone = staysInOwnZone(opening);
+    const bool isInOwnZone = staysInOwnZone(opening, now);
     WeightedRanking ranking(opening.flowHash);
     for (auto *upstream : m_candidates.healthy) {
         if ((upstream->record.zone == m_position.zone) == isInOwnZone) {
@@ -173,7 +194,7 @@
     return soonerOf(ranking.ranked(), opening.usualTime);
 }
 
-bool OpeningPolicy::staysInOwnZone(const Opening &opening) const
+bool OpeningPolicy::staysInOwnZone(const Opening &opening, TimePoint now) const
 {
     UpstreamPool own;
     UpstreamPool others;
@@ -189,15 +210,21 @@
     if (own.upstreams == 0 || otherZones == 0) {
         return own.upstreams > 0;
     }
-    const auto known = std::ranges::find(m_demands, opening.service, &ServiceDemand::service);
-    const ZoneDemand demand {
-        .busySlots = known == m_demands.end() ? std::nullopt : std::optional(known->busySlots),
-        .responseAim = *opening.responseAim,
-        .usualTime = opening.usualTime,
-    };
+    const ZoneDemand demand { .busySlots = demandOf(opening.service, now),
+                              .responseAim = *opening.responseAim,
+                              .usualTime = opening.usualTime };
     return divisionPosition(opening.flowHash) < ownZoneShare(own, others, otherZones, demand);
 }
 
+std::optional<double> OpeningPolicy::demandOf(common::ServiceId service, TimePoint now) const
+{
+    const auto known = std::ranges::find(m_demands, service,
+                                         [](const auto &item) { return item.demand.service; });
+    const bool isKnown =
+            known != m_demands.end() && known->since && now - *known->since >= DemandLearningTime;
+    return isKnown ? std::optional(known->demand.busySlots) : std::nullopt;
+}
+
 TrackedUpstream *OpeningPolicy::fasterOf(TrackedUpstream *first, TrackedUpstream *second,
                                          TimePoint now) const
 {
--- a/src/connection/openingpolicy.h
+++ b/src/connection/openingpolicy.h
@@ -54,8 +54,10 @@
 
     void setPosition(const FleetPosition &position, common::TimePoint now);
 
-    /// Replaces what is known of the demand of the own zone's callers.
-    void setDemands(const std::vector<ServiceDemand> &demands) { m_demands = demands; }
+    /// Replaces what is known of the demand of the own zone's callers. The demand of a service
+    /// counts as known when it has been there for a while, because it is a mean that starts at
+    /// zero.
+    void setDemands(const std::vector<ServiceDemand> &demands, common::TimePoint now);
 
     /// Null when no upstream can take the flow.
     [[nodiscard]] TrackedUpstream *choose(const Opening &opening, common::TimePoint now);
@@ -73,6 +75,13 @@
         UpstreamPool healthy {};
     };
 
+    struct KnownDemand
+    {
+        ServiceDemand demand;
+        /// Since when there is demand; empty while there is none.
+        std::optional<common::TimePoint> since {};
+    };
+
     struct Candidates
     {
         UpstreamTable::Group healthy;
@@ -96,8 +105,12 @@
     [[nodiscard]] TrackedUpstream *firstChoice(const Opening &opening, common::TimePoint now) const;
     [[nodiscard]] TrackedUpstream *choiceByHash(std::uint64_t flowHash,
                                                 common::TimePoint now) const;
-    [[nodiscard]] TrackedUpstream *choiceByLoad(const Opening &opening) const;
-    [[nodiscard]] bool staysInOwnZone(const Opening &opening) const;
+    [[nodiscard]] TrackedUpstream *choiceByLoad(const Opening &opening,
+                                                common::TimePoint now) const;
+    [[nodiscard]] bool staysInOwnZone(const Opening &opening, common::TimePoint now) const;
+    /// Slots that callers of the own zone keep busy; empty while it is not known.
+    [[nodiscard]] std::optional<double> demandOf(common::ServiceId service,
+                                                 common::TimePoint now) const;
     [[nodiscard]] TrackedUpstream *highestRanked(const UpstreamTable::Group &group,
                                                  std::uint64_t flowHash,
                                                  std::uint32_t retransmissions,
@@ -108,7 +121,7 @@
 
     UpstreamTable &m_upstreams;
     FleetPosition m_position;
-    std::vector<ServiceDemand> m_demands;
+    std::vector<KnownDemand> m_demands;
     /// Members only to reuse their memory: choose() allocates nothing.
     Candidates m_candidates;
     UpstreamTable::Group m_expired;
--- a/src/connection/zoneroom.cpp
+++ b/src/connection/zoneroom.cpp
@@ -12,6 +12,8 @@
 constexpr double MaxLateShare = 0.05;
 // Where even an idle upstream takes most of the response aim, some openings still stay.
 constexpr double MinUtilization = 0.2;
+// Zones of somewhat different size still keep their callers while the demand is not known.
+constexpr double UnknownDemandMargin = 1.2;
 
 /// Utilization that leaves a reserve of one standard deviation of the demand, which is the square
 /// root of the busy slots when requests arrive at random.
@@ -55,7 +57,7 @@
     }
     const auto shareOfRoom = own.effectiveSlots / (own.effectiveSlots + others.effectiveSlots);
     if (!demand.busySlots) {
-        return std::min(1.0, shareOfRoom * (otherZones + 1.0));
+        return std::min(1.0, shareOfRoom * (otherZones + 1.0) * UnknownDemandMargin);
     }
     const auto room = own.effectiveSlots * targetUtilization(own, demand);
     if (*demand.busySlots <= room) {
--- a/src/connection/zoneroom.h
+++ b/src/connection/zoneroom.h
@@ -58,7 +58,7 @@
 ///
 /// All openings stay as long as the zone has room for them within the response aim. Beyond that the
 /// share falls in proportion, but not below the share of the zone in the room of all zones. While
-/// the demand is not known, each zone is taken to bring the same demand.
+/// the demand is not known, each zone is taken to bring about the same demand.
 [[nodiscard]] double ownZoneShare(const UpstreamPool &own, const UpstreamPool &others,
                                   std::uint32_t otherZones, const ZoneDemand &demand);
 
--- a/src/tests/openingfixture.h
+++ b/src/tests/openingfixture.h
@@ -104,6 +104,13 @@
         return *upstreams.find(connection::tokenOf(common::UpstreamSerial(serial)));
     }
 
+    /// Sets the demands as those of the last minute.
+    void knowDemands(connection::OpeningPolicy &chooser,
+                     const std::vector<connection::ServiceDemand> &demands) const
+    {
+        chooser.setDemands(demands, now - std::chrono::minutes(1));
+    }
+
     void suspect(std::uint64_t serial)
     {
         tracked(serial).health.onDataRetransmitted(1, now);
