Run openingbenchmark with several seeds and chosen loads

Cause: a row of one seed does not show whether a difference between two ways is chance: slow and nearly_full were worse by load than by hash with one seed. Ruled out: longer runs (faults come at fixed times, a run has one of each). Change: arguments for the number of seeds and the loads; the lowest share of a seed is printed.

--- a/src/benchmarks/flowloadresult.cpp
+++ b/src/benchmarks/flowloadresult.cpp
@@ -6,6 +6,17 @@
 
 using common::Duration;
 
+FlowLoadResult &FlowLoadResult::operator+=(const FlowLoadResult &other)
+{
+    requests += other.requests;
+    inTime += other.inTime;
+    late += other.late;
+    failed += other.failed;
+    wrongResets += other.wrongResets;
+    latencies.insert(latencies.end(), other.latencies.begin(), other.latencies.end());
+    return *this;
+}
+
 double FlowLoadResult::goodput() const
 {
     return share(inTime);
--- a/src/benchmarks/flowloadresult.h
+++ b/src/benchmarks/flowloadresult.h
@@ -21,6 +21,8 @@
     /// From the start of a request to its answer; failed requests are left out.
     std::vector<common::Duration> latencies {};
 
+    FlowLoadResult &operator+=(const FlowLoadResult &other);
+
     /// Share of the requests that were answered within the latency target.
     [[nodiscard]] double goodput() const;
     /// The given count divided by the number of all requests.
--- a/src/benchmarks/openingbenchmark.cpp
+++ b/src/benchmarks/openingbenchmark.cpp
@@ -1,6 +1,7 @@
 // Compares designs that choose the upstream of a new flow, under loads and faults of the users'
 // platform: rendezvous hashing, the less loaded of two choices, the daemon's packet path with the
-// choice by hash and by load, and an oracle. Each run simulates 20 s. One output line per load and
+// choice by hash and by load, and an oracle. Each run simulates 20 s. Arguments: the number of
+// seeds (1 when left out), and the loads to run (all when left out). One output line per load and
 // design:
 //   opening.<load>  calm: no fault; slow: two upstreams work five times as long; mute: two
 //                   upstreams leave every second request unanswered; crashed, many_crashed: two or
@@ -18,24 +19,29 @@
 //   asked           requests sent
 //   in_time, late   shares of the requests answered within or after the latency target
 //   failed          share of the requests that failed
+//   lowest          lowest in_time of a seed
 //   p99_ms          99th percentile of the latency of answered requests
 //   wrong_resets    flows that were reset although their upstream was running and reachable
 #include "benchmarks/flowload.h"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <functional>
 #include <iostream>
+#include <iterator>
 #include <string_view>
 
 using namespace banyanwall;
 using namespace std::chrono_literals;
 using benchmarks::ChoiceKind;
 using benchmarks::FlowLoad;
+using benchmarks::FlowLoadResult;
 using benchmarks::FlowLoadSizes;
 
 namespace {
 
-constexpr std::uint32_t Seed = 20261204;
+constexpr std::uint32_t FirstSeed = 20261204;
 
 struct Load
 {
@@ -110,7 +116,7 @@
     };
 }
 
-std::vector<Load> loads()
+std::vector<Load> evenLoads()
 {
     const auto crash = [](int count) {
         return [count](FlowLoad &load) {
@@ -160,31 +166,54 @@
     };
 }
 
-void runLoad(const Load &load, const NamedChoice &choice)
+std::vector<Load> allLoads()
 {
-    FlowLoad run(choice.kind, load.sizes, Seed);
-    load.faults(run);
-    auto result = run.run();
-    std::cout << "opening." << load.name << " way=" << choice.name << " asked=" << result.requests
-              << " in_time=" << result.goodput() << " late=" << result.share(result.late)
-              << " failed=" << result.share(result.failed)
-              << " p99_ms=" << static_cast<double>(result.percentile(0.99).count()) / 1e3
-              << " wrong_resets=" << result.wrongResets << std::endl;
+    auto all = unevenLoads();
+    std::ranges::move(evenLoads(), std::back_inserter(all));
+    return all;
+}
+
+void runLoad(const Load &load, const NamedChoice &choice, std::uint32_t seeds)
+{
+    FlowLoadResult sum;
+    double lowest = 1.0;
+    for (std::uint32_t seed = 0; seed < seeds; ++seed) {
+        FlowLoad run(choice.kind, load.sizes, FirstSeed + seed);
+        load.faults(run);
+        const auto result = run.run();
+        lowest = std::min(lowest, result.goodput());
+        sum += result;
+    }
+    std::cout << "opening." << load.name << " way=" << choice.name << " asked=" << sum.requests
+              << " in_time=" << sum.goodput() << " lowest=" << lowest
+              << " late=" << sum.share(sum.late) << " failed=" << sum.share(sum.failed)
+              << " p99_ms=" << static_cast<double>(sum.percentile(0.99).count()) / 1e3
+              << " wrong_resets=" << sum.wrongResets << std::endl;
 }
 
 } // namespace
 
-int main()
+int main(int argc, char **argv)
 {
+    const std::vector<std::string_view> arguments(argv + 1, argv + argc);
     const std::array choices { NamedChoice { "rendezvous", benchmarks::RendezvousChoice {} },
                                NamedChoice { "two_choices", benchmarks::TwoChoices {} },
                                NamedChoice { "evidence", benchmarks::PassiveHealthChoice {} },
                                NamedChoice { "load", benchmarks::LoadChoice {} },
                                NamedChoice { "oracle", benchmarks::OracleChoice {} } };
-    for (const auto &group : { unevenLoads(), loads() }) {
-        for (const auto &load : group) {
-            for (const auto &choice : choices) {
-                runLoad(load, choice);
+    std::uint32_t seeds = 1;
+    if (!arguments.empty()) {
+        const auto count = arguments.front();
+        std::from_chars(count.data(), count.data() + count.size(), seeds);
+    }
+    const auto isWanted = [&](const Load &load) {
+        return arguments.size() < 2
+                || std::find(arguments.begin() + 1, arguments.end(), load.name) != arguments.end();
+    };
+    for (const auto &load : allLoads()) {
+        for (const auto &choice : choices) {
+            if (isWanted(load)) {
+                runLoad(load, choice, seeds);
             }
         }
     }
