Send and receive load reports, and show the load in logs and metrics

Cause: an instance of a large zone sees too few requests to an upstream to know its speed, so that instances have to tell each other.

--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -2,6 +2,8 @@
 
 #include "common/hash.h"
 #include "process/boottimeclock.h"
+#include "process/loadmetrics.h"
+#include "wire/loadreportcodec.h"
 #include "wire/passivehealthcodec.h"
 
 #include <boost/asio/error.hpp>
@@ -292,14 +294,19 @@
     if (message.has_silence()) {
         const auto report = wire::decodePassiveHealth(message.silence(), now);
         const auto refutations = m_forwarder.onPeerHealthReport(report, now);
-        const auto &zonePeers = m_sync.zonePeers();
-        const bool isFromOwnZone = std::ranges::find(zonePeers, fromAsio(from)) != zonePeers.end();
-        forwardRestarts(m_forwarder.takeLearnedRestarts(), isFromOwnZone, now);
+        forwardRestarts(m_forwarder.takeLearnedRestarts(), isZonePeer(fromAsio(from)), now);
         if (!refutations.isEmpty()) {
             sendToPeer({ fromAsio(from), wire::encodePassiveHealth(refutations, now) });
         }
         return;
     }
+    if (message.has_load()) {
+        // The demand of a zone is that of its own instances.
+        if (isZonePeer(fromAsio(from))) {
+            m_forwarder.onPeerLoadReport(wire::decodeLoadReport(message.load()), now);
+        }
+        return;
+    }
     perform(m_sync.onMessage(fromAsio(from), message, now), now);
     if (message.has_fetch()) {
         sendRestartReport(fromAsio(from), now);
@@ -371,6 +378,7 @@
     m_forwarder.findOutliers(now);
     m_forwarder.findIsolation({ m_sync.outsideContactAt(), m_sync.isLeaderIsolated() }, now);
     m_sync.setIsolated(m_forwarder.isIsolated());
+    refreshLoad(now);
     sendHealthReports(now);
     resetUnresponsiveFlows(now);
     logStateChanges();
@@ -396,6 +404,26 @@
     forwardRestarts(reports.assumedRestarts, true, now);
 }
 
+void FlowDaemon::refreshLoad(TimePoint now)
+{
+    m_forwarder.refreshLoad(now);
+    m_flowLog.logSlowness(m_forwarder.load().takeSlownessChanges(), now);
+    const auto report = m_forwarder.takeLoadReport(now);
+    if (!report) {
+        return;
+    }
+    const auto message = wire::encodeLoadReport(*report);
+    for (const auto peer : m_sync.zonePeers()) {
+        sendToPeer({ peer, message });
+    }
+}
+
+bool FlowDaemon::isZonePeer(Endpoint peer) const
+{
+    const auto &zonePeers = m_sync.zonePeers();
+    return std::ranges::find(zonePeers, peer) != zonePeers.end();
+}
+
 void FlowDaemon::perform(const SyncActions &actions, TimePoint now)
 {
     for (const auto &action : actions) {
@@ -610,7 +638,7 @@
          << "banyanwall_isolated " << (m_forwarder.isIsolated() ? 1 : 0) << "\n"
          << "# TYPE banyanwall_watching gauge\n"
          << "banyanwall_watching " << (m_sync.isWatching() ? 1 : 0) << "\n";
-    return text.str();
+    return text.str() + loadMetricsText(m_forwarder.load(), bootTimeNow());
 }
 
 std::string FlowDaemon::statusText() const
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -78,6 +78,9 @@
     void onDeltaRefused(const DeltaRefused &refused);
     /// Sends the passive health observations of this instance to the other instances of the zone.
     void sendHealthReports(common::TimePoint now);
+    /// Updates the load of the upstreams, and sends a report of it to the zone when one is due.
+    void refreshLoad(common::TimePoint now);
+    [[nodiscard]] bool isZonePeer(common::Endpoint peer) const;
     [[nodiscard]] connection::FleetPosition position() const;
     void logStateChanges();
 
--- a/src/process/flowlog.cpp
+++ b/src/process/flowlog.cpp
@@ -10,6 +10,7 @@
 // In current deployments, an instance receives 20 requests per second. Some of them open a flow,
 // which causes a second event.
 constexpr double ServedPerSecond = 40.0;
+constexpr double LoadChangesPerSecond = 5.0;
 constexpr double Burst = 60.0;
 
 } // namespace
@@ -18,6 +19,7 @@
     : m_format(format)
     , m_refusalLog(RefusalsPerSecond, Burst)
     , m_servedLog(ServedPerSecond, Burst)
+    , m_loadLog(LoadChangesPerSecond, Burst)
 { }
 
 void FlowLog::logForwarded(const connection::FlowPacket &packet,
@@ -110,4 +112,14 @@
     logAll("zone_unreachable", "zone_id", reports.zones);
 }
 
+void FlowLog::logSlowness(const std::vector<connection::SlownessChange> &changes, TimePoint now)
+{
+    for (const auto &change : changes) {
+        const auto *name = change.isSlow ? "upstream_slow" : "upstream_usual";
+        if (const auto line = m_loadLog.event(LogLevel::Info, name, now)) {
+            line->with("serial", change.upstream.value()).with("slowness", change.slowness);
+        }
+    }
+}
+
 } // namespace banyanwall::process
--- a/src/process/flowlog.h
+++ b/src/process/flowlog.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace banyanwall::process {
 
@@ -40,6 +41,8 @@
                       common::TimePoint now);
     /// Logs passive health observations that are sent to other instances.
     void logReports(const connection::PassiveHealthReport &reports, common::TimePoint now);
+    /// Logs upstreams that became slow, or usual again.
+    void logSlowness(const std::vector<connection::SlownessChange> &changes, common::TimePoint now);
 
 private:
     const PacketFormat &m_format;
@@ -48,6 +51,7 @@
     /// Opened flows and forwarded requests. Has a rate limit of its own, so that these events do
     /// not displace refusals.
     RateLimitedLog m_servedLog;
+    RateLimitedLog m_loadLog;
 };
 
 } // namespace banyanwall::process
--- a/src/tests/flowforwardertest.cpp
+++ b/src/tests/flowforwardertest.cpp
@@ -676,3 +676,78 @@
     CHECK(certidao > 890);
     CHECK(certidao < 1'110);
 }
+
+// Contracts without a response aim: no load is learned or reported.
+TEST(FlowForwarder, loadIsLearnedForRoutesWithAResponseAim)
+{
+    const auto answerRequests = [&](std::uint16_t firstPort) {
+        for (std::uint16_t port = firstPort; port < firstPort + 10; ++port) {
+
+            const auto token =
+                    as<ForwardPacket>(forwarder.handle(opening(FeedAddress, port), now)).token;
+            auto packet = data(FeedAddress, port, token);
+            packet.payloadBytes = 0;
+            forwarder.handle(packet, now);
+            forwarder.handle(data(FeedAddress, port, token), now);
+            packet.sequence += 200;
+            packet.acknowledgement += 1000;
+            forwarder.handle(packet, now + 40ms);
+        }
+    };
+    answerRequests(40'000);
+    LONGS_EQUAL(0, forwarder.load().demands(now).size());
+
+    auto withAim = rules();
+    withAim.version = 2;
+    withAim.routes[0].terms.responseAim = 400ms;
+    update({ StoreRevision(1),
+             StoreRevision(2),
+             false,
+             { { version::keyOf(withAim), StoreRevision(2), withAim } } });
+    answerRequests(41'000);
+    CHECK(forwarder.load().usualTime({ FeedAddress }) == 40ms);
+    answerRequests(42'000);
+    forwarder.setPosition({ .zone = OwnZone, .instance = 1, .members = { 1 }, .zonePeers = 2 },
+                          now);
+    LONGS_EQUAL(1, forwarder.load().demands(now).size());
+    CHECK(forwarder.takeLoadReport(now).has_value());
+}
+
+// A flow that is reset has no request in progress.
+TEST(FlowForwarder, endedRequestLeavesNoWork)
+{
+    auto withAim = rules();
+    withAim.version = 2;
+    withAim.routes[0].terms.responseAim = 400ms;
+    update({ StoreRevision(1),
+             StoreRevision(2),
+             false,
+             { { version::keyOf(withAim), StoreRevision(2), withAim } } });
+    forwarder.refreshLoad(now);
+    const auto token = tokenOf(1);
+    auto open = data(FeedAddress, 40'001, token);
+    open.payloadBytes = 0;
+    forwarder.handle(open, now);
+    for (int round = 0; round < 10; ++round) {
+        auto request = data(FeedAddress, 40'001, token);
+        request.sequence += 200U * static_cast<std::uint32_t>(round);
+        request.acknowledgement += 1000U * static_cast<std::uint32_t>(round);
+        forwarder.handle(request, now);
+        auto acknowledgement = request;
+        acknowledgement.sequence += 200;
+        acknowledgement.acknowledgement += 1000;
+        acknowledgement.payloadBytes = 0;
+        forwarder.handle(acknowledgement, now + 40ms);
+    }
+    auto request = data(FeedAddress, 40'001, token, 15'000);
+    request.sequence += 2'000;
+    forwarder.handle(request, now);
+    forwarder.refreshLoad(now);
+    CHECK(forwarder.upstreams().find(token)->load.workLeft > 0ms);
+    request.sequence += 200;
+    request.payloadBytes = 0;
+    request.resets = true;
+    forwarder.handle(request, now);
+    forwarder.refreshLoad(now);
+    CHECK(forwarder.upstreams().find(token)->load.workLeft == 0ms);
+}
--- a/src/tests/flowobservertest.cpp
+++ b/src/tests/flowobservertest.cpp
@@ -153,3 +153,79 @@
     visit(now + 1s);
     LONGS_EQUAL(1, visits);
 }
+
+TEST(FlowObserver, requestBeginsWithNewDataAndEndsWithItsAnswer)
+{
+    observer.observe(packet(1000, 5000, 0), now);
+    const auto begin = observer.observe(packet(1000, 5000, 300), now);
+    CHECK(begin.beginsRequest);
+    CHECK_FALSE(begin.endsRequest);
+    CHECK_FALSE(observer.observe(packet(1300, 5000, 300), now + 1ms).beginsRequest);
+    const auto end = observer.observe(packet(1600, 6200, 0), now + 46ms);
+    CHECK(end.endsRequest);
+    CHECK(end.answerTime == 46ms);
+    LONGS_EQUAL(begin.flow, end.flow);
+    LONGS_EQUAL(begin.sizeClass, end.sizeClass);
+    CHECK_FALSE(observer.observe(packet(1600, 7400, 0), now + 50ms).endsRequest);
+}
+
+// Large requests must not be taken for slow upstreams.
+TEST(FlowObserver, sizeClassTellsRequestsApart)
+{
+    observer.observe(packet(1000, 5000, 0), now);
+    const auto small = observer.observe(packet(1000, 5000, 60), now);
+    observer.observe(packet(1060, 6000, 0), now + 10ms);
+    const auto large = observer.observe(packet(1060, 6000, 1200), now + 20ms);
+    CHECK(small.sizeClass != large.sizeClass);
+}
+
+// The time of a retransmitted request holds the caller's wait of 200 ms.
+TEST(FlowObserver, retransmittedRequestGivesNoAnswerTime)
+{
+    observer.observe(packet(1000, 5000, 0), now);
+    observer.observe(packet(1000, 5000, 100), now);
+    observer.observe(packet(1000, 5000, 100), now + 200ms);
+    const auto end = observer.observe(packet(1100, 6200, 0), now + 246ms);
+    CHECK(end.endsRequest);
+    CHECK_FALSE(end.answerTime.has_value());
+}
+
+// A caller that was paused in the middle of its request says nothing about the upstream.
+TEST(FlowObserver, pausedCallerGivesNoAnswerTime)
+{
+    observer.observe(packet(1000, 5000, 0), now);
+    observer.observe(packet(1000, 5000, 1200), now);
+    observer.observe(packet(2200, 5000, 100), now + 400ms);
+    const auto end = observer.observe(packet(2300, 6200, 0), now + 446ms);
+    CHECK(end.endsRequest);
+    CHECK_FALSE(end.answerTime.has_value());
+}
+
+// The fabric moves a flow here: its first packet may be a retransmission.
+TEST(FlowObserver, firstRequestOfAnUnknownFlowGivesNoAnswerTime)
+{
+    CHECK(observer.observe(packet(1000, 5000, 100), now).beginsRequest);
+    CHECK_FALSE(observer.observe(packet(1100, 6200, 0), now + 46ms).answerTime.has_value());
+    observer.observe(packet(1100, 6200, 100), now + 100ms);
+    CHECK(observer.observe(packet(1200, 7200, 0), now + 130ms).answerTime == 30ms);
+}
+
+// The next request of a flow may carry the acknowledgement of the answer before.
+TEST(FlowObserver, requestThatAcknowledgesAnAnswerEndsOneAndBeginsOne)
+{
+    observer.observe(packet(1000, 5000, 0), now);
+    observer.observe(packet(1000, 5000, 100), now);
+    const auto next = observer.observe(packet(1100, 6200, 100), now + 900ms);
+    CHECK(next.endsRequest);
+    CHECK(next.beginsRequest);
+    CHECK_FALSE(next.answerTime.has_value());
+}
+
+TEST(FlowObserver, endOfAFlowEndsItsRequest)
+{
+    observer.observe(packet(1000, 5000, 0), now);
+    observer.observe(packet(1000, 5000, 100), now);
+    auto reset = packet(1100, 5000, 0);
+    reset.resets = true;
+    CHECK(observer.observe(reset, now + 900ms).endsRequest);
+}
