--- a/src/benchmarks/flowbalancer.h
+++ b/src/benchmarks/flowbalancer.h
@@ -5,7 +5,9 @@
 #include "version/directory.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -22,11 +24,24 @@
 struct TwoChoices
 { };
 
-/// The daemon's packet path (FlowForwarder) with passive health checks.
+/// The daemon's packet path (FlowForwarder) with passive health checks, and the choice by hash.
 struct PassiveHealthChoice
 { };
 
-using ChoiceKind = std::variant<RendezvousChoice, TwoChoices, PassiveHealthChoice>;
+/// The daemon's packet path with the choice by load.
+struct LoadChoice
+{ };
+
+/// Baseline that no system can reach: the upstream that is expected to answer first, with knowledge
+/// of all queues and speeds.
+struct OracleChoice
+{
+    /// Null when no upstream is reachable. Set by FlowLoad.
+    std::function<const version::UpstreamRecord *()> soonestUpstream {};
+};
+
+using ChoiceKind =
+        std::variant<RendezvousChoice, TwoChoices, PassiveHealthChoice, LoadChoice, OracleChoice>;
 
 /// One instance that chooses the upstreams of new flows by one of the designs under comparison.
 class FlowBalancer
@@ -40,6 +55,9 @@
     connection::PacketVerdict handle(const connection::FlowPacket &packet, common::TimePoint now);
     /// Passive health report for the other instances of the zone.
     [[nodiscard]] connection::PassiveHealthReport takeHealthReport(common::TimePoint now);
+    /// Load report for the other instances of the zone, when one is due; called every 100 ms.
+    [[nodiscard]] std::optional<connection::LoadReport> takeLoadReport(common::TimePoint now);
+    void onLoadReport(const connection::LoadReport &report, common::TimePoint now);
     /// Packets whose flows are to be reset because their upstream is unresponsive; empty for the
     /// baselines.
     [[nodiscard]] std::vector<connection::FlowPacket> takeFlowsToReset(common::TimePoint now);
@@ -56,6 +74,9 @@
     connection::PacketVerdict chooseOfTwo(const connection::FlowPacket &packet);
     connection::PacketVerdict forwardByToken(const connection::FlowPacket &packet) const;
     [[nodiscard]] Upstreams ranked(const connection::FlowPacket &packet) const;
+    /// Whether this is the daemon's packet path and not a baseline.
+    [[nodiscard]] bool hasForwarder() const;
+    [[nodiscard]] static connection::PacketVerdict chooseByOracle(const OracleChoice &oracle);
     static connection::PacketVerdict forwardTo(const version::UpstreamRecord &upstream);
 
     ChoiceKind m_kind;
--- a/src/benchmarks/openingbenchmark.cpp
+++ b/src/benchmarks/openingbenchmark.cpp
@@ -1,34 +1,47 @@
-// Compares three designs that choose the upstream of a new flow, under loads and faults of the
-// users' platform: rendezvous hashing, the less loaded of two choices, and the daemon's packet path
-// with passive health checks. Each run simulates 20 s. One output line per load and design:
+// Compares designs that choose the upstream of a new flow, under loads and faults of the users'
+// platform: rendezvous hashing, the less loaded of two choices, the daemon's packet path with the
+// choice by hash and by load, and an oracle. Each run simulates 20 s. Arguments: the number of
+// seeds (1 when left out), and the loads to run (all when left out). One output line per load and
+// design:
 //   opening.<load>  calm: no fault; slow: two upstreams work five times as long; mute: two
 //                   upstreams leave every second request unanswered; crashed, many_crashed: two or
 //                   seven of 14 upstreams crash; flapping: an upstream crashes and restarts four
 //                   times; few, nearly_full, overloaded: 8, 6 or 5 upstreams instead of 14;
 //                   zone_cut: a zone is cut off for 6 s; reconnect: all feeds lose their flows;
 //                   grown_*: the same faults in a fleet of 114 instances and 120 upstreams
-//   way             design: rendezvous, two_choices, or evidence (passive health checks)
+//                   slow_quarter: a quarter of the upstreams at less than half the speed of the
+//                   others; heavy_tail: 3 % of the requests with seven times the work;
+//                   uneven_zones: 3, 7 and 8 upstreams and half of the callers in the first zone;
+//                   swing: demand of each zone swings by 0.55 in 15 s; long_flows_cut: long flows
+//                   in four zones, one of which is cut off for 6 s
+//   way             design: rendezvous, two_choices, evidence (passive health checks, choice by
+//                   hash), load (the same, choice by load), oracle (knows all queues)
 //   asked           requests sent
 //   in_time, late   shares of the requests answered within or after the latency target
 //   failed          share of the requests that failed
+//   lowest          lowest in_time of a seed
 //   p99_ms          99th percentile of the latency of answered requests
 //   wrong_resets    flows that were reset although their upstream was running and reachable
 #include "benchmarks/flowload.h"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <functional>
 #include <iostream>
+#include <iterator>
 #include <string_view>
 
 using namespace banyanwall;
 using namespace std::chrono_literals;
 using benchmarks::ChoiceKind;
 using benchmarks::FlowLoad;
+using benchmarks::FlowLoadResult;
 using benchmarks::FlowLoadSizes;
 
 namespace {
 
-constexpr std::uint32_t Seed = 20261204;
+constexpr std::uint32_t FirstSeed = 20261204;
 
 struct Load
 {
@@ -50,6 +63,12 @@
     return sizes;
 }
 
+void cutZone1(FlowLoad &load)
+{
+    load.at(5s, [&load] { load.cutZone(1, true); });
+    load.at(11s, [&load] { load.cutZone(1, false); });
+}
+
 /// 38 instances in each of three zones, so that an instance sees about one flow in a hundred.
 FlowLoadSizes grown()
 {
@@ -62,7 +81,42 @@
     return sizes;
 }
 
-std::vector<Load> loads()
+/// 120 upstreams of two slots, all requests with flows of their own.
+FlowLoadSizes shortFlows(double submissions)
+{
+    FlowLoadSizes sizes = grown();
+    sizes.instancesPerZone = 20;
+    sizes.feeds = 0;
+    sizes.submissions = submissions;
+    return sizes;
+}
+
+std::vector<Load> unevenLoads()
+{
+    const auto none = [](FlowLoad &) {};
+    auto slowQuarter = shortFlows(2'600.0);
+    slowQuarter.speeds = { 0.55, 1.2, 1.2, 1.2 };
+    auto heavyTail = shortFlows(2'200.0);
+    heavyTail.tailShare = 0.03;
+    FlowLoadSizes unevenZones;
+    unevenZones.upstreams = 18;
+    unevenZones.upstreamsByZone = { 3, 7, 8 };
+    unevenZones.callersByZone = { 2.0, 1.0, 1.0 };
+    unevenZones.submissions = 350.0;
+    auto swing = shortFlows(2'200.0);
+    swing.swing = 0.55;
+    auto longFlows = grown();
+    longFlows.zones = 4;
+    longFlows.instancesPerZone = 26;
+    longFlows.submissions = 50.0;
+    return {
+        { "slow_quarter", slowQuarter, none },     { "heavy_tail", heavyTail, none },
+        { "uneven_zones", unevenZones, none },     { "swing", swing, none },
+        { "long_flows_cut", longFlows, cutZone1 },
+    };
+}
+
+std::vector<Load> evenLoads()
 {
     const auto crash = [](int count) {
         return [count](FlowLoad &load) {
@@ -80,10 +134,6 @@
             }
         });
     };
-    const auto cutZone1 = [](FlowLoad &load) {
-        load.at(5s, [&load] { load.cutZone(1, true); });
-        load.at(11s, [&load] { load.cutZone(1, false); });
-    };
     return {
         { "calm", {}, [](FlowLoad &) {} },
         { "slow",
@@ -116,28 +166,55 @@
     };
 }
 
-void runLoad(const Load &load, const NamedChoice &choice)
+std::vector<Load> allLoads()
+{
+    auto all = unevenLoads();
+    std::ranges::move(evenLoads(), std::back_inserter(all));
+    return all;
+}
+
+void runLoad(const Load &load, const NamedChoice &choice, std::uint32_t seeds)
 {
-    FlowLoad run(choice.kind, load.sizes, Seed);
-    load.faults(run);
-    auto result = run.run();
-    std::cout << "opening." << load.name << " way=" << choice.name << " asked=" << result.requests
-              << " in_time=" << result.goodput() << " late=" << result.share(result.late)
-              << " failed=" << result.share(result.failed)
-              << " p99_ms=" << static_cast<double>(result.percentile(0.99).count()) / 1e3
-              << " wrong_resets=" << result.wrongResets << std::endl;
+    FlowLoadResult sum;
+    double lowest = 1.0;
+    for (std::uint32_t seed = 0; seed < seeds; ++seed) {
+        FlowLoad run(choice.kind, load.sizes, FirstSeed + seed);
+        load.faults(run);
+        const auto result = run.run();
+        lowest = std::min(lowest, result.goodput());
+        sum += result;
+    }
+    std::cout << "opening." << load.name << " way=" << choice.name << " asked=" << sum.requests
+              << " in_time=" << sum.goodput() << " lowest=" << lowest
+              << " late=" << sum.share(sum.late) << " failed=" << sum.share(sum.failed)
+              << " p99_ms=" << static_cast<double>(sum.percentile(0.99).count()) / 1e3
+              << " wrong_resets=" << sum.wrongResets << std::endl;
 }
 
 } // namespace
 
-int main()
+int main(int argc, char **argv)
 {
+    const std::vector<std::string_view> arguments(argv + 1, argv + argc);
     const std::array choices { NamedChoice { "rendezvous", benchmarks::RendezvousChoice {} },
                                NamedChoice { "two_choices", benchmarks::TwoChoices {} },
-                               NamedChoice { "evidence", benchmarks::PassiveHealthChoice {} } };
-    for (const auto &load : loads()) {
+                               NamedChoice { "evidence", benchmarks::PassiveHealthChoice {} },
+                               NamedChoice { "load", benchmarks::LoadChoice {} },
+                               NamedChoice { "oracle", benchmarks::OracleChoice {} } };
+    std::uint32_t seeds = 1;
+    if (!arguments.empty()) {
+        const auto count = arguments.front();
+        std::from_chars(count.data(), count.data() + count.size(), seeds);
+    }
+    const auto isWanted = [&](const Load &load) {
+        return arguments.size() < 2
+                || std::find(arguments.begin() + 1, arguments.end(), load.name) != arguments.end();
+    };
+    for (const auto &load : allLoads()) {
         for (const auto &choice : choices) {
-            runLoad(load, choice);
+            if (isWanted(load)) {
+                runLoad(load, choice, seeds);
+            }
         }
     }
     return 0;
