Look only at the own zone while it has room

Cause: an opening looked at the upstreams of all zones, also when it stays in its zone; the choice among 480 upstreams cost 5 us, the target is 3 us. Ruled out: keeping candidates between openings, as before. Where entries of the own zone have expired, all zones are looked at, because whether they are used depends on all.

--- a/src/benchmarks/openingbenchmark.cpp
+++ b/src/benchmarks/openingbenchmark.cpp
@@ -8,12 +8,12 @@
 //                   seven of 14 upstreams crash; flapping: an upstream crashes and restarts four
 //                   times; few, nearly_full, overloaded: 8, 6 or 5 upstreams instead of 14;
 //                   zone_cut: a zone is cut off for 6 s; reconnect: all feeds lose their flows;
-//                   grown_*: the same faults in a fleet of 114 instances and 120 upstreams
-//                   slow_quarter: a quarter of the upstreams at less than half the speed of the
-//                   others; heavy_tail: 3 % of the requests with seven times the work;
-//                   uneven_zones: 3, 7 and 8 upstreams and half of the callers in the first zone;
-//                   swing: demand of each zone swings by 0.55 in 15 s; long_flows_cut: long flows
-//                   in four zones, one of which is cut off for 6 s
+//                   tiny_*: 4 upstreams in three zones; grown_*: the same faults in a fleet of 114
+//                   instances and 120 upstreams slow_quarter: a quarter of the upstreams at less
+//                   than half the speed of the others; heavy_tail: 3 % of the requests with seven
+//                   times the work; uneven_zones: 3, 7 and 8 upstreams and half of the callers in
+//                   the first zone; swing: demand of each zone swings by 0.55 in 15 s;
+//                   long_flows_cut: long flows in four zones, one of which is cut off for 6 s
 //   way             design: rendezvous, two_choices, evidence (passive health checks, choice by
 //                   hash), load (the same, choice by load), oracle (knows all queues)
 //   asked           requests sent
@@ -69,6 +69,15 @@
     load.at(11s, [&load] { load.cutZone(1, false); });
 }
 
+/// Four upstreams in three zones.
+FlowLoadSizes tiny()
+{
+    FlowLoadSizes sizes = withUpstreams(4);
+    sizes.feeds = 83;
+    sizes.submissions = 24.0;
+    return sizes;
+}
+
 /// 38 instances in each of three zones, so that an instance sees about one flow in a hundred.
 FlowLoadSizes grown()
 {
@@ -160,6 +169,9 @@
         { "overloaded", withUpstreams(5), [](FlowLoad &) {} },
         { "zone_cut", {}, cutZone1 },
         { "reconnect", {}, [](FlowLoad &load) { load.at(5s, [&load] { load.reconnectAll(); }); } },
+        { "tiny", tiny(), [](FlowLoad &) {} },
+        { "tiny_crashed", tiny(), crash(1) },
+        { "tiny_zone_cut", tiny(), cutZone1 },
         { "grown_mute", grown(), [dropAnswers](FlowLoad &load) { dropAnswers(load, 17); } },
         { "grown_crashed", grown(), crash(15) },
         { "grown_zone_cut", grown(), cutZone1 },
--- a/src/connection/openingpolicy.cpp
+++ b/src/connection/openingpolicy.cpp
@@ -39,7 +39,35 @@
 
 TrackedUpstream *OpeningPolicy::choose(const Opening &opening, TimePoint now)
 {
-    collectCandidates(opening, now);
+    auto *chosen = choiceInOwnZone(opening, now);
+    if (chosen == nullptr) {
+        chosen = choiceInAllZones(opening, now);
+    }
+    if (chosen != nullptr) {
+        recordOpening(*chosen, now);
+    }
+    return chosen;
+}
+
+TrackedUpstream *OpeningPolicy::choiceInOwnZone(const Opening &opening, TimePoint now)
+{
+    const auto busySlots = demandOf(opening.service, now);
+    if (!opening.responseAim || opening.retransmissions > 0 || !busySlots) {
+        return nullptr;
+    }
+    collectCandidates(opening, Scope::OwnZone, now);
+    // Whether upstreams without an entry may be used depends on those of all zones.
+    if (m_candidates.healthy.empty() || !m_expired.empty()) {
+        return nullptr;
+    }
+    const ZoneDemand demand { busySlots, *opening.responseAim, opening.usualTime };
+    const auto &pool = candidatesOf(m_position.zone, now).healthy;
+    return hasRoomFor(pool, demand) ? highestWeighted(opening, true) : nullptr;
+}
+
+TrackedUpstream *OpeningPolicy::choiceInAllZones(const Opening &opening, TimePoint now)
+{
+    collectCandidates(opening, Scope::AllZones, now);
     auto avoidedToken = opening.avoidedToken;
     if (opening.retransmissions > 0 && avoidedToken == FlowToken()) {
         // Another instance received the first transmission and chose the same upstream as this
@@ -57,9 +85,6 @@
         chosen = highestRanked(m_candidates.suspected, opening.flowHash, opening.retransmissions,
                                avoidedToken);
     }
-    if (chosen != nullptr) {
-        recordOpening(*chosen, now);
-    }
     return chosen;
 }
 
@@ -112,13 +137,16 @@
     m_demands = std::move(known);
 }
 
-void OpeningPolicy::collectCandidates(const Opening &opening, TimePoint now)
+void OpeningPolicy::collectCandidates(const Opening &opening, Scope scope, TimePoint now)
 {
     m_candidates.healthy.clear();
     m_candidates.suspected.clear();
     m_candidates.zones.clear();
     m_expired.clear();
     for (auto *upstream : m_upstreams.ofService(opening.service)) {
+        if (scope == Scope::OwnZone && upstream->record.zone != m_position.zone) {
+            continue;
+        }
         auto &zone = candidatesOf(upstream->record.zone, now);
         if (upstream->record.draining || zone.isWithdrawn) {
             continue;
@@ -184,7 +212,11 @@
 
 TrackedUpstream *OpeningPolicy::choiceByLoad(const Opening &opening, TimePoint now) const
 {
-    const bool isInOwnZone = staysInOwnZone(opening, now);
+    return highestWeighted(opening, staysInOwnZone(opening, now));
+}
+
+TrackedUpstream *OpeningPolicy::highestWeighted(const Opening &opening, bool isInOwnZone) const
+{
     WeightedRanking ranking(opening.flowHash);
     for (auto *upstream : m_candidates.healthy) {
         if ((upstream->record.zone == m_position.zone) == isInOwnZone) {
--- a/src/connection/openingpolicy.h
+++ b/src/connection/openingpolicy.h
@@ -89,7 +89,13 @@
         std::vector<ZoneCandidates> zones;
     };
 
-    void collectCandidates(const Opening &opening, common::TimePoint now);
+    /// The zones whose upstreams are looked at.
+    enum class Scope {
+        OwnZone,
+        AllZones,
+    };
+
+    void collectCandidates(const Opening &opening, Scope scope, common::TimePoint now);
     void addCandidate(TrackedUpstream &upstream, ZoneCandidates &zone, const Opening &opening,
                       common::TimePoint now);
     [[nodiscard]] ZoneCandidates &candidatesOf(common::ZoneId zone, common::TimePoint now);
@@ -101,12 +107,18 @@
     [[nodiscard]] double coldSlots(const TrackedUpstream &upstream,
                                    common::Duration usualTime) const;
     void recordOpening(TrackedUpstream &upstream, common::TimePoint now);
+    /// Upstream of the own zone when it has room for all its callers, so that the upstreams of the
+    /// other zones need not be looked at; otherwise null.
+    [[nodiscard]] TrackedUpstream *choiceInOwnZone(const Opening &opening, common::TimePoint now);
+    /// Upstream of an opening, among those of all zones.
+    [[nodiscard]] TrackedUpstream *choiceInAllZones(const Opening &opening, common::TimePoint now);
     /// Upstream of the first transmission.
     [[nodiscard]] TrackedUpstream *firstChoice(const Opening &opening, common::TimePoint now) const;
     [[nodiscard]] TrackedUpstream *choiceByHash(std::uint64_t flowHash,
                                                 common::TimePoint now) const;
     [[nodiscard]] TrackedUpstream *choiceByLoad(const Opening &opening,
                                                 common::TimePoint now) const;
+    [[nodiscard]] TrackedUpstream *highestWeighted(const Opening &opening, bool isInOwnZone) const;
     [[nodiscard]] bool staysInOwnZone(const Opening &opening, common::TimePoint now) const;
     /// Slots that callers of the own zone keep busy; empty while it is not known.
     [[nodiscard]] std::optional<double> demandOf(common::ServiceId service,
--- a/src/connection/zoneroom.cpp
+++ b/src/connection/zoneroom.cpp
@@ -49,6 +49,12 @@
     return std::min(bySize, std::max(MinUtilization, utilizationByWait(slotsPerUpstream, time)));
 }
 
+bool hasRoomFor(const UpstreamPool &pool, const ZoneDemand &demand)
+{
+    return demand.busySlots
+            && *demand.busySlots <= pool.effectiveSlots * targetUtilization(pool, demand);
+}
+
 double ownZoneShare(const UpstreamPool &own, const UpstreamPool &others, std::uint32_t otherZones,
                     const ZoneDemand &demand)
 {
@@ -59,10 +65,10 @@
     if (!demand.busySlots) {
         return std::min(1.0, shareOfRoom * (otherZones + 1.0) * UnknownDemandMargin);
     }
-    const auto room = own.effectiveSlots * targetUtilization(own, demand);
-    if (*demand.busySlots <= room) {
+    if (hasRoomFor(own, demand)) {
         return 1.0;
     }
+    const auto room = own.effectiveSlots * targetUtilization(own, demand);
     return std::max(shareOfRoom, room / *demand.busySlots);
 }
 
--- a/src/connection/zoneroom.h
+++ b/src/connection/zoneroom.h
@@ -53,6 +53,9 @@
 /// larger there in proportion, and for slow upstreams.
 [[nodiscard]] double targetUtilization(const UpstreamPool &pool, const ZoneDemand &demand);
 
+/// Whether the pool can do the known demand at its target utilization.
+[[nodiscard]] bool hasRoomFor(const UpstreamPool &pool, const ZoneDemand &demand);
+
 /// Share of the openings of a zone's callers that stays in the zone, from 0 to 1. others are the
 /// upstreams of all other zones, otherZones the number of those zones that have such upstreams.
 ///
