Report only answers of the last moment

Cause: slowQuarterIsRecognisedBy20Instances failed. Once one instance had reported a long answer, the others reported theirs of the last 0.7 s, most of which were from before the upstream had turned slow, and cleared the suspicion. Fast failures of a third of the upstreams also pulled the median of a service down, so that the others looked 1.15 times slower than usual. Ruled out (trials): lower limits for what raises a suspicion while there is room for more rows (noise then uses up the reserve, slower); sending every 20 ms. Change: an answer counts as unreported for 0.3 s instead of 1 s; answers in less than a fourth of the usual time move the median less; a little more evidence is needed for a verdict, so that the heavy tail makes few upstreams slow.

--- a/src/connection/loadpicture.cpp
+++ b/src/connection/loadpicture.cpp
@@ -21,7 +21,7 @@
 constexpr double ShiftStep = 0.02;
 // Answers in less than a fourth of the usual time are rarely work: an upstream may fail at once.
 constexpr double HastyLog = -1.4;
-constexpr double HastyShiftStep = 0.005;
+constexpr double HastyShiftStep = 0.002;
 constexpr double MaxSlowness = 100.0;
 // A request takes about half of its usual time longer or shorter, which is no news.
 constexpr double SlowRatio = 1.5;
--- a/src/connection/requestsinprogress.cpp
+++ b/src/connection/requestsinprogress.cpp
@@ -6,9 +6,14 @@
 
 namespace banyanwall::connection {
 
+namespace {
+
+constexpr unsigned SmallestClassBytes = 64;
+
+} // namespace
+
 std::uint8_t sizeClassOf(std::uint16_t payloadBytes)
 {
-    constexpr unsigned SmallestClassBytes = 64;
     return static_cast<std::uint8_t>(std::bit_width(payloadBytes / SmallestClassBytes) + 1);
 }
 
--- a/src/connection/requestsinprogress.h
+++ b/src/connection/requestsinprogress.h
@@ -75,9 +75,10 @@
 template<>
 struct std::hash<banyanwall::connection::RequestKind>
 {
+    static constexpr unsigned SizeClassShift = 56;
+
     std::size_t operator()(const banyanwall::connection::RequestKind &kind) const noexcept
     {
-        constexpr unsigned SizeClassShift = 56;
         return std::hash<banyanwall::common::Endpoint> {}(kind.route)
                 ^ (std::size_t { kind.sizeClass } << SizeClassShift);
     }
--- a/src/connection/upstreamevidence.cpp
+++ b/src/connection/upstreamevidence.cpp
@@ -13,9 +13,9 @@
 // a few seconds only.
 constexpr Seconds Decay { 3.0 };
 // Older answers are not reported: they may be from before an upstream turned slow.
-constexpr Seconds FreshDecay { 1.0 };
+constexpr Seconds FreshDecay { 0.3 };
 // Number of usual answers that is assumed of each upstream.
-constexpr double AssumedAnswers = 1.0;
+constexpr double AssumedAnswers = 1.3;
 // More answers than this add nothing, so that the verdict on a busy upstream changes as fast.
 constexpr double MaxAnswers = 8.0;
 // Limits of one answer, so that neither a single long request nor an upstream that fails at once
