Refuse contract texts with keys of many parts

A text of 240 KB with one key of 60,000 parts ended each program that parses contracts, instances included: toml++ makes a nested table of each part and destroys them by recursion. Ruled out: nested arrays and inline tables, which toml++ refuses beyond 256 levels; a larger stack only moves the bound. Texts are scanned for keys with more than 16 parts before they are parsed. The scan knows strings and comments, so that their dots do not count. Settings files come from the machine's operator and are parsed without it.

--- a/src/tests/contractparsertest.cpp
+++ b/src/tests/contractparsertest.cpp
@@ -133,6 +133,27 @@
     CHECK_TRUE(errorTextOf("customer = ").starts_with("c.toml:1: "));
 }
 
+// Guards against a text of a few kilobytes that ends the process: each part of a key is a nested
+// table, and tables nested some ten thousand times exhaust the stack.
+TEST(ContractParser, rejectsKeysWithManyParts)
+{
+    std::string key = "a";
+    for (int part = 0; part < 60'000; ++part) {
+        key += ".\"=\"";
+    }
+    const std::string problem = "a key must have at most 16 parts";
+    STRCMP_EQUAL(("c.toml:2: " + problem).c_str(), errorTextOf("\n" + key + " = 1").c_str());
+    STRCMP_EQUAL(("c.toml:1: " + problem).c_str(), errorTextOf("[" + key + "]").c_str());
+    STRCMP_EQUAL(("c.toml:1: " + problem).c_str(),
+                 errorTextOf("x = { y = \"\"\"\\\"\"\"\"\"\", " + key + " = 1 }").c_str());
+    // Dots in strings, comments and numbers are no parts of keys.
+    const std::string dots(100, '.');
+    checkError("customer = \"clinic\"", "# " + dots + "\ncustomer = '" + dots + "'",
+               "c.toml:2: customer: must be a name of 1 to 63 lower-case letters, digits and "
+               "hyphens that starts with a letter, is '"
+                       + dots + "'");
+}
+
 // Guards against two services or upstreams with the same name, id or address: packets of one would
 // be delivered to the other.
 TEST(ContractParser, rejectsDuplicatesAndCollidingIds)
--- a/src/version/contractparser.cpp
+++ b/src/version/contractparser.cpp
@@ -2,6 +2,7 @@
 
 #include "common/hash.h"
 #include "common/ids.h"
+#include "version/tomldocument.h"
 #include "version/tomlreader.h"
 
 #include <algorithm>
@@ -241,19 +242,21 @@
                                        + std::to_string(MaximumContractBytes) + " bytes, has "
                                        + std::to_string(toml.size()) };
     }
+    const auto document = TomlDocument::parse(toml, sourceName);
+    if (!common::isOk(document)) {
+        const auto &problem = common::errorOf(document);
+        return common::Error { "invalid_toml",
+                               std::string(sourceName) + ":" + std::to_string(problem.place.line)
+                                       + ": " + problem.reason };
+    }
     TomlErrors errors(sourceName);
-    try {
-        const auto table = toml::parse(toml, sourceName);
-        const TomlReader root(table, "", errors, { "customer", "zones", "service" });
-        auto contract = ContractReader(root).read();
-        if (errors.first()) {
-            return common::Error { "invalid_contract", errors.first()->message };
-        }
-        return contract;
-    } catch (const toml::parse_error &error) {
-        errors.add(error.source(), "", std::string(error.description()));
-        return *errors.first();
+    const TomlReader root(common::valueOf(document).root(), "", errors,
+                          { "customer", "zones", "service" });
+    auto contract = ContractReader(root).read();
+    if (errors.first()) {
+        return common::Error { "invalid_contract", errors.first()->message };
     }
+    return contract;
 }
 
 std::optional<NoticeUrl> parseNoticeUrl(std::string_view url)
