Read the header line of contract files without a regular expression

A file whose first line is a comment of 300,000 characters ended banyanwallctl: std::regex recurses for each character. Ruled out: the parser, which accepts such a line as a comment. The line is compared with the header that withHeader() writes for the customer, and the rest is read as a version. A line with version 0 now stays in the text as the comment that it is.

--- a/src/ctl/contractfile.cpp
+++ b/src/ctl/contractfile.cpp
@@ -2,14 +2,23 @@
 
 #include "version/contractparser.h"
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <iostream>
 #include <iterator>
-#include <regex>
 
 namespace banyanwall::ctl {
 
+namespace {
+
+std::string headerStart(const std::string &customer)
+{
+    return "# contract of " + customer + ", version ";
+}
+
+} // namespace
+
 std::optional<std::uint64_t> parseVersion(std::string_view text)
 {
     std::uint64_t version = 0;
@@ -21,7 +30,14 @@
 
 std::string withHeader(const std::string &customer, std::uint64_t version, const std::string &toml)
 {
-    return "# contract of " + customer + ", version " + std::to_string(version) + "\n" + toml;
+    return headerStart(customer) + std::to_string(version) + "\n" + toml;
+}
+
+std::optional<std::uint64_t> baseVersionOf(std::string_view text, const std::string &customer)
+{
+    const auto line = text.substr(0, text.find('\n'));
+    const auto start = headerStart(customer);
+    return line.starts_with(start) ? parseVersion(line.substr(start.size())) : std::nullopt;
 }
 
 common::Result<ContractFile> parseContractFile(const std::string &text, const std::string &path)
@@ -31,12 +47,9 @@
         return common::errorOf(contract);
     }
     ContractFile file { common::valueOf(std::move(contract)), text, std::nullopt };
-    const auto line = text.substr(0, text.find('\n'));
-    static const std::regex header("# contract of ([a-z0-9-]+), version ([0-9]+)");
-    std::smatch match;
-    if (std::regex_match(line, match, header) && match[1] == file.contract.customer) {
-        file.baseVersion = parseVersion(match[2].str());
-        file.toml = text.substr(std::min(line.size() + 1, text.size()));
+    file.baseVersion = baseVersionOf(text, file.contract.customer);
+    if (file.baseVersion) {
+        file.toml = text.substr(std::min(text.find('\n'), text.size() - 1) + 1);
     }
     return file;
 }
--- a/src/ctl/contractfile.h
+++ b/src/ctl/contractfile.h
@@ -32,6 +32,11 @@
 [[nodiscard]] std::string withHeader(const std::string &customer, std::uint64_t version,
                                      const std::string &toml);
 
+/// Version in the header line of a contract text; empty without a header line or when it names
+/// another customer.
+[[nodiscard]] std::optional<std::uint64_t> baseVersionOf(std::string_view text,
+                                                         const std::string &customer);
+
 /// Parses a decimal version number above 0; empty on anything else.
 [[nodiscard]] std::optional<std::uint64_t> parseVersion(std::string_view text);
 
--- a/src/tests/ctltest.cpp
+++ b/src/tests/ctltest.cpp
@@ -70,6 +70,15 @@
     LONGS_EQUAL(2, accepted.words.size());
 }
 
+// Guards against a long comment in the first line of a file that ends the program.
+TEST(Ctl, longFirstLineIsNoHeader)
+{
+    const auto comment = "# contract of clinic" + std::string(300'000, 'c') + ", version 1\n";
+    const auto file = ctl::parseContractFile(comment + clinicContract(50), "copy");
+    CHECK_FALSE(common::valueOf(file).baseVersion.has_value());
+    CHECK_TRUE(common::valueOf(file).toml == comment + clinicContract(50));
+}
+
 // Guards against a lost edit. Two operators edit version 1; the first one stores version 2. The
 // second one must get a conflict that shows both texts, and can then apply the edit with --base 2.
 TEST(Ctl, conflictShowsBothVersionsAndWritesNothing)
