Find all problems of a contract text with line and column

The parser reported the first problem only, without a column, so that a file with several took as many tries. Ruled out: a second reader for checks, which would drift from the first; places in the Contract itself, which instances do not need. parseContractWithPlaces() returns one problem for each key, at most 100, and the document that tells the places of keys. Problems that only follow from another one (no zones, an invalid longest request) are left out.

--- a/src/tests/contractparsertest.cpp
+++ b/src/tests/contractparsertest.cpp
@@ -154,6 +154,48 @@
                        + dots + "'");
 }
 
+// Guards against errors that are found only after the first one is corrected, errors that follow
+// from another one, and wrong places.
+TEST(ContractParser, findsOneProblemForEachWrongKey)
+{
+    const auto toml = replaced("zones = [\"east\", \"west\"]", "zones = []")
+            + "extra = 1\n[[service]]\nname = \"records\"\nlongest_request_ms = 1\n";
+    const auto parsed = version::parseContractWithPlaces(toml, "c.toml");
+    CHECK_FALSE(common::isOk(parsed));
+    std::string found;
+    for (const auto &problem : common::errorOf(parsed)) {
+        found += std::to_string(problem.place.line) + ":" + std::to_string(problem.place.column)
+                + " " + problem.key + "\n";
+    }
+    STRCMP_EQUAL("2:9 zones\n"
+                 "27:1 service[1].cutover.extra\n"
+                 "29:8 service[2].name\n"
+                 "28:1 service[2].address\n"
+                 "28:1 service[2].slots_per_upstream\n"
+                 "28:1 service[2].connections_per_upstream\n"
+                 "28:1 service[2].requests_per_second\n"
+                 "30:22 service[2].longest_request_ms\n"
+                 "28:1 service[2].group\n",
+                 found.c_str());
+}
+
+// Guards against findings of a valid contract that name the wrong line.
+TEST(ContractParser, findsPlacesOfKeys)
+{
+    const auto parsed = version::parseContractWithPlaces(Valid, "c.toml");
+    const auto &document = common::valueOf(parsed).document;
+    const auto placeOf = [&](std::string_view key) {
+        const auto place = document.placeOf(key);
+        return std::to_string(place.line) + ":" + std::to_string(place.column);
+    };
+    STRCMP_EQUAL("1:12", placeOf("customer").c_str());
+    STRCMP_EQUAL("15:43", placeOf("service[1].group[1].upstream[2].address").c_str());
+    STRCMP_EQUAL("20:13", placeOf("service[1].group[2].upstream[1]").c_str());
+    // A key that the text leaves out is placed at its table.
+    STRCMP_EQUAL("4:1", placeOf("service[1].idle_limit_s").c_str());
+    STRCMP_EQUAL("1:1", placeOf("").c_str());
+}
+
 // Guards against two services or upstreams with the same name, id or address: packets of one would
 // be delivered to the other.
 TEST(ContractParser, rejectsDuplicatesAndCollidingIds)
--- a/src/version/contractparser.cpp
+++ b/src/version/contractparser.cpp
@@ -2,7 +2,6 @@
 
 #include "common/hash.h"
 #include "common/ids.h"
-#include "version/tomldocument.h"
 #include "version/tomlreader.h"
 
 #include <algorithm>
@@ -118,7 +117,8 @@
                 reader.integer("usual_latency_ms", UsualLatencyRangeMs, DefaultUsualLatencyMs));
         service.idleLimit = std::chrono::seconds(
                 reader.integer("idle_limit_s", IdleLimitRangeSeconds, DefaultIdleLimitSeconds));
-        if (service.usualLatency > service.longestRequest) {
+        if (service.usualLatency > service.longestRequest
+            && !reader.hasFailed("longest_request_ms")) {
             reader.fail("usual_latency_ms", "must be at most longest_request_ms");
         }
         readGroups(reader, service);
@@ -152,7 +152,8 @@
         UpstreamSpec upstream;
         upstream.name = reader.requiredName("name");
         upstream.zone = reader.requiredName("zone");
-        if (std::ranges::find(m_contract.zones, upstream.zone) == m_contract.zones.end()) {
+        if (!m_root.hasFailed("zones")
+            && std::ranges::find(m_contract.zones, upstream.zone) == m_contract.zones.end()) {
             reader.fail("zone", "must be one of the contract's zones, is '" + upstream.zone + "'");
         }
         upstream.address = readAddress(reader);
@@ -234,29 +235,41 @@
 
 } // namespace
 
-common::Result<Contract> parseContract(std::string_view toml, std::string_view sourceName)
+common::Result<PlacedContract, std::vector<TomlProblem>>
+parseContractWithPlaces(std::string_view toml, std::string_view sourceName)
 {
     if (toml.size() > MaximumContractBytes) {
-        return common::Error { "invalid_contract",
-                               std::string(sourceName) + ":1: contract: must be at most "
-                                       + std::to_string(MaximumContractBytes) + " bytes, has "
-                                       + std::to_string(toml.size()) };
+        return std::vector { TomlProblem { {},
+                                           "contract",
+                                           "must be at most " + std::to_string(MaximumContractBytes)
+                                                   + " bytes, has "
+                                                   + std::to_string(toml.size()) } };
     }
-    const auto document = TomlDocument::parse(toml, sourceName);
+    auto document = TomlDocument::parse(toml, sourceName);
     if (!common::isOk(document)) {
-        const auto &problem = common::errorOf(document);
-        return common::Error { "invalid_toml",
-                               std::string(sourceName) + ":" + std::to_string(problem.place.line)
-                                       + ": " + problem.reason };
+        return std::vector { common::errorOf(document) };
     }
-    TomlErrors errors(sourceName);
+    TomlErrors errors;
     const TomlReader root(common::valueOf(document).root(), "", errors,
                           { "customer", "zones", "service" });
     auto contract = ContractReader(root).read();
-    if (errors.first()) {
-        return common::Error { "invalid_contract", errors.first()->message };
+    if (!errors.problems().empty()) {
+        return errors.problems();
+    }
+    return PlacedContract { std::move(contract), common::valueOf(std::move(document)) };
+}
+
+common::Result<Contract> parseContract(std::string_view toml, std::string_view sourceName)
+{
+    auto parsed = parseContractWithPlaces(toml, sourceName);
+    if (common::isOk(parsed)) {
+        return common::valueOf(std::move(parsed)).contract;
     }
-    return contract;
+    const auto &problem = common::errorOf(parsed).front();
+    const auto key = problem.key.empty() ? "" : problem.key + ": ";
+    return common::Error { problem.key.empty() ? "invalid_toml" : "invalid_contract",
+                           std::string(sourceName) + ":" + std::to_string(problem.place.line) + ": "
+                                   + key + problem.reason };
 }
 
 std::optional<NoticeUrl> parseNoticeUrl(std::string_view url)
--- a/src/version/contractparser.h
+++ b/src/version/contractparser.h
@@ -2,10 +2,12 @@
 
 #include "common/result.h"
 #include "version/contract.h"
+#include "version/tomldocument.h"
 
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace banyanwall::version {
 
@@ -18,6 +20,17 @@
 [[nodiscard]] common::Result<Contract> parseContract(std::string_view toml,
                                                      std::string_view sourceName);
 
+/// A contract and the document that tells the places of its keys.
+struct PlacedContract
+{
+    Contract contract;
+    TomlDocument document;
+};
+
+/// Like parseContract(), but returns the first problem of each key.
+[[nodiscard]] common::Result<PlacedContract, std::vector<TomlProblem>>
+parseContractWithPlaces(std::string_view toml, std::string_view sourceName);
+
 struct NoticeUrl
 {
     common::Endpoint server;
--- a/src/version/tomldocument.cpp
+++ b/src/version/tomldocument.cpp
@@ -1,6 +1,7 @@
 #include "version/tomldocument.h"
 
 #include <algorithm>
+#include <charconv>
 #include <optional>
 
 namespace banyanwall::version {
@@ -61,6 +62,19 @@
     return std::nullopt;
 }
 
+/// Value of a key of a table, or element "n]" of an array; null if there is none.
+const toml::node *childOf(const toml::node &node, std::string_view step)
+{
+    if (step.ends_with(']')) {
+        const auto *array = node.as_array();
+        std::size_t number = 0;
+        std::from_chars(step.data(), step.data() + step.size() - 1, number);
+        return array == nullptr || number == 0 ? nullptr : array->get(number - 1);
+    }
+    const auto *table = node.as_table();
+    return table == nullptr ? nullptr : table->get(step);
+}
+
 } // namespace
 
 TextPlace placeOf(const toml::source_region &region)
@@ -85,4 +99,21 @@
     }
 }
 
+TextPlace TomlDocument::placeOf(std::string_view keyPath) const
+{
+    const toml::node *node = &m_root;
+    auto place = version::placeOf(m_root.source());
+    while (!keyPath.empty()) {
+        const auto length = std::min(keyPath.find_first_of(".[", 1), keyPath.size());
+        const std::size_t mark = keyPath.starts_with('.') || keyPath.starts_with('[') ? 1 : 0;
+        node = childOf(*node, keyPath.substr(mark, length - mark));
+        if (node == nullptr) {
+            return place;
+        }
+        place = version::placeOf(node->source());
+        keyPath.remove_prefix(length);
+    }
+    return place;
+}
+
 } // namespace banyanwall::version
--- a/src/version/tomldocument.h
+++ b/src/version/tomldocument.h
@@ -45,6 +45,11 @@
 
     [[nodiscard]] const toml::table &root() const { return m_root; }
 
+    /// Place of the value of a key. keyPath is written as in TomlProblem::key; elements of arrays
+    /// are counted from 1. If the document has no such key, the place of the innermost table or
+    /// element on the path that it has.
+    [[nodiscard]] TextPlace placeOf(std::string_view keyPath) const;
+
 private:
     explicit TomlDocument(toml::table root)
         : m_root(std::move(root))
--- a/src/version/tomlreader.cpp
+++ b/src/version/tomlreader.cpp
@@ -46,19 +46,17 @@
 
 } // namespace
 
-TomlErrors::TomlErrors(std::string_view sourceName)
-    : m_sourceName(sourceName)
-{ }
-
 void TomlErrors::add(const toml::source_region &where, const std::string &key,
                      const std::string &problem)
 {
-    if (m_first) {
-        return;
+    if (m_problems.size() < MaximumProblems && !contains(key)) {
+        m_problems.push_back({ placeOf(where), key, problem });
     }
-    auto text = m_sourceName + ":" + std::to_string(std::max<std::size_t>(where.begin.line, 1));
-    m_first = common::Error { "invalid_toml",
-                              text + ": " + key + (key.empty() ? "" : ": ") + problem };
+}
+
+bool TomlErrors::contains(std::string_view key) const
+{
+    return std::ranges::find(m_problems, key, &TomlProblem::key) != m_problems.end();
 }
 
 TomlReader::TomlReader(const toml::table &table, std::string path, TomlErrors &errors, Keys allowed)
@@ -83,6 +81,11 @@
     return m_path.empty() ? std::string(key) : m_path + "." + std::string(key);
 }
 
+bool TomlReader::hasFailed(std::string_view key) const
+{
+    return m_errors->contains(pathOf(key));
+}
+
 void TomlReader::fail(std::string_view key, const std::string &problem) const
 {
     const auto *node = m_table->get(key);
--- a/src/version/tomlreader.h
+++ b/src/version/tomlreader.h
@@ -1,9 +1,7 @@
 #pragma once
 
 #include "common/endpoint.h"
-#include "common/result.h"
-
-#include <toml++/toml.h>
+#include "version/tomldocument.h"
 
 #include <cstdint>
 #include <initializer_list>
@@ -14,19 +12,22 @@
 
 namespace banyanwall::version {
 
-/// Keeps the first error of a TOML document as "file:line: key: problem".
+/// Collects the problems of a TOML document.
 class TomlErrors
 {
 public:
-    explicit TomlErrors(std::string_view sourceName);
+    static constexpr std::size_t MaximumProblems = 100;
 
+    /// Keeps the problem unless one is known for the same key, which usually is its cause.
     void add(const toml::source_region &where, const std::string &key, const std::string &problem);
 
-    [[nodiscard]] const std::optional<common::Error> &first() const { return m_first; }
+    [[nodiscard]] bool contains(std::string_view key) const;
+
+    /// At most MaximumProblems, in the order in which they were found.
+    [[nodiscard]] const std::vector<TomlProblem> &problems() const { return m_problems; }
 
 private:
-    std::string m_sourceName;
-    std::optional<common::Error> m_first;
+    std::vector<TomlProblem> m_problems;
 };
 
 struct IntegerRange
@@ -62,6 +63,9 @@
     /// Empty if the table does not have the key.
     [[nodiscard]] std::optional<TomlReader> table(std::string_view key, Keys allowed) const;
 
+    /// Whether an error was recorded for a key of this table.
+    [[nodiscard]] bool hasFailed(std::string_view key) const;
+
     /// Records an error for a key of this table.
     void fail(std::string_view key, const std::string &problem) const;
 
