Derive the attempt timeout next to the other limits of a contract

The time after which a repeatable request is also sent to another upstream follows from the contract's usual latency, but stood in the request runner, where a check of contracts cannot use it. Ruled out: a second constant in the check, which would drift. The factor, the lower bound and the function are now in version/limits; values are unchanged. coordinatortest (19 tests) and takeovertest (9 tests) pass.

--- a/src/request/requestrunner.cpp
+++ b/src/request/requestrunner.cpp
@@ -1,6 +1,7 @@
 #include "request/requestrunner.h"
 
 #include "common/hash.h"
+#include "version/limits.h"
 
 #include <algorithm>
 #include <utility>
@@ -27,10 +28,6 @@
 constexpr std::uint32_t MaxSlotRequestsPerRound = 4;
 constexpr Duration FirstBackoff = milliseconds(10);
 constexpr Duration MaxBackoff = milliseconds(160);
-// In usual latencies. After this time, a repeatable request is also sent to another upstream. A
-// loaded but healthy upstream answers earlier.
-constexpr int AttemptTimeoutFactor = 8;
-constexpr Duration MinAttemptTimeout = milliseconds(200);
 // In usual latencies: how long an upstream may still run a request after its deadline. A cold
 // upstream that has more requests than it can handle takes over ten usual latencies.
 constexpr int SlotHoldFactor = 12;
@@ -495,8 +492,7 @@
 
 Duration RequestRunner::attemptTimeout(const RequestProgress &progress) const
 {
-    const Duration usualLatency = m_chooser.roster(progress.service)->usualLatency;
-    return std::max(AttemptTimeoutFactor * usualLatency, MinAttemptTimeout);
+    return version::attemptTimeout(m_chooser.roster(progress.service)->usualLatency);
 }
 
 } // namespace banyanwall::request
--- a/src/version/limits.h
+++ b/src/version/limits.h
@@ -2,6 +2,8 @@
 
 #include "version/contract.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -24,6 +26,18 @@
 /// Duration of all steps together, in seconds.
 inline constexpr std::uint32_t ZoneReturnSeconds = 30;
 
+/// In usual latencies. After this time, a repeatable request is also sent to another upstream. A
+/// loaded but healthy upstream answers earlier.
+inline constexpr int AttemptTimeoutFactor = 8;
+inline constexpr std::chrono::milliseconds MinAttemptTimeout { 200 };
+
+/// Time without an answer after which a repeatable request is also sent to another upstream.
+[[nodiscard]] constexpr std::chrono::milliseconds
+attemptTimeout(std::chrono::milliseconds usualLatency)
+{
+    return std::max(AttemptTimeoutFactor * usualLatency, MinAttemptTimeout);
+}
+
 /// One limit that the load balancer enforces, and the contract keys that it follows from.
 struct Limit
 {
