Check contracts for contradictions and for what they change

"contract check" said only whether a text is valid, and showed the first error. Contracts whose limits contradict each other, entries that never match, and edits that cost callers flows were accepted without a word. Ruled out: a second command beside "contract check" and "contract diff", which shows lines and not effects; warnings about rates that need all zones, because requests_per_second is what a customer may send, and the examples would not pass. Exit code 0, 1 for warnings, 2 for errors.

--- a/src/ctl/contractcommands.cpp
+++ b/src/ctl/contractcommands.cpp
@@ -76,21 +76,6 @@
 
 } // namespace
 
-CommandResult checkContract(CommandContext &context, const Arguments &arguments)
-{
-    const auto file = readContractFile(arguments.at(0));
-    if (!isOk(file)) {
-        return failure(errorOf(file));
-    }
-    const auto &contract = valueOf(file).contract;
-    const auto summary =
-            arguments.at(0) + ": the contract of customer '" + contract.customer + "' is valid";
-    return { ExitCode::Ok,
-             render(summary, { { "result", "valid" }, { "customer", contract.customer } },
-                    context.options.format),
-             "" };
-}
-
 CommandResult applyContract(CommandContext &context, const Arguments &arguments)
 {
     const auto file = readContractFile(arguments.at(0));
--- a/src/ctl/contractedit.cpp
+++ b/src/ctl/contractedit.cpp
@@ -68,10 +68,7 @@
             }
             const auto contract = version::parseContract(document.value.toml, document.key);
             if (!isOk(contract)) {
-                // A damaged contract is skipped, so that it blocks neither the edit that repairs
-                // it nor the edits of other customers.
-                m_context.progress("this stored contract is skipped in all checks: "
-                                   + errorOf(contract).message);
+                reportDamagedContract(m_context, errorOf(contract));
             } else if (isEditedContract) {
                 m_storedContract = valueOf(contract);
             } else if (auto error = version::findConflict(m_contract, valueOf(contract))) {
--- a/src/ctl/contractfile.cpp
+++ b/src/ctl/contractfile.cpp
@@ -6,7 +6,6 @@
 #include <charconv>
 #include <fstream>
 #include <iostream>
-#include <iterator>
 
 namespace banyanwall::ctl {
 
@@ -54,7 +53,7 @@
     return file;
 }
 
-common::Result<ContractFile> readContractFile(const std::string &path)
+common::Result<std::string> readText(const std::string &path)
 {
     std::ifstream file;
     if (path != "-") {
@@ -64,8 +63,27 @@
         }
     }
     std::istream &input = path == "-" ? std::cin : file;
-    const std::string text { std::istreambuf_iterator<char>(input), {} };
-    return parseContractFile(text, path);
+    std::string text(version::MaximumContractBytes + 1, '\0');
+    input.read(text.data(), static_cast<std::streamsize>(text.size()));
+    if (input.bad()) {
+        return common::Error { "invalid_input", "the file '" + path + "' cannot be read" };
+    }
+    text.resize(static_cast<std::size_t>(input.gcount()));
+    if (text.size() > version::MaximumContractBytes) {
+        return common::Error { "invalid_input",
+                               "the file '" + path + "' is too large, a contract has at most "
+                                       + std::to_string(version::MaximumContractBytes) + " bytes" };
+    }
+    return text;
+}
+
+common::Result<ContractFile> readContractFile(const std::string &path)
+{
+    const auto text = readText(path);
+    if (!common::isOk(text)) {
+        return common::errorOf(text);
+    }
+    return parseContractFile(common::valueOf(text), path);
 }
 
 } // namespace banyanwall::ctl
--- a/src/ctl/contractfile.h
+++ b/src/ctl/contractfile.h
@@ -20,8 +20,10 @@
     std::optional<std::uint64_t> baseVersion;
 };
 
-/// Reads and checks a file; path "-" reads standard input. Error "invalid_input" when the file
-/// cannot be read, otherwise the errors of version::parseContract().
+/// Reads a file; path "-" reads standard input. Error "invalid_input" when the file cannot be read
+/// or is larger than a contract may be.
+[[nodiscard]] common::Result<std::string> readText(const std::string &path);
+/// Reads and checks a file. The errors are those of readText() and version::parseContract().
 [[nodiscard]] common::Result<ContractFile> readContractFile(const std::string &path);
 /// path is used in error messages only.
 [[nodiscard]] common::Result<ContractFile> parseContractFile(const std::string &text,
--- a/src/ctl/cutover.cpp
+++ b/src/ctl/cutover.cpp
@@ -10,15 +10,12 @@
 using version::CutoverSpec;
 using version::ServiceContract;
 
-namespace {
-
 const ServiceContract *findService(const Contract &contract, const std::string &name)
 {
     const auto found = std::ranges::find(contract.services, name, &ServiceContract::name);
     return found == contract.services.end() ? nullptr : &*found;
 }
 
-/// Share of new flows that a group gets, in percent; 0 for a group that the service does not have.
 std::uint32_t sharePercentOf(const ServiceContract &service, const std::string &group)
 {
     if (std::ranges::find(service.groups, group, &version::UpstreamGroup::name)
@@ -68,8 +65,6 @@
     return std::nullopt;
 }
 
-} // namespace
-
 std::vector<ShareChange> shareChanges(const Contract &former, const Contract &next)
 {
     std::vector<ShareChange> changes;
--- a/src/ctl/exitcode.h
+++ b/src/ctl/exitcode.h
@@ -6,6 +6,8 @@
 enum class ExitCode {
     Ok = 0,
     Failed = 1,
+    /// Only of "contract check", which changes nothing.
+    Warnings = 1,
     /// Wrong usage or invalid input.
     Invalid = 2,
     /// The document was changed by another writer; nothing was written.
--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -28,7 +28,7 @@
                                     "   instance list\n"
                                     "\nEXIT CODES:\n\n"
                                     "   0  ok\n"
-                                    "   1  operation failed\n"
+                                    "   1  operation failed; contract check: warnings\n"
                                     "   2  usage or invalid input\n"
                                     "   3  conflict with another change; nothing was written\n"
                                     "   4  wait timed out or some instances unreachable\n"
@@ -106,6 +106,11 @@
             "Version that the edited contract is based on; another "
             "present version is a conflict.",
             false, 0, "version", commandLine);
+    TCLAP::MultiArg<std::string> references(
+            "", "against",
+            "Contract in force that 'contract check' compares with: a file, or "
+            "'store' for all contracts of the store; repeatable.",
+            false, "file|store", commandLine);
     TCLAP::UnlabeledMultiArg<std::string> words("command", "Command and its arguments.", true,
                                                 "words", commandLine);
     try {
@@ -122,6 +127,7 @@
     options.author = author.getValue();
     options.baseVersion =
             baseVersion.isSet() ? std::optional(baseVersion.getValue()) : std::nullopt;
+    options.references = references.getValue();
     options.words = words.getValue();
     return withStoreEndpoints(stores.getValue(), std::move(options));
 }
--- a/src/ctl/options.h
+++ b/src/ctl/options.h
@@ -22,6 +22,8 @@
     std::string author;
     /// Version of the contract that the operator edited (--base).
     std::optional<std::uint64_t> baseVersion;
+    /// What "contract check" compares with (--against): "store", or paths of contract files.
+    std::vector<std::string> references;
     /// Words of the command and its arguments.
     std::vector<std::string> words;
 };
