Share the look-up of stored contracts and upstreams in the tool

Four commands read all contracts or one document of the store and parsed them, each with its own code, and five places walked services, groups and upstreams to find one. Ruled out: members of Contract, which instances use without names of upstreams. storedcontract reads the documents of all customers or of one; contractlookup finds services and upstreams. Zone commands now report a stored contract that cannot be parsed, as contract commands do, instead of skipping it without a word. contractchecktest (7 tests), ctltest (15), cutovertest (5), contractparsertest (9), contractcheckfuzz and its corpus pass before and after.

--- a/src/ctl/checkcommand.cpp
+++ b/src/ctl/checkcommand.cpp
@@ -2,7 +2,7 @@
 #include "ctl/contractcheck.h"
 #include "ctl/contractfile.h"
 #include "ctl/findingtext.h"
-#include "version/contractparser.h"
+#include "ctl/storedcontract.h"
 
 #include <algorithm>
 
@@ -48,18 +48,15 @@
 
     std::optional<common::Error> readStore()
     {
-        const auto documents = m_context.store.contracts();
-        if (!isOk(documents)) {
-            return errorOf(documents);
+        const auto contracts = loadContracts(m_context);
+        if (!isOk(contracts)) {
+            return errorOf(contracts);
         }
-        for (const auto &document : valueOf(documents)) {
-            const auto contract = version::parseContract(document.value.toml, document.key);
-            if (!isOk(contract)) {
-                reportDamagedContract(m_context, errorOf(contract));
-                continue;
-            }
-            if (auto error = add({ valueOf(contract), document.value.version,
-                                   document.value.drainedUpstreams })) {
+        for (const auto &[document, contract] : valueOf(contracts)) {
+            auto error = contract
+                    ? add({ *contract, document.value.version, document.value.drainedUpstreams })
+                    : std::nullopt;
+            if (error) {
                 return error;
             }
         }
--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -128,11 +128,6 @@
     return entry->run(context, arguments);
 }
 
-void reportDamagedContract(CommandContext &context, const common::Error &error)
-{
-    context.progress("this stored contract is skipped in all checks: " + error.message);
-}
-
 CommandResult reportAccepted(CommandContext &context, const std::string &key, std::uint64_t version,
                              const std::string &summary)
 {
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -32,10 +32,6 @@
 [[nodiscard]] CommandResult reportUnchanged(CommandContext &context, const std::string &key,
                                             std::uint64_t version, const std::string &summary);
 
-/// Reports a stored contract that cannot be parsed. Commands skip such a contract, so that it
-/// blocks neither the edit that repairs it nor the edits of other customers.
-void reportDamagedContract(CommandContext &context, const common::Error &error);
-
 /// Words of the command line after the command, such as FILE of "contract apply FILE".
 using Arguments = std::vector<std::string>;
 
--- a/src/ctl/contractchanges.cpp
+++ b/src/ctl/contractchanges.cpp
@@ -1,5 +1,7 @@
 #include "ctl/contractchanges.h"
 
+#include "ctl/contractlookup.h"
+
 #include <algorithm>
 #include <array>
 #include <map>
@@ -20,15 +22,15 @@
 };
 
 /// Upstreams of all groups of a service by name. A name occurs once in a service.
-std::map<std::string, PlacedUpstream> upstreamsOf(const ServiceContract &service,
-                                                  const std::string &serviceKey)
+std::map<std::string, PlacedUpstream> placedUpstreamsOf(const ServiceContract &service,
+                                                        const std::string &serviceKey)
 {
     std::map<std::string, PlacedUpstream> upstreams;
     for (std::size_t group = 0; group < service.groups.size(); ++group) {
         const auto &specs = service.groups[group].upstreams;
         for (std::size_t index = 0; index < specs.size(); ++index) {
-            auto key = serviceKey + ".group[" + std::to_string(group + 1) + "].upstream["
-                    + std::to_string(index + 1) + "]";
+            auto key = serviceKey + "." + version::elementKey("group", group) + "."
+                    + version::elementKey("upstream", index);
             upstreams.emplace(specs[index].name, PlacedUpstream { &specs[index], std::move(key) });
         }
     }
@@ -107,8 +109,8 @@
 
     void compareUpstreams()
     {
-        const auto former = upstreamsOf(m_former, m_key);
-        const auto next = upstreamsOf(m_next, m_key);
+        const auto former = placedUpstreamsOf(m_former, m_key);
+        const auto next = placedUpstreamsOf(m_next, m_key);
         for (const auto &[name, upstream] : former) {
             if (!next.contains(name)) {
                 reportRemoval(name);
@@ -214,7 +216,7 @@
     }
     for (std::size_t index = 0; index < next.services.size(); ++index) {
         const auto &service = next.services[index];
-        const auto key = "service[" + std::to_string(index + 1) + "]";
+        const auto key = version::elementKey("service", index);
         const auto *former = findService(inForce.contract, service.name);
         if (former == nullptr) {
             findings.push_back(
--- a/src/ctl/contractcheck.cpp
+++ b/src/ctl/contractcheck.cpp
@@ -2,6 +2,7 @@
 
 #include "ctl/contractchanges.h"
 #include "ctl/contractfile.h"
+#include "ctl/contractlookup.h"
 #include "version/contractparser.h"
 #include "version/limits.h"
 
@@ -26,19 +27,6 @@
 constexpr std::uint32_t MillisecondsPerSecond = 1'000;
 constexpr std::uint32_t WholePercent = 100;
 
-std::string indexed(std::string_view key, std::size_t index)
-{
-    return std::string(key) + "[" + std::to_string(index + 1) + "]";
-}
-
-std::size_t upstreamCount(const ServiceContract &service)
-{
-    std::size_t count = 0;
-    std::ranges::for_each(service.groups,
-                          [&](const UpstreamGroup &group) { count += group.upstreams.size(); });
-    return count;
-}
-
 /// Requests per second that a group answers when all its slots are in use.
 std::uint64_t capacityOf(const ServiceContract &service, const UpstreamGroup &group)
 {
@@ -53,7 +41,7 @@
     ServiceCheck(const Contract &contract, std::size_t index, const ContractInForce *inForce)
         : m_contract(contract)
         , m_service(contract.services[index])
-        , m_key(indexed("service", index))
+        , m_key(version::elementKey("service", index))
         , m_inForce(inForce)
         , m_former(inForce == nullptr ? nullptr : findService(inForce->contract, m_service.name))
     { }
@@ -89,8 +77,8 @@
         for (std::size_t group = 0; group < m_service.groups.size(); ++group) {
             const auto &upstreams = m_service.groups[group].upstreams;
             for (std::size_t index = 0; index < upstreams.size(); ++index) {
-                checkAddress(indexed("group", group) + "." + indexed("upstream", index)
-                                     + ".address",
+                checkAddress(version::elementKey("group", group) + "."
+                                     + version::elementKey("upstream", index) + ".address",
                              upstreams[index].address);
             }
         }
@@ -98,16 +86,14 @@
 
     void checkSpread()
     {
-        if (upstreamCount(m_service) == 1) {
+        const auto upstreams = upstreamsOf(m_service);
+        if (upstreams.size() == 1) {
             warn("group", SingleUpstream { m_service.name });
             return;
         }
-        const auto &firstZone = m_service.groups.front().upstreams.front().zone;
-        const bool isInOneZone = std::ranges::all_of(m_service.groups, [&](const auto &group) {
-            return std::ranges::all_of(group.upstreams, [&](const auto &upstream) {
-                return upstream.zone == firstZone;
-            });
-        });
+        const auto &firstZone = upstreams.front()->zone;
+        const bool isInOneZone = std::ranges::all_of(
+                upstreams, [&](const auto *upstream) { return upstream->zone == firstZone; });
         if (isInOneZone && m_contract.zones.size() > 1) {
             warn("group", SingleZone { m_service.name, firstZone });
         }
@@ -119,12 +105,11 @@
             return;
         }
         const auto &drained = m_inForce->drainedUpstreams;
-        const bool isDrained = std::ranges::all_of(m_service.groups, [&](const auto &group) {
-            return std::ranges::all_of(group.upstreams, [&](const auto &upstream) {
-                return std::ranges::find(drained, m_service.name + "/" + upstream.name)
-                        != drained.end();
-            });
-        });
+        const bool isDrained =
+                std::ranges::all_of(upstreamsOf(m_service), [&](const auto *upstream) {
+                    return std::ranges::find(drained, qualifiedName(m_service, *upstream))
+                            != drained.end();
+                });
         if (isDrained) {
             warn("group", AllUpstreamsDrained { m_service.name });
         }
@@ -244,9 +229,8 @@
     std::vector<Finding> findings;
     for (const auto &zone : contract.zones) {
         const bool isUsed = std::ranges::any_of(contract.services, [&](const auto &service) {
-            return std::ranges::any_of(service.groups, [&](const auto &group) {
-                return std::ranges::find(group.upstreams, zone, &version::UpstreamSpec::zone)
-                        != group.upstreams.end();
+            return std::ranges::any_of(upstreamsOf(service), [&](const auto *upstream) {
+                return upstream->zone == zone;
             });
         });
         if (!isUsed) {
--- a/src/ctl/contractcommands.cpp
+++ b/src/ctl/contractcommands.cpp
@@ -1,6 +1,7 @@
 #include "ctl/command.h"
 #include "ctl/contractedit.h"
 #include "ctl/contractfile.h"
+#include "ctl/storedcontract.h"
 #include "ctl/textdiff.h"
 #include "version/contractparser.h"
 #include "version/limits.h"
@@ -19,11 +20,6 @@
 
 namespace {
 
-common::Error noContractError(const std::string &customer)
-{
-    return { "not_found", "customer '" + customer + "' has no contract" };
-}
-
 common::Result<version::ContractVersion> findVersion(const version::ContractDocument &document,
                                                      const std::string &customer,
                                                      const std::string &number)
@@ -60,20 +56,6 @@
     return { ExitCode::Ok, render(text, data, context.options.format), "" };
 }
 
-/// Reads a customer's document; error "not_found" when the customer has no contract.
-common::Result<version::ContractDocument> loadDocument(CommandContext &context,
-                                                       const std::string &customer)
-{
-    const auto stored = context.store.contract(customer);
-    if (!isOk(stored)) {
-        return errorOf(stored);
-    }
-    if (valueOf(stored).revision == 0) {
-        return noContractError(customer);
-    }
-    return valueOf(stored).value;
-}
-
 } // namespace
 
 CommandResult applyContract(CommandContext &context, const Arguments &arguments)
@@ -95,7 +77,7 @@
     if (!isOk(document)) {
         return failure(errorOf(document));
     }
-    const auto target = findVersion(valueOf(document), customer, arguments.at(1));
+    const auto target = findVersion(valueOf(document).value, customer, arguments.at(1));
     if (!isOk(target)) {
         return failure(errorOf(target));
     }
@@ -104,7 +86,7 @@
     if (!isOk(contract)) {
         return failure(errorOf(contract));
     }
-    return editContract(context, valueOf(contract), toml, valueOf(document).version);
+    return editContract(context, valueOf(contract), toml, valueOf(document).value.version);
 }
 
 CommandResult showContract(CommandContext &context, const Arguments &arguments)
@@ -114,9 +96,9 @@
     if (!isOk(document)) {
         return failure(errorOf(document));
     }
-    const auto number =
-            arguments.size() > 1 ? arguments.at(1) : std::to_string(valueOf(document).version);
-    const auto version = findVersion(valueOf(document), customer, number);
+    const auto number = arguments.size() > 1 ? arguments.at(1)
+                                             : std::to_string(valueOf(document).value.version);
+    const auto version = findVersion(valueOf(document).value, customer, number);
     return isOk(version) ? renderVersion(context, customer, valueOf(version))
                          : failure(errorOf(version));
 }
@@ -128,7 +110,7 @@
     if (!isOk(document)) {
         return failure(errorOf(document));
     }
-    std::string former = valueOf(document).toml;
+    std::string former = valueOf(document).value.toml;
     std::string next;
     if (arguments.size() == 2) {
         const auto file = readContractFile(arguments.at(1));
@@ -137,8 +119,8 @@
         }
         next = valueOf(file).toml;
     } else {
-        const auto first = findVersion(valueOf(document), customer, arguments.at(1));
-        const auto second = findVersion(valueOf(document), customer, arguments.at(2));
+        const auto first = findVersion(valueOf(document).value, customer, arguments.at(1));
+        const auto second = findVersion(valueOf(document).value, customer, arguments.at(2));
         if (!isOk(first) || !isOk(second)) {
             return failure(errorOf(isOk(first) ? second : first));
         }
@@ -178,7 +160,7 @@
     }
     Table table { { "version", "author", "drained_upstreams", "changed_lines" }, {} };
     std::string previousToml;
-    for (const auto &entry : valueOf(document).history) {
+    for (const auto &entry : valueOf(document).value.history) {
         // diffLines() marks changed lines with "-" or "+" as their first character.
         const auto markedDiff = "\n" + diffLines(previousToml, entry.toml);
         std::uint64_t changed = 0;
--- a/src/ctl/contractedit.cpp
+++ b/src/ctl/contractedit.cpp
@@ -1,7 +1,9 @@
 #include "ctl/contractedit.h"
 
+#include "ctl/contractlookup.h"
 #include "ctl/cutover.h"
 #include "ctl/notice.h"
+#include "ctl/storedcontract.h"
 #include "ctl/textdiff.h"
 #include "version/contractparser.h"
 
@@ -57,21 +59,18 @@
 private:
     std::optional<common::Error> load()
     {
-        const auto documents = m_context.store.contracts();
-        if (!isOk(documents)) {
-            return errorOf(documents);
+        const auto contracts = loadContracts(m_context);
+        if (!isOk(contracts)) {
+            return errorOf(contracts);
         }
-        for (const auto &document : valueOf(documents)) {
-            const bool isEditedContract = document.key == m_key;
-            if (isEditedContract) {
+        for (const auto &[document, contract] : valueOf(contracts)) {
+            if (document.key == m_key) {
                 m_storedDocument = document;
+                m_storedContract = contract;
+                continue;
             }
-            const auto contract = version::parseContract(document.value.toml, document.key);
-            if (!isOk(contract)) {
-                reportDamagedContract(m_context, errorOf(contract));
-            } else if (isEditedContract) {
-                m_storedContract = valueOf(contract);
-            } else if (auto error = version::findConflict(m_contract, valueOf(contract))) {
+            auto error = contract ? version::findConflict(m_contract, *contract) : std::nullopt;
+            if (error) {
                 return error;
             }
         }
@@ -140,15 +139,8 @@
     std::vector<std::string> remainingDrains() const
     {
         auto drained = m_storedDocument.value.drainedUpstreams;
-        std::erase_if(drained, [this](const std::string &name) {
-            return !std::ranges::any_of(m_contract.services, [&](const auto &service) {
-                return std::ranges::any_of(service.groups, [&](const auto &group) {
-                    return std::ranges::any_of(group.upstreams, [&](const auto &upstream) {
-                        return service.name + "/" + upstream.name == name;
-                    });
-                });
-            });
-        });
+        std::erase_if(drained,
+                      [this](const std::string &name) { return !hasUpstream(m_contract, name); });
         return drained;
     }
 
--- a/src/ctl/cutover.cpp
+++ b/src/ctl/cutover.cpp
@@ -1,5 +1,6 @@
 #include "ctl/cutover.h"
 
+#include "ctl/contractlookup.h"
 #include "version/limits.h"
 
 #include <algorithm>
@@ -10,12 +11,6 @@
 using version::CutoverSpec;
 using version::ServiceContract;
 
-const ServiceContract *findService(const Contract &contract, const std::string &name)
-{
-    const auto found = std::ranges::find(contract.services, name, &ServiceContract::name);
-    return found == contract.services.end() ? nullptr : &*found;
-}
-
 std::uint32_t sharePercentOf(const ServiceContract &service, const std::string &group)
 {
     if (std::ranges::find(service.groups, group, &version::UpstreamGroup::name)
--- a/src/ctl/cutover.h
+++ b/src/ctl/cutover.h
@@ -22,10 +22,6 @@
     std::string noticeUrl;
 };
 
-/// Null if the contract has no service of this name.
-[[nodiscard]] const version::ServiceContract *findService(const version::Contract &contract,
-                                                          const std::string &name);
-
 /// Share of new flows and requests that a group gets, in percent; 0 for a group that the service
 /// does not have.
 [[nodiscard]] std::uint32_t sharePercentOf(const version::ServiceContract &service,
--- a/src/ctl/upstreamcommands.cpp
+++ b/src/ctl/upstreamcommands.cpp
@@ -1,4 +1,6 @@
 #include "ctl/command.h"
+#include "ctl/contractlookup.h"
+#include "ctl/storedcontract.h"
 
 #include "version/contractparser.h"
 
@@ -27,13 +29,10 @@
 
 common::Result<CustomerContract> loadContract(CommandContext &context, const std::string &customer)
 {
-    const auto stored = context.store.contract(customer);
+    const auto stored = loadDocument(context, customer);
     if (!isOk(stored)) {
         return errorOf(stored);
     }
-    if (valueOf(stored).revision == 0) {
-        return common::Error { "not_found", "customer '" + customer + "' has no contract" };
-    }
     const auto contract = version::parseContract(valueOf(stored).value.toml, "store");
     if (!isOk(contract)) {
         return errorOf(contract);
@@ -41,28 +40,6 @@
     return CustomerContract { valueOf(stored), valueOf(contract) };
 }
 
-/// Calls visit(service, group, upstream) for each upstream.
-template<typename Visit>
-void forEachUpstream(const version::Contract &contract, const Visit &visit)
-{
-    for (const auto &service : contract.services) {
-        for (const auto &group : service.groups) {
-            for (const auto &upstream : group.upstreams) {
-                visit(service, group, upstream);
-            }
-        }
-    }
-}
-
-bool hasUpstream(const version::Contract &contract, const std::string &name)
-{
-    bool found = false;
-    forEachUpstream(contract, [&](const auto &service, const auto &, const auto &upstream) {
-        found = found || service.name + "/" + upstream.name == name;
-    });
-    return found;
-}
-
 /// Adds the name to the list or removes it; false when the list needs no change.
 bool updateDrainList(std::vector<std::string> &drained, const std::string &name, bool shouldDrain)
 {
@@ -153,18 +130,20 @@
         });
     };
     Table table { { "upstream", "group", "zone", "address", "state" }, {} };
-    forEachUpstream(valueOf(loaded).contract,
-                    [&](const auto &service, const auto &group, const auto &upstream) {
-                        const auto name = service.name + "/" + upstream.name;
-                        const bool draining = std::ranges::find(drained, name) != drained.end();
-                        const auto *state = isWithdrawn(upstream.zone) ? "withdrawn"
-                                : draining                             ? "draining"
-                                                                       : "active";
-                        table.rows.push_back({ json::string(name), json::string(group.name),
-                                               json::string(upstream.zone),
-                                               json::string(common::toString(upstream.address)),
-                                               state });
-                    });
+    for (const auto &service : valueOf(loaded).contract.services) {
+        for (const auto &group : service.groups) {
+            for (const auto &upstream : group.upstreams) {
+                const auto name = qualifiedName(service, upstream);
+                const bool draining = std::ranges::find(drained, name) != drained.end();
+                const auto *state = isWithdrawn(upstream.zone) ? "withdrawn"
+                        : draining                             ? "draining"
+                                                               : "active";
+                table.rows.push_back({ json::string(name), json::string(group.name),
+                                       json::string(upstream.zone),
+                                       json::string(common::toString(upstream.address)), state });
+            }
+        }
+    }
     return { ExitCode::Ok, render(table, context.options.format), "" };
 }
 
--- a/src/ctl/zonecommands.cpp
+++ b/src/ctl/zonecommands.cpp
@@ -1,6 +1,6 @@
 #include "ctl/command.h"
 
-#include "version/contractparser.h"
+#include "ctl/storedcontract.h"
 #include "version/limits.h"
 
 #include <boost/json/string.hpp>
@@ -26,15 +26,14 @@
 
 common::Result<std::set<std::string>> loadContractZones(CommandContext &context)
 {
-    const auto documents = context.store.contracts();
-    if (!isOk(documents)) {
-        return errorOf(documents);
+    const auto contracts = loadContracts(context);
+    if (!isOk(contracts)) {
+        return errorOf(contracts);
     }
     std::set<std::string> zones;
-    for (const auto &document : valueOf(documents)) {
-        const auto contract = version::parseContract(document.value.toml, "store");
-        if (isOk(contract)) {
-            zones.insert(valueOf(contract).zones.begin(), valueOf(contract).zones.end());
+    for (const auto &[document, contract] : valueOf(contracts)) {
+        if (contract) {
+            zones.insert(contract->zones.begin(), contract->zones.end());
         }
     }
     return zones;
--- a/src/version/tomldocument.cpp
+++ b/src/version/tomldocument.cpp
@@ -83,6 +83,11 @@
              std::max<std::uint32_t>(region.begin.column, 1) };
 }
 
+std::string elementKey(std::string_view key, std::size_t index)
+{
+    return std::string(key) + "[" + std::to_string(index + 1) + "]";
+}
+
 common::Result<TomlDocument, TomlProblem> TomlDocument::parse(std::string_view text,
                                                               std::string_view sourceName)
 {
--- a/src/version/tomldocument.h
+++ b/src/version/tomldocument.h
@@ -30,6 +30,9 @@
 
 [[nodiscard]] TextPlace placeOf(const toml::source_region &region);
 
+/// Path of an element of an array, such as "service[1]" for index 0.
+[[nodiscard]] std::string elementKey(std::string_view key, std::size_t index);
+
 /// A parsed TOML text.
 class TomlDocument
 {
--- a/src/version/tomlreader.cpp
+++ b/src/version/tomlreader.cpp
@@ -203,8 +203,7 @@
             m_errors->add(element.source(), pathOf(key), expected("a table", element));
             return {};
         }
-        const auto index = "[" + std::to_string(readers.size() + 1) + "]";
-        readers.emplace_back(*child, pathOf(key) + index, *m_errors, allowed);
+        readers.emplace_back(*child, elementKey(pathOf(key), readers.size()), *m_errors, allowed);
     }
     return readers;
 }
