Test that zone commands report damaged contracts

Zone commands report stored contracts that cannot be parsed since they share the look-up of contracts; no test showed it. Ruled out: an exit code of its own, because a zone has to be withdrawn also while a contract is damaged.

--- a/src/ctl/contractcheck.cpp
+++ b/src/ctl/contractcheck.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <tuple>
 
 namespace banyanwall::ctl {
@@ -30,8 +29,8 @@
 /// Requests per second that a group answers when all its slots are in use.
 std::uint64_t capacityOf(const ServiceContract &service, const UpstreamGroup &group)
 {
-    return group.upstreams.size() * std::uint64_t { service.slotsPerUpstream }
-    * MillisecondsPerSecond / static_cast<std::uint64_t>(service.usualLatency.count());
+    const auto slots = group.upstreams.size() * std::uint64_t { service.slotsPerUpstream };
+    return slots * MillisecondsPerSecond / static_cast<std::uint64_t>(service.usualLatency.count());
 }
 
 /// Checks one service of a valid contract.
@@ -58,16 +57,15 @@
     }
 
 private:
-    void warn(const std::string &key, FindingDetail detail, Severity severity = Severity::Warning)
+    void add(const std::string &key, FindingDetail detail, Severity severity = Severity::Warning)
     {
-        m_findings.push_back(
-                { severity, key.empty() ? m_key : m_key + "." + key, std::move(detail) });
+        m_findings.push_back({ severity, m_key + "." + key, std::move(detail) });
     }
 
     void checkAddress(const std::string &key, const common::Endpoint &address)
     {
         if (address.address >= FirstAddressAfterUnicast) {
-            warn(key, AddressNotUnicast { address });
+            add(key, AddressNotUnicast { address });
         }
     }
 
@@ -88,14 +86,14 @@
     {
         const auto upstreams = upstreamsOf(m_service);
         if (upstreams.size() == 1) {
-            warn("group", SingleUpstream { m_service.name });
+            add("group", SingleUpstream { m_service.name });
             return;
         }
         const auto &firstZone = upstreams.front()->zone;
         const bool isInOneZone = std::ranges::all_of(
                 upstreams, [&](const auto *upstream) { return upstream->zone == firstZone; });
         if (isInOneZone && m_contract.zones.size() > 1) {
-            warn("group", SingleZone { m_service.name, firstZone });
+            add("group", SingleZone { m_service.name, firstZone });
         }
     }
 
@@ -111,7 +109,7 @@
                             != drained.end();
                 });
         if (isDrained) {
-            warn("group", AllUpstreamsDrained { m_service.name });
+            add("group", AllUpstreamsDrained { m_service.name });
         }
     }
 
@@ -133,7 +131,7 @@
                     std::uint64_t bound)
     {
         if (value < bound) {
-            warn(key, LimitContradiction { kind, value, bound });
+            add(key, LimitContradiction { kind, value, bound });
         }
     }
 
@@ -145,17 +143,17 @@
         const auto rateNow = rate * share / WholePercent;
         using When = RateAboveCapacity::When;
         if (rateNow > capacity) {
-            warn("requests_per_second",
-                 RateAboveCapacity { m_service.name, group.name, When::Now, rateNow, capacity });
+            add("requests_per_second",
+                RateAboveCapacity { m_service.name, group.name, When::Now, rateNow, capacity });
         } else if (m_service.cutover && m_service.cutover->toGroup == group.name
                    && rate > capacity) {
-            warn("cutover.to",
-                 RateAboveCapacity { m_service.name, group.name, When::AfterCutover, rate,
-                                     capacity });
+            add("cutover.to",
+                RateAboveCapacity { m_service.name, group.name, When::AfterCutover, rate,
+                                    capacity });
         }
         if (share == 0) {
-            warn("cutover.share_percent", GroupWithoutFlows { m_service.name, group.name },
-                 isShareNew(group) ? Severity::Note : Severity::Warning);
+            add("cutover.share_percent", GroupWithoutFlows { m_service.name, group.name },
+                isShareNew(group) ? Severity::Note : Severity::Warning);
         }
     }
 
--- a/src/ctl/findingtext.cpp
+++ b/src/ctl/findingtext.cpp
@@ -121,7 +121,7 @@
                        : "; its open flows are lost unless the same process has both addresses");
 }
 
-/// What a changed limit does, after "is lowered from A to B" or "is raised from A to B".
+/// What a limit does; the reason names both values before it.
 std::string_view effectOf(LimitChanged::Limit limit)
 {
     switch (limit) {
--- a/src/tests/ctltest.cpp
+++ b/src/tests/ctltest.cpp
@@ -149,6 +149,18 @@
     LONGS_EQUAL(2, progressLines.size());
 }
 
+// Guards against a zone command that is silent about a contract whose zones it cannot know.
+TEST(Ctl, zoneCommandsReportDamagedContracts)
+{
+    const auto damaged = version::nextVersion({}, "customer = 1", "ana", {});
+    CHECK_TRUE(common::isOk(
+            store.write("contracts/school", 0, version::formatContractDocument(damaged))));
+    checkExitCode(ExitCode::Ok, apply(clinicContract(50)));
+    progressLines.clear();
+    checkExitCode(ExitCode::Ok, run({ "zone", "withdraw", "east" }));
+    LONGS_EQUAL(1, progressLines.size());
+}
+
 // Guards against a returned zone that gets its full load at once instead of the first step of 20 %,
 // and against a mistyped zone name that is accepted. Withdrawing a zone twice makes one version.
 TEST(Ctl, returnedZoneStartsWithOneShareStep)
