Avoid upstreams that reset opening packets

Cause: upstreams that restart reset opening packets until their entries show it, and instances do not see resets. Ruled out: recognising callers that return from another port (the fabric hands the retry to another instance); spreading a part of the flows over all zones (loses that part when a zone is cut off). Change: an opening packet that the caller neither sends again within 250 ms nor follows with another packet counts like a retransmitted one, at this instance and, by a field of the passive health report, at the others of the zone. Only for services of routes with a response aim; not after a pause of the instance.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -28,6 +28,9 @@
 // Callers retransmit lost packets after 200 ms; a response after one retransmission is not overdue.
 constexpr std::chrono::milliseconds MinOverdueTime { 300 };
 constexpr std::chrono::milliseconds OutlierScanInterval { 200 };
+// Callers retransmit an opening packet after 200 ms, unless it was reset. The margin covers delays
+// on the way to this instance.
+constexpr std::chrono::milliseconds MaxOpeningTime { 250 };
 // A single peer may be stopping, or may be cut off together with this instance.
 constexpr std::uint32_t MinRefutingPeers = 2;
 // Without any response for this long, this instance itself may be cut off. The smallest instances
@@ -334,7 +337,9 @@
     if (now < m_nextOutlierScan) {
         return;
     }
+    const auto sinceLastScan = now - m_nextOutlierScan + OutlierScanInterval;
     m_nextOutlierScan = now + OutlierScanInterval;
+    findUnopenedFlows(sinceLastScan, now);
     findOverdueFlows(now);
     m_outliers.removeExpired(now);
     std::vector<common::FlowToken> outliers;
@@ -346,6 +351,23 @@
     std::ranges::copy(m_upstreams.setOutliers(outliers), std::back_inserter(m_report.outliers));
 }
 
+void FlowForwarder::findUnopenedFlows(common::Duration sinceLastScan, TimePoint now)
+{
+    // After a pause of this instance, packets of the callers may still wait in its socket.
+    const bool wasPaused = sinceLastScan > OutlierScanInterval + MaxOpeningTime;
+    m_observer.visitUnopened(now - MaxOpeningTime, [&](common::FlowToken token) {
+        auto *upstream = m_upstreams.find(token);
+        if (wasPaused || upstream == nullptr
+            || !m_servicesWithAim.contains(upstream->record.service)) {
+            return;
+        }
+        upstream->health.onOpeningReset(now);
+        if (m_report.unopened.size() < MaxReportedFlows) {
+            m_report.unopened.push_back(upstream->record.serial);
+        }
+    });
+}
+
 void FlowForwarder::findOverdueFlows(TimePoint now)
 {
     m_observer.visitWaiting(now - MinOverdueTime,
@@ -440,6 +462,11 @@
             recordZoneRetransmission(*upstream, now);
         }
     }
+    for (const auto serial : report.unopened) {
+        if (auto *upstream = findBySerial(serial)) {
+            upstream->health.onPeerOpeningReset(now);
+        }
+    }
     for (const auto &overdue : report.overdueFlows) {
         if (const auto *upstream = findBySerial(overdue.upstream)) {
             m_outliers.recordOverdueFlow(upstream->record.service, upstream->token, overdue.flow,
@@ -545,6 +572,7 @@
 void FlowForwarder::updateRoutes(const version::RulesRecord &rules)
 {
     m_routes.clear();
+    m_servicesWithAim.clear();
     for (const auto &record : rules.routes) {
         const auto total = std::accumulate(
                 record.shares.begin(), record.shares.end(), 0U,
@@ -552,6 +580,11 @@
         if (total > 0) {
             m_routes.emplace(record.address, Route { record, total });
         }
+        if (record.terms.responseAim && m_options.choice == UpstreamChoice::ByContract) {
+            std::ranges::transform(record.shares,
+                                   std::inserter(m_servicesWithAim, m_servicesWithAim.end()),
+                                   &version::ServiceShare::service);
+        }
     }
 }
 
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace banyanwall::connection {
@@ -45,6 +46,8 @@
 {
     /// Upstreams to which callers retransmitted opening packets; one entry for each packet.
     std::vector<common::UpstreamSerial> upstreams {};
+    /// Upstreams that have reset an opening packet; one entry for each packet.
+    std::vector<common::UpstreamSerial> unopened {};
     /// Flows whose callers retransmitted data; each flow once.
     std::vector<WaitingFlow> waitingFlows {};
     /// Flows whose upstream received the request but has not answered for a multiple of the mean
@@ -65,8 +68,8 @@
 
     [[nodiscard]] bool isEmpty() const
     {
-        return upstreams.empty() && waitingFlows.empty() && overdueFlows.empty() && outliers.empty()
-                && recovered.empty() && zones.empty() && respondingZones.empty()
+        return upstreams.empty() && unopened.empty() && waitingFlows.empty() && overdueFlows.empty()
+                && outliers.empty() && recovered.empty() && zones.empty() && respondingZones.empty()
                 && respondingUpstreams.empty() && assumedRestarts.empty();
     }
 };
@@ -197,6 +200,9 @@
                               common::TimePoint now);
     void recordWaitingFlow(const TrackedUpstream &upstream, const FlowPacket &packet,
                            common::TimePoint now);
+    /// Records upstreams that have reset opening packets. Instances do not see the resets, only
+    /// that the caller neither retransmits the packet nor goes on.
+    void findUnopenedFlows(common::Duration sinceLastScan, common::TimePoint now);
     /// Records flows whose requests are overdue.
     void findOverdueFlows(common::TimePoint now);
     [[nodiscard]] bool mayRetryRequest(const FlowPacket &packet) const;
@@ -225,6 +231,8 @@
     common::TimePoint m_nextOutlierScan;
     FlowObserver m_observer;
     std::unordered_map<common::Endpoint, Route> m_routes;
+    /// Services of routes whose contract names a response aim.
+    std::unordered_set<common::ServiceId> m_servicesWithAim;
     /// Tokens that no known upstream has, with the time of the first packet.
     std::unordered_map<common::FlowToken, common::TimePoint> m_unknownTokens;
     common::TimePoint m_confirmedAt;
--- a/src/connection/flowobserver.cpp
+++ b/src/connection/flowobserver.cpp
@@ -84,6 +84,16 @@
     }
 }
 
+void FlowObserver::visitUnopened(TimePoint before, const UnopenedVisitor &visitor)
+{
+    for (auto &flow : m_flows) {
+        if (flow.isOpening && flow.waitingSince < before) {
+            flow.isOpening = false;
+            visitor(flow.upstream);
+        }
+    }
+}
+
 bool FlowObserver::isWaiting(const FlowPacket &packet)
 {
     const auto *flow = find(flowOf(packet));
@@ -96,9 +106,12 @@
     const auto key = flowOf(packet);
     auto *known = find(key);
     auto &flow = known == nullptr ? replaceableEntry(key) : *known;
-    flow = {
-        .key = key, .lastSeen = now, .waitingSince = now, .newDataAt = now, .upstream = upstream
-    };
+    flow = { .key = key,
+             .lastSeen = now,
+             .waitingSince = now,
+             .newDataAt = now,
+             .upstream = upstream,
+             .isOpening = packet.acknowledgement == 0 };
 }
 
 FlowObservation FlowObserver::observeKnown(Flow &flow, const FlowPacket &packet, TimePoint now)
@@ -111,6 +124,7 @@
         observation.hasResponse = !flow.isOpen && packet.token != common::FlowToken();
         flow.upstream = packet.token;
         flow.isOpen = true;
+        flow.isOpening = false;
         flow.openSince = now;
         flow.sentUpTo = packet.sequence;
         flow.acknowledged = packet.acknowledgement;
--- a/src/connection/flowobserver.h
+++ b/src/connection/flowobserver.h
@@ -58,6 +58,12 @@
     /// Calls the visitor for each flow that waits for a response to a request first sent before the
     /// given time.
     void visitWaiting(common::TimePoint before, const WaitingVisitor &visitor);
+    using UnopenedVisitor = std::function<void(common::FlowToken)>;
+
+    /// Calls the visitor once for each flow whose opening packet was forwarded before the given
+    /// time and neither retransmitted nor followed by another packet, with the token of the
+    /// upstream.
+    void visitUnopened(common::TimePoint before, const UnopenedVisitor &visitor);
     /// Whether, as far as this instance sees, data of the packet's flow still waits for a response.
     [[nodiscard]] bool isWaiting(const FlowPacket &packet);
     /// Records the upstream of a flow that is being opened.
@@ -84,6 +90,9 @@
         bool isFinished = false;
         /// The visitor returned true for the current request.
         bool isOverdue = false;
+        /// The first transmission of the opening packet was forwarded, and no visitor has got the
+        /// flow.
+        bool isOpening = false;
         /// The time to the answer of the current request is that of the upstream.
         bool isTimed = false;
         std::uint8_t sizeClass = 0;
--- a/src/connection/upstreamhealth.cpp
+++ b/src/connection/upstreamhealth.cpp
@@ -68,6 +68,17 @@
     recordRetransmission(now);
 }
 
+void UpstreamHealth::onOpeningReset(TimePoint now)
+{
+    recordRetransmission(now);
+}
+
+void UpstreamHealth::onPeerOpeningReset(TimePoint now)
+{
+    recordRetransmission(now);
+    postponeProbe(now);
+}
+
 void UpstreamHealth::onDataRetransmitted(std::uint64_t flow, TimePoint now)
 {
     recordRetransmission(now);
--- a/src/connection/upstreamhealth.h
+++ b/src/connection/upstreamhealth.h
@@ -22,6 +22,11 @@
     /// A caller retransmitted an opening packet. This is no proof of a fault: a working upstream
     /// without free slots leaves opening packets unanswered as well.
     void onOpeningRetransmitted(common::TimePoint now);
+    /// The upstream reset an opening packet, because it does not run or takes no flows. Counts like
+    /// a retransmitted one.
+    void onOpeningReset(common::TimePoint now);
+    /// The upstream reset an opening packet of another instance.
+    void onPeerOpeningReset(common::TimePoint now);
     /// A caller retransmitted data on an open flow. flow identifies the flow.
     void onDataRetransmitted(std::uint64_t flow, common::TimePoint now);
     /// Another instance saw a retransmitted opening packet. This counts as a probe, so the next
--- a/src/process/flowlog.cpp
+++ b/src/process/flowlog.cpp
@@ -94,6 +94,7 @@
         }
     };
     logAll("upstream_unanswered", "serial", reports.upstreams);
+    logAll("upstream_refused_opening", "serial", reports.unopened);
     for (const auto &waiting : reports.waitingFlows) {
         if (const auto line = m_refusalLog.event(LogLevel::Info, "flow_waiting", now)) {
             line->with("serial", waiting.upstream.value()).with("flow", waiting.flow);
--- a/src/tests/directorycodectest.cpp
+++ b/src/tests/directorycodectest.cpp
@@ -108,6 +108,7 @@
     const common::TimePoint sentAt { 100s };
     const connection::PassiveHealthReport report {
         .upstreams = { common::UpstreamSerial(1) },
+        .unopened = { common::UpstreamSerial(9) },
         .waitingFlows = { { common::UpstreamSerial(2), 77 } },
         .overdueFlows = { { common::UpstreamSerial(7), 78 } },
         .recovered = { common::UpstreamSerial(3) },
@@ -119,6 +120,7 @@
     const auto decoded =
             wire::decodePassiveHealth(wire::encodePassiveHealth(report, sentAt).silence(), sentAt);
     CHECK(decoded.upstreams == report.upstreams);
+    CHECK(decoded.unopened == report.unopened);
     CHECK(decoded.waitingFlows == report.waitingFlows);
     CHECK(decoded.overdueFlows == report.overdueFlows);
     CHECK(decoded.recovered == report.recovered);
--- a/src/tests/flowforwardertest.cpp
+++ b/src/tests/flowforwardertest.cpp
@@ -649,6 +649,83 @@
     CHECK(countOwn(byHash, FeedAddress) < 140);
 }
 
+// All upstreams of the own zone restart: until their entries show it, they reset opening packets,
+// which instances do not see. Callers open again from other ports, and would reach the same zone.
+TEST(FlowForwarder, flowsLeaveAZoneWhoseUpstreamsResetThem)
+{
+    auto withAim = rules();
+    withAim.version = 2;
+    withAim.routes.front().terms.responseAim = 400ms;
+    const StoreRevision revision(2);
+    update({ StoreRevision(1),
+             revision,
+             false,
+             { { version::keyOf(withAim), revision, withAim } } });
+    forwarder.setPosition({ .zone = OwnZone, .instance = 1 }, now);
+    forwarder.findOutliers(now);
+    const auto countOwn = [&](std::uint16_t firstPort) {
+        int own = 0;
+        for (std::uint16_t port = firstPort; port < firstPort + 60; ++port) {
+            const auto forward =
+                    as<ForwardPacket>(forwarder.handle(opening(FeedAddress, port), now));
+            own += forward.zone == OwnZone ? 1 : 0;
+            if (forward.zone != OwnZone) {
+                forwarder.handle(data(FeedAddress, port, forward.token), now + 10ms);
+            }
+        }
+        return own;
+    };
+    CHECK(countOwn(1'000) > 20);
+    now += 200ms;
+    forwarder.findOutliers(now);
+    CHECK(forwarder.takeHealthReport(now).unopened.empty());
+    now += 200ms;
+    forwarder.findOutliers(now);
+    const auto report = forwarder.takeHealthReport(now);
+    CHECK(report.unopened.size() > 20);
+    LONGS_EQUAL(0, countOwn(2'000));
+    // Another instance of the zone learns it from the report.
+    FlowForwarder peer { { .ownZone = OwnZone, .instance = 2 }, [](common::Duration) {} };
+    std::vector<version::EntryKey> keys;
+    std::ranges::transform(directory.entries(), std::back_inserter(keys),
+                           [](const auto &item) { return item.first; });
+    peer.setPosition({ .zone = OwnZone, .instance = 2 }, now);
+    peer.update(directory, keys, now);
+    CHECK(peer.onPeerHealthReport({ .unopened = report.unopened }, now).isEmpty());
+    CHECK(as<ForwardPacket>(peer.handle(opening(FeedAddress, 3'000), now)).zone == OtherZone);
+}
+
+// Guards against working upstreams that are avoided: callers go on after the opening packet, or
+// retransmit it, and an instance that was paused has not read their packets yet.
+TEST(FlowForwarder, onlyOpeningsWithoutAnyFurtherPacketCountAsReset)
+{
+    auto withAim = rules();
+    withAim.version = 2;
+    withAim.routes.front().terms.responseAim = 400ms;
+    const StoreRevision revision(2);
+    update({ StoreRevision(1),
+             revision,
+             false,
+             { { version::keyOf(withAim), revision, withAim } } });
+    forwarder.setPosition({ .zone = OwnZone, .instance = 1 }, now);
+    forwarder.findOutliers(now);
+    const auto opened = as<ForwardPacket>(forwarder.handle(opening(FeedAddress, 1'000), now));
+    forwarder.handle(data(FeedAddress, 1'000, opened.token), now + 10ms);
+    forwarder.handle(opening(FeedAddress, 1'001), now);
+    now += 200ms;
+    forwarder.handle(opening(FeedAddress, 1'001, 1), now);
+    forwarder.findOutliers(now);
+    now += 400ms;
+    forwarder.findOutliers(now);
+    CHECK(forwarder.takeHealthReport(now).unopened.empty());
+    forwarder.handle(opening(FeedAddress, 1'002), now);
+    now += 2s;
+    forwarder.findOutliers(now);
+    now += 200ms;
+    forwarder.findOutliers(now);
+    CHECK(forwarder.takeHealthReport(now).unopened.empty());
+}
+
 // Open flows into a withdrawn zone go on, unless a limit after the withdrawal is set.
 TEST(FlowForwarder, packetsIntoAWithdrawnZoneAreDroppedAfterTheLimit)
 {
--- a/src/wire/passivehealthcodec.cpp
+++ b/src/wire/passivehealthcodec.cpp
@@ -50,6 +50,9 @@
     for (const auto upstream : report.upstreams) {
         encoded.add_upstreams(upstream.value());
     }
+    for (const auto upstream : report.unopened) {
+        encoded.add_unopened(upstream.value());
+    }
     for (const auto upstream : report.recovered) {
         encoded.add_recovered(upstream.value());
     }
@@ -83,6 +86,7 @@
 {
     connection::PassiveHealthReport report {
         .upstreams = idsOf<common::UpstreamSerial>(encoded.upstreams()),
+        .unopened = idsOf<common::UpstreamSerial>(encoded.unopened()),
         .recovered = idsOf<common::UpstreamSerial>(encoded.recovered()),
         .zones = idsOf<common::ZoneId>(encoded.zones()),
     };
