Look for reset openings every 100 ms

Ruled out: a shorter wait than the callers' retransmission of 200 ms, which would take silent upstreams for ones that reset. Change: the search runs at each call of findOutliers; a longer gap than 450 ms counts as a pause.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -31,6 +31,8 @@
 // Callers retransmit an opening packet after 200 ms, unless it was reset. The margin covers delays
 // on the way to this instance.
 constexpr std::chrono::milliseconds MaxOpeningTime { 250 };
+// Scans are made every 100 ms; after a longer gap the instance was paused.
+constexpr std::chrono::milliseconds MaxScanGap { 450 };
 // A single peer may be stopping, or may be cut off together with this instance.
 constexpr std::uint32_t MinRefutingPeers = 2;
 // Without any response for this long, this instance itself may be cut off. The smallest instances
@@ -334,12 +336,11 @@
 
 void FlowForwarder::findOutliers(TimePoint now)
 {
+    findUnopenedFlows(now);
     if (now < m_nextOutlierScan) {
         return;
     }
-    const auto sinceLastScan = now - m_nextOutlierScan + OutlierScanInterval;
     m_nextOutlierScan = now + OutlierScanInterval;
-    findUnopenedFlows(sinceLastScan, now);
     findOverdueFlows(now);
     m_outliers.removeExpired(now);
     std::vector<common::FlowToken> outliers;
@@ -351,10 +352,10 @@
     std::ranges::copy(m_upstreams.setOutliers(outliers), std::back_inserter(m_report.outliers));
 }
 
-void FlowForwarder::findUnopenedFlows(common::Duration sinceLastScan, TimePoint now)
+void FlowForwarder::findUnopenedFlows(TimePoint now)
 {
     // After a pause of this instance, packets of the callers may still wait in its socket.
-    const bool wasPaused = sinceLastScan > OutlierScanInterval + MaxOpeningTime;
+    const bool wasPaused = now - std::exchange(m_unopenedScanAt, now) > MaxScanGap;
     m_observer.visitUnopened(now - MaxOpeningTime, [&](common::FlowToken token) {
         auto *upstream = m_upstreams.find(token);
         if (wasPaused || upstream == nullptr
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -108,7 +108,8 @@
 
     PacketVerdict handle(const FlowPacket &packet, common::TimePoint now);
 
-    /// Finds overdue requests and upstreams that are outliers; called every 100 ms or more often.
+    /// Finds opening packets that were reset, overdue requests and upstreams that are outliers;
+    /// called every 100 ms or more often.
     void findOutliers(common::TimePoint now);
 
     /// Finds out whether this instance is isolated; called every 100 ms or more often.
@@ -202,7 +203,7 @@
                            common::TimePoint now);
     /// Records upstreams that have reset opening packets. Instances do not see the resets, only
     /// that the caller neither retransmits the packet nor goes on.
-    void findUnopenedFlows(common::Duration sinceLastScan, common::TimePoint now);
+    void findUnopenedFlows(common::TimePoint now);
     /// Records flows whose requests are overdue.
     void findOverdueFlows(common::TimePoint now);
     [[nodiscard]] bool mayRetryRequest(const FlowPacket &packet) const;
@@ -229,6 +230,7 @@
     IsolationDetector m_isolation;
     OutlierDetector m_outliers;
     common::TimePoint m_nextOutlierScan;
+    common::TimePoint m_unopenedScanAt;
     FlowObserver m_observer;
     std::unordered_map<common::Endpoint, Route> m_routes;
     /// Services of routes whose contract names a response aim.
