Ignore response times that include a pause of the instance

Cause: answers that waited in the socket while the instance was paused seem to have taken as long as the pause. 30 of them made the usual time of a kind more than its true value, from which demand and expected times follow. Ruled out: limiting long samples (a heavy tail is part of the mean); asking the daemon's stall detector (the picture sees the pause by its own refreshes). The fixture of loadpicturetest now refreshes every 100 ms as the daemon does, and begins requests before their answers; no check is changed.

--- a/src/connection/loadpicture.cpp
+++ b/src/connection/loadpicture.cpp
@@ -27,6 +27,9 @@
 constexpr double SlowRatio = 1.5;
 constexpr double UsualRatio = 1.2;
 
+// A longer time between two refreshes is a pause of this process, in which packets waited.
+constexpr std::chrono::milliseconds MaxRefreshGap { 500 };
+
 constexpr std::size_t MaxKinds = 256;
 constexpr std::chrono::seconds KindRetention { 60 };
 // A request whose answer passed through another instance, or never came, is forgotten after this
@@ -107,6 +110,10 @@
                            std::uint64_t flow, Duration responseTime, TimePoint now)
 {
     m_requests.remove(flow);
+    noticePause(now);
+    if (now - responseTime < m_resumedAt) {
+        return;
+    }
     if (const auto *cost = costOf(kind)) {
         auto &shift = m_services[upstream.record.service].shift;
         const auto logRatio = cost->logRatio(responseTime) - shift;
@@ -124,6 +131,7 @@
 
 void LoadPicture::refresh(TimePoint now)
 {
+    noticePause(now);
     decay(now - m_refreshedAt);
     m_refreshedAt = now;
     m_upstreams.visitServices([&](ServiceId service, const UpstreamTable::Group &group) {
@@ -214,6 +222,13 @@
     return loads;
 }
 
+void LoadPicture::noticePause(TimePoint now)
+{
+    if (m_refreshedAt != TimePoint() && now - m_refreshedAt > MaxRefreshGap) {
+        m_resumedAt = now;
+    }
+}
+
 const RequestCost *LoadPicture::costOf(const RequestKind &kind) const
 {
     auto found = m_kinds.find(kind);
@@ -282,9 +297,10 @@
     m_logs.clear();
     std::ranges::transform(group, std::back_inserter(m_logs),
                            [&](const auto *upstream) { return logOf(*upstream); });
-    auto sorted = m_logs;
-    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>((sorted.size() - 1) / 2);
-    std::ranges::nth_element(sorted, middle);
+    m_sortedLogs = m_logs;
+    const auto middle =
+            m_sortedLogs.begin() + static_cast<std::ptrdiff_t>((m_sortedLogs.size() - 1) / 2);
+    std::ranges::nth_element(m_sortedLogs, middle);
     ServiceLoad load { .service = service, .meanSlowness = 0.0 };
     for (std::size_t index = 0; index < group.size(); ++index) {
         auto &upstream = *group[index];
--- a/src/connection/loadpicture.h
+++ b/src/connection/loadpicture.h
@@ -118,6 +118,9 @@
         double value = 0.0;
     };
 
+    /// Finds out whether this process was paused, so that times that include the pause say nothing
+    /// about upstreams.
+    void noticePause(common::TimePoint now);
     [[nodiscard]] const RequestCost *costOf(const RequestKind &kind) const;
     void addSample(const RequestKind &kind, common::Duration responseTime, common::TimePoint now);
     /// Empty observations when the upstream has restarted since the last ones.
@@ -144,11 +147,14 @@
     /// Number of reports with demands; old ones count less.
     double m_peerReports = 0.0;
     common::TimePoint m_refreshedAt;
+    /// End of the last pause of this process.
+    common::TimePoint m_resumedAt;
     ReportBudget m_budget;
     common::TimePoint m_nextDemandAt;
     std::vector<SlownessChange> m_changes;
-    /// Member only to reuse its memory.
+    /// Members only to reuse their memory.
     std::vector<double> m_logs;
+    std::vector<double> m_sortedLogs;
 };
 
 } // namespace banyanwall::connection
--- a/src/tests/loadpicturetest.cpp
+++ b/src/tests/loadpicturetest.cpp
@@ -62,8 +62,8 @@
     {
         const RequestKind kind { Route, sizeClass };
         auto &tracked = *single.table.find(LoadZone::tokenOf(upstream));
-        single.picture.onRequest(kind, tracked, ++flow, now);
-        single.picture.onAnswer(kind, tracked, flow, time, now + time);
+        single.picture.onRequest(kind, tracked, ++flow, now - time);
+        single.picture.onAnswer(kind, tracked, flow, time, now);
     }
 
     void answerMany(int rounds, common::Duration time, std::size_t upstreams = 3)
@@ -80,6 +80,14 @@
         single.picture.refresh(now);
     }
 
+    void advance(common::Duration duration)
+    {
+        for (const auto end = now + duration; now < end;) {
+            now += 100ms;
+            refresh();
+        }
+    }
+
     connection::UpstreamLoad loadOf(std::size_t upstream)
     {
         return single.table.find(LoadZone::tokenOf(upstream))->load;
@@ -303,10 +311,7 @@
     }
     refresh();
     CHECK(loadOf(0).slowness > ClearlySlow);
-    for (int tick = 0; tick < 150; ++tick) {
-        now += 100ms;
-        refresh();
-    }
+    advance(15s);
     CHECK(loadOf(0).slowness < NotSlow);
 }
 
@@ -326,6 +331,30 @@
     CHECK(loadOf(1).workLeft == 0ms);
 }
 
+// The process was paused for 1 s with requests in progress: their answers waited in the socket, and
+// the usual time would have grown to almost twice its value.
+TEST(LoadPicture, answersThatWaitedDuringAPauseAreNoSamples)
+{
+    answerMany(100, 100ms);
+    refresh();
+    const auto before = single.picture.usualTime({ Route });
+    for (const bool isRefreshedFirst : { false, true }) {
+        const auto resumed = now + 1s;
+        if (isRefreshedFirst) {
+            single.picture.refresh(resumed);
+        }
+        for (int count = 0; count < 30; ++count) {
+            auto &upstream = *single.table.find(LoadZone::tokenOf(0));
+            single.picture.onRequest({ Route, 1 }, upstream, ++flow, now);
+            single.picture.onAnswer({ Route, 1 }, upstream, flow, 1s, resumed);
+        }
+        now = resumed;
+        refresh();
+        CHECK(single.picture.usualTime({ Route }) == before);
+        DOUBLES_EQUAL(1.0, loadOf(0).slowness, 0.01);
+    }
+}
+
 // The fabric moves a flow to another instance, so that this one never sees the answer.
 TEST(LoadPicture, requestWithoutAnswerExpires)
 {
@@ -395,8 +424,7 @@
 {
     single.picture.setZoneInstances(3);
     answerMany(20, 100ms);
-    now += 5s;
-    refresh();
+    advance(5s);
     answer(0, 300ms);
     answer(0, 300ms);
     const auto report = single.picture.takeReport(now);
