Count the instances that bring demand by their reports

Cause: the demand of a zone was the mean demand of its instances times the number in the list of members, which holds an instance for 10 minutes after it has left. Its callers' packets go to the others meanwhile, so that their work counted twice. Ruled out: the last demand of each instance (one lost report more or less would change the sum at once); a message when an instance leaves (a lost machine sends none). Change: onPeerReport and onPeerLoadReport take the sender, zero by default; an instance that has missed four reports of demand, at least 3 s, counts as gone. While no reports arrive, and just after a start, the list counts. Demand takes a fifth of the report bytes instead of a tenth, and rows without demand are left out.

--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -146,9 +146,10 @@
         return m_load.takeReport(now);
     }
 
-    void onPeerLoadReport(const LoadReport &report, common::TimePoint now)
+    /// sender identifies the instance that sent the report; zero when it is not known.
+    void onPeerLoadReport(const LoadReport &report, common::TimePoint now, std::uint64_t sender = 0)
     {
-        m_load.onPeerReport(report, now);
+        m_load.onPeerReport(report, now, sender);
     }
 
     [[nodiscard]] const LoadPicture &load() const { return m_load; }
--- a/src/connection/loadpicture.cpp
+++ b/src/connection/loadpicture.cpp
@@ -44,9 +44,15 @@
 constexpr double MinWorkMicroseconds = 100.0;
 
 // Demands take at most this part of the report bytes.
-constexpr double DemandShare = 0.1;
+constexpr double DemandShare = 0.2;
 constexpr std::chrono::milliseconds MinDemandInterval { 500 };
+constexpr double MinReportedSlots = 0.001;
 constexpr std::size_t MaxDemandRows = 8;
+// An instance that has missed this many reports of its demand has left.
+constexpr int MissedReports = 4;
+constexpr std::chrono::seconds MinReportWindow { 3 };
+// More than the instances of a zone.
+constexpr std::size_t MaxReporters = 1'024;
 // Changes of slowness that nobody took; older ones are left out.
 constexpr std::size_t MaxChanges = 256;
 // Value of a row with the work of one usual request in each slot.
@@ -132,12 +138,17 @@
 void LoadPicture::refresh(TimePoint now)
 {
     noticePause(now);
+    if (m_refreshedAt == TimePoint()) {
+        m_countingSince = now;
+    }
     decay(now - m_refreshedAt);
     m_refreshedAt = now;
     m_upstreams.visitServices([&](ServiceId service, const UpstreamTable::Group &group) {
         refreshSlowness(service, group);
     });
     refreshWork(now);
+    std::erase_if(m_reporters,
+                  [&](const auto &item) { return now - item.second > reportWindow(); });
     std::erase_if(m_observed, [&](const auto &item) {
         const auto &observed = item.second;
         const bool isForgotten = observed.evidence.isNegligible()
@@ -151,7 +162,7 @@
                   [&](const auto &item) { return now - item.second.lastSample > KindRetention; });
 }
 
-void LoadPicture::onPeerReport(const LoadReport &report, TimePoint /*now*/)
+void LoadPicture::onPeerReport(const LoadReport &report, TimePoint now, std::uint64_t sender)
 {
     for (const auto &row : report.upstreams) {
         const auto *upstream = m_upstreams.find(row.upstream);
@@ -167,7 +178,13 @@
             m_services[row.service].peerSlots += std::min(row.busySlots, MaxReportedSlots);
         }
     }
-    m_peerReports += report.demands.empty() ? 0.0 : 1.0;
+    if (report.demands.empty()) {
+        return;
+    }
+    m_peerReports += 1.0;
+    if (sender != 0 && (m_reporters.size() < MaxReporters || m_reporters.contains(sender))) {
+        m_reporters[sender] = now;
+    }
 }
 
 std::optional<LoadReport> LoadPicture::takeReport(TimePoint now)
@@ -185,8 +202,9 @@
         return std::nullopt;
     }
     if (!report.demands.empty()) {
-        m_nextDemandAt = now
-                + std::max<Duration>(m_budget.intervalOf(report, DemandShare), MinDemandInterval);
+        m_demandInterval =
+                std::max<Duration>(m_budget.intervalOf(report, DemandShare), MinDemandInterval);
+        m_nextDemandAt = now + m_demandInterval;
     }
     markReported(report);
     return report;
@@ -203,7 +221,7 @@
     const auto age = now - m_refreshedAt;
     const auto ownFactor = decayFactor(age, OwnDemandDecay);
     const auto peerFactor = decayFactor(age, PeerDemandDecay);
-    const auto others = static_cast<double>(m_zoneInstances - 1);
+    const auto others = static_cast<double>(otherInstances(now));
     std::vector<ServiceDemand> demands;
     for (const auto &[id, service] : m_services) {
         const auto own = busySlotsOf(service.ownWork) * ownFactor;
@@ -226,6 +244,7 @@
 {
     if (m_refreshedAt != TimePoint() && now - m_refreshedAt > MaxRefreshGap) {
         m_resumedAt = now;
+        m_countingSince = now;
     }
 }
 
@@ -283,6 +302,18 @@
     }
 }
 
+Duration LoadPicture::reportWindow() const
+{
+    return std::max<Duration>(m_demandInterval * MissedReports, MinReportWindow);
+}
+
+std::size_t LoadPicture::otherInstances(TimePoint now) const
+{
+    const std::size_t members = m_zoneInstances - 1;
+    const bool isCounted = now - m_countingSince >= reportWindow() && !m_reporters.empty();
+    return isCounted ? std::min(m_reporters.size(), members) : members;
+}
+
 void LoadPicture::refreshSlowness(ServiceId service, const UpstreamTable::Group &group)
 {
     if (group.empty()) {
@@ -369,6 +400,12 @@
         const auto slots = busySlotsOf(service.ownWork);
         report.demands.push_back({ .service = id, .busySlots = std::min(slots, MaxReportedSlots) });
     }
+    // A report without rows of demand would not count as one of no demand.
+    const auto idle = std::ranges::partition(report.demands, [](const ReportedDemand &demand) {
+        return demand.busySlots >= MinReportedSlots;
+    });
+    const auto kept = std::max(idle.begin(), std::min(report.demands.begin() + 1, idle.end()));
+    report.demands.erase(kept, report.demands.end());
     if (report.demands.size() > MaxDemandRows) {
         std::ranges::sort(report.demands, std::greater {}, &ReportedDemand::busySlots);
         report.demands.resize(MaxDemandRows);
--- a/src/connection/loadpicture.h
+++ b/src/connection/loadpicture.h
@@ -59,7 +59,8 @@
     /// Writes TrackedUpstream::load of all upstreams and drops expired state; called every 100 ms.
     void refresh(common::TimePoint now);
 
-    void onPeerReport(const LoadReport &report, common::TimePoint now);
+    /// sender identifies the instance that sent the report; zero when it is not known.
+    void onPeerReport(const LoadReport &report, common::TimePoint now, std::uint64_t sender = 0);
     /// Returns a report to be sent to each other instance of the zone; empty when none is due
     /// within the limits of ReportBudget.
     [[nodiscard]] std::optional<LoadReport> takeReport(common::TimePoint now);
@@ -67,8 +68,8 @@
     /// Mean time of requests of a kind at a usual upstream, or of all requests of its route when
     /// the kind is not known; zero while unknown.
     [[nodiscard]] common::Duration usualTime(const RequestKind &kind) const;
-    /// Work that the callers of the own zone bring, through all instances of the zone. Instances
-    /// that do not report count like the mean of the others.
+    /// Work that the callers of the own zone bring, through all instances of the zone. While no
+    /// reports arrive, all instances count like this one.
     [[nodiscard]] std::vector<ServiceDemand> demands(common::TimePoint now) const;
 
     /// Services with observations; as of the last refresh.
@@ -126,6 +127,10 @@
     /// Empty observations when the upstream has restarted since the last ones.
     [[nodiscard]] Observed &observedOf(const TrackedUpstream &upstream);
     void decay(common::Duration elapsed);
+    /// Time within which each instance that runs has reported its demand.
+    [[nodiscard]] common::Duration reportWindow() const;
+    /// Number of other instances in the zone that bring demand.
+    [[nodiscard]] std::size_t otherInstances(common::TimePoint now) const;
     void refreshSlowness(common::ServiceId service, const UpstreamTable::Group &group);
     void refreshWork(common::TimePoint now);
     /// Returns false when the request has ended unseen.
@@ -146,6 +151,13 @@
     std::map<common::ServiceId, Service> m_services;
     /// Number of reports with demands; old ones count less.
     double m_peerReports = 0.0;
+    /// When each other instance last reported its demand. The list of members holds instances that
+    /// have left.
+    std::unordered_map<std::uint64_t, common::TimePoint> m_reporters;
+    /// Start of the observation of m_reporters.
+    common::TimePoint m_countingSince;
+    /// Time between two own reports of demand.
+    common::Duration m_demandInterval {};
     common::TimePoint m_refreshedAt;
     /// End of the last pause of this process.
     common::TimePoint m_resumedAt;
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -303,7 +303,8 @@
     if (message.has_load()) {
         // The demand of a zone is that of its own instances.
         if (isZonePeer(fromAsio(from))) {
-            m_forwarder.onPeerLoadReport(wire::decodeLoadReport(message.load()), now);
+            m_forwarder.onPeerLoadReport(wire::decodeLoadReport(message.load()), now,
+                                         instanceIdOf(fromAsio(from)));
         }
         return;
     }
