Take the delay to a zone out of response times

Cause: a response time holds the delay to the upstream's zone and back, so that upstreams of other zones looked slower than those of the own zone, and short requests kept slots busy for longer than they do. Ruled out: a median of slowness by zone (a zone whose upstreams are all slow would look usual); leaving the delay to the median of the service (with most requests in the own zone, the others stand out). Change: FlowObserver tells the time from an opening packet that was sent once to the caller's next packet, in which the upstream does no work; ZoneDelays keeps its median by zone, LoadPicture takes it out and offers zoneDelay(). usualTime() is without delay now.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -201,7 +201,7 @@
     if (observation.isRetransmission) {
         recordRetransmission(*upstream, packet, now);
     }
-    if (observation.beginsRequest || observation.endsRequest) {
+    if (observation.beginsRequest || observation.endsRequest || observation.handshakeTime) {
         recordRequest(packet, observation, *upstream, now);
     }
 }
@@ -213,6 +213,9 @@
     if (route == nullptr || !route->record.terms.responseAim) {
         return;
     }
+    if (observation.handshakeTime) {
+        m_load.onFlowOpened(upstream, *observation.handshakeTime);
+    }
     const RequestKind kind { packet.service, observation.sizeClass };
     if (observation.answerTime) {
         m_load.onAnswer(kind, upstream, observation.flow, *observation.answerTime, now);
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -178,8 +178,8 @@
     PacketVerdict handleUnknown(const FlowPacket &packet, common::TimePoint now);
     void recordObservation(const FlowPacket &packet, const FlowObservation &observation,
                            common::TimePoint now);
-    /// Tells the picture of the load that a request has begun or ended, if the contract names a
-    /// response aim for it.
+    /// Tells the picture of the load that a flow was opened, or a request has begun or ended, if
+    /// the contract names a response aim for it.
     void recordRequest(const FlowPacket &packet, const FlowObservation &observation,
                        const TrackedUpstream &upstream, common::TimePoint now);
     void recordResponse(TrackedUpstream &upstream, common::TimePoint flowOpenSince,
--- a/src/connection/flowobserver.cpp
+++ b/src/connection/flowobserver.cpp
@@ -96,9 +96,12 @@
     const auto key = flowOf(packet);
     auto *known = find(key);
     auto &flow = known == nullptr ? replaceableEntry(key) : *known;
-    flow = {
-        .key = key, .lastSeen = now, .waitingSince = now, .newDataAt = now, .upstream = upstream
-    };
+    flow = { .key = key,
+             .lastSeen = now,
+             .waitingSince = now,
+             .newDataAt = now,
+             .upstream = upstream,
+             .isTimed = packet.acknowledgement == 0 };
 }
 
 FlowObservation FlowObserver::observeKnown(Flow &flow, const FlowPacket &packet, TimePoint now)
@@ -109,6 +112,9 @@
         // The first packet after the opening packet acknowledges the upstream's reply to the
         // opening packet.
         observation.hasResponse = !flow.isOpen && packet.token != common::FlowToken();
+        if (!flow.isOpen && flow.isTimed && flow.upstream == packet.token) {
+            observation.handshakeTime = now - flow.waitingSince;
+        }
         flow.upstream = packet.token;
         flow.isOpen = true;
         flow.openSince = now;
--- a/src/connection/flowobserver.h
+++ b/src/connection/flowobserver.h
@@ -34,6 +34,9 @@
     /// Like responseTime, but empty when the request was retransmitted, when its caller paused
     /// while it sent the request, or when this instance may not have seen its first packet.
     std::optional<common::Duration> answerTime {};
+    /// Time from the opening packet to the caller's next packet: the delay to the upstream and back
+    /// without any work. Empty when the opening packet was retransmitted.
+    std::optional<common::Duration> handshakeTime {};
     /// Size class of the request that begins or ends; see sizeClassOf().
     std::uint8_t sizeClass = 0;
 };
@@ -84,7 +87,8 @@
         bool isFinished = false;
         /// The visitor returned true for the current request.
         bool isOverdue = false;
-        /// The time to the answer of the current request is that of the upstream.
+        /// The time to the answer of the current request, or to the upstream's reply to the opening
+        /// packet, is that of the upstream.
         bool isTimed = false;
         std::uint8_t sizeClass = 0;
     };
--- a/src/connection/loadpicture.cpp
+++ b/src/connection/loadpicture.cpp
@@ -94,6 +94,11 @@
     m_budget.setReceivers(m_zoneInstances - 1);
 }
 
+void LoadPicture::onFlowOpened(const TrackedUpstream &upstream, Duration handshakeTime)
+{
+    m_zoneDelays.addSample(upstream.record.zone, handshakeTime);
+}
+
 void LoadPicture::onRequest(const RequestKind &kind, const TrackedUpstream &upstream,
                             std::uint64_t flow, TimePoint now)
 {
@@ -120,14 +125,15 @@
     if (now - responseTime < m_resumedAt) {
         return;
     }
+    const auto workTime = m_zoneDelays.workTimeOf(upstream.record.zone, responseTime);
     if (const auto *cost = costOf(kind)) {
         auto &shift = m_services[upstream.record.service].shift;
-        const auto logRatio = cost->logRatio(responseTime) - shift;
+        const auto logRatio = cost->logRatio(workTime) - shift;
         const auto step = logRatio < HastyLog ? HastyShiftStep : ShiftStep;
         shift += std::copysign(step, logRatio);
         observedOf(upstream).evidence.addAnswer(logRatio);
     }
-    addSample(kind, durationOf(microsecondsOf(responseTime) / upstream.load.slowness), now);
+    addSample(kind, durationOf(microsecondsOf(workTime) / upstream.load.slowness), now);
 }
 
 void LoadPicture::onFlowEnded(std::uint64_t flow, TimePoint /*now*/)
@@ -363,6 +369,7 @@
         return false;
     }
     const auto age = now - request.startedAt;
+    const auto workAge = m_zoneDelays.workTimeOf(upstream->record.zone, age);
     const auto *cost = costOf(request.kind);
     if (cost == nullptr) {
         return age < MaxUnknownAge;
@@ -372,7 +379,7 @@
     if (age > std::max<Duration>(durationOf(usual * MaxAgeFactor), MinMaxAge)) {
         return false;
     }
-    const auto left = cost->remaining(durationOf(microsecondsOf(age) / slowness));
+    const auto left = cost->remaining(durationOf(microsecondsOf(workAge) / slowness));
     const auto work = std::min(microsecondsOf(left) * slowness, usual * MaxRemainingFactor);
     upstream->load.workLeft += durationOf(work);
     if (!request.isReported) {
--- a/src/connection/loadpicture.h
+++ b/src/connection/loadpicture.h
@@ -8,6 +8,7 @@
 #include "connection/servicedemand.h"
 #include "connection/upstreamevidence.h"
 #include "connection/upstreamtable.h"
+#include "connection/zonedelays.h"
 
 #include <cstdint>
 #include <map>
@@ -46,6 +47,8 @@
     /// Sets the number of instances of the own zone, this one included.
     void setZoneInstances(std::uint32_t count);
 
+    /// An upstream replied to an opening packet, without any work, after this time.
+    void onFlowOpened(const TrackedUpstream &upstream, common::Duration handshakeTime);
     /// A request was sent to an upstream for the first time; flow is a hash of the flow.
     void onRequest(const RequestKind &kind, const TrackedUpstream &upstream, std::uint64_t flow,
                    common::TimePoint now);
@@ -65,8 +68,15 @@
     /// within the limits of ReportBudget.
     [[nodiscard]] std::optional<LoadReport> takeReport(common::TimePoint now);
 
-    /// Mean time of requests of a kind at a usual upstream, or of all requests of its route when
-    /// the kind is not known; zero while unknown.
+    /// Usual time from an instance to an upstream of the zone and back through the caller, without
+    /// any work; zero while unknown.
+    [[nodiscard]] common::Duration zoneDelay(common::ZoneId zone) const
+    {
+        return m_zoneDelays.of(zone);
+    }
+
+    /// Mean time of requests of a kind at a usual upstream without the delay to its zone, or of all
+    /// requests of its route when the kind is not known; zero while unknown.
     [[nodiscard]] common::Duration usualTime(const RequestKind &kind) const;
     /// Work that the callers of the own zone bring, through all instances of the zone. While no
     /// reports arrive, all instances count like this one.
@@ -149,6 +159,7 @@
     RequestsInProgress m_requests;
     std::unordered_map<common::FlowToken, Observed> m_observed;
     std::map<common::ServiceId, Service> m_services;
+    ZoneDelays m_zoneDelays;
     /// Number of reports with demands; old ones count less.
     double m_peerReports = 0.0;
     /// When each other instance last reported its demand. The list of members holds instances that
--- a/src/tests/flowobservertest.cpp
+++ b/src/tests/flowobservertest.cpp
@@ -229,3 +229,21 @@
     reset.resets = true;
     CHECK(observer.observe(reset, now + 900ms).endsRequest);
 }
+
+// The delay to the upstream's zone must not be taken for work.
+TEST(FlowObserver, handshakeTimeIsThatOfAnOpeningSentOnce)
+{
+    observer.observe(opening(0), now);
+    observer.recordOpening(opening(0), token, now);
+    CHECK(observer.observe(packet(1001, 5000, 0), now + 12ms).handshakeTime == 12ms);
+    CHECK_FALSE(observer.observe(packet(1001, 6000, 0), now + 40ms).handshakeTime.has_value());
+}
+
+TEST(FlowObserver, retransmittedOpeningGivesNoHandshakeTime)
+{
+    observer.observe(opening(0), now);
+    observer.recordOpening(opening(0), token, now);
+    observer.observe(opening(1), now + 200ms);
+    observer.recordOpening(opening(1), token, now + 200ms);
+    CHECK_FALSE(observer.observe(packet(1001, 5000, 0), now + 212ms).handshakeTime.has_value());
+}
--- a/src/tests/loadpicturetest.cpp
+++ b/src/tests/loadpicturetest.cpp
@@ -164,6 +164,34 @@
     }
 }
 
+// Upstreams of another zone answer 60 ms later, requests take 100 ms: the others are not slower.
+TEST(LoadPicture, delayToAZoneIsNoSlowness)
+{
+    const common::ZoneId remote(20);
+    auto record = LoadZone::recordOf(2);
+    record.zone = remote;
+    const common::StoreRevision second(2);
+    single.table.update(single.directory,
+                        single.directory.apply({ common::StoreRevision(1),
+                                                 second,
+                                                 false,
+                                                 { { version::keyOf(record), second, record } } },
+                                               now),
+                        now);
+    for (int round = 0; round < 50; ++round) {
+        for (std::size_t upstream = 0; upstream < 3; ++upstream) {
+            const auto delay = upstream == 2 ? 62ms : 2ms;
+            single.picture.onFlowOpened(*single.table.find(LoadZone::tokenOf(upstream)), delay);
+            answer(upstream, 100ms + delay);
+        }
+    }
+    refresh();
+    CHECK(single.picture.usualTime({ Route }) > 98ms
+          && single.picture.usualTime({ Route }) < 102ms);
+    CHECK(single.picture.zoneDelay(remote) > 55ms);
+    CHECK(loadOf(2).slowness < 1.02);
+}
+
 // 3 % of the requests take 7 times the work, at any upstream.
 TEST(LoadPicture, heavyTailMakesNoUpstreamSlow)
 {
