--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -152,9 +152,10 @@
         return m_load.takeReport(now);
     }
 
-    void onPeerLoadReport(const LoadReport &report, common::TimePoint now)
+    /// sender identifies the instance that sent the report; zero when it is not known.
+    void onPeerLoadReport(const LoadReport &report, common::TimePoint now, std::uint64_t sender = 0)
     {
-        m_load.onPeerReport(report, now);
+        m_load.onPeerReport(report, now, sender);
     }
 
     [[nodiscard]] const LoadPicture &load() const { return m_load; }
@@ -183,8 +184,8 @@
     PacketVerdict handleUnknown(const FlowPacket &packet, common::TimePoint now);
     void recordObservation(const FlowPacket &packet, const FlowObservation &observation,
                            common::TimePoint now);
-    /// Tells the picture of the load that a request has begun or ended, if the contract names a
-    /// response aim for it.
+    /// Tells the picture of the load that a flow was opened, or a request has begun or ended, if
+    /// the contract names a response aim for it.
     void recordRequest(const FlowPacket &packet, const FlowObservation &observation,
                        const TrackedUpstream &upstream, common::TimePoint now);
     void recordResponse(TrackedUpstream &upstream, common::TimePoint flowOpenSince,
--- a/src/connection/flowobserver.cpp
+++ b/src/connection/flowobserver.cpp
@@ -111,7 +111,8 @@
              .waitingSince = now,
              .newDataAt = now,
              .upstream = upstream,
-             .isOpening = packet.acknowledgement == 0 };
+             .isOpening = packet.acknowledgement == 0,
+             .isTimed = packet.acknowledgement == 0 };
 }
 
 FlowObservation FlowObserver::observeKnown(Flow &flow, const FlowPacket &packet, TimePoint now)
@@ -122,6 +123,9 @@
         // The first packet after the opening packet acknowledges the upstream's reply to the
         // opening packet.
         observation.hasResponse = !flow.isOpen && packet.token != common::FlowToken();
+        if (!flow.isOpen && flow.isTimed && flow.upstream == packet.token) {
+            observation.handshakeTime = now - flow.waitingSince;
+        }
         flow.upstream = packet.token;
         flow.isOpen = true;
         flow.isOpening = false;
@@ -157,7 +161,7 @@
         observation.sizeClass = flow.sizeClass;
         if (isPureAcknowledgement) {
             observation.responseTime = now - flow.waitingSince;
-            observation.answerTime = flow.isTimed ? observation.responseTime : std::nullopt;
+            observation.isTimed = flow.isTimed;
         }
     }
     flow.acknowledged = packet.acknowledgement;
--- a/src/connection/loadpicture.cpp
+++ b/src/connection/loadpicture.cpp
@@ -27,6 +27,9 @@
 constexpr double SlowRatio = 1.5;
 constexpr double UsualRatio = 1.2;
 
+// A longer time between two refreshes is a pause of this process, in which packets waited.
+constexpr std::chrono::milliseconds MaxRefreshGap { 500 };
+
 constexpr std::size_t MaxKinds = 256;
 constexpr std::chrono::seconds KindRetention { 60 };
 // A request whose answer passed through another instance, or never came, is forgotten after this
@@ -41,9 +44,15 @@
 constexpr double MinWorkMicroseconds = 100.0;
 
 // Demands take at most this part of the report bytes.
-constexpr double DemandShare = 0.1;
+constexpr double DemandShare = 0.2;
 constexpr std::chrono::milliseconds MinDemandInterval { 500 };
+constexpr double MinReportedSlots = 0.001;
 constexpr std::size_t MaxDemandRows = 8;
+// An instance that has missed this many reports of its demand has left.
+constexpr int MissedReports = 4;
+constexpr std::chrono::seconds MinReportWindow { 3 };
+// More than the instances of a zone.
+constexpr std::size_t MaxReporters = 1'024;
 // Changes of slowness that nobody took; older ones are left out.
 constexpr std::size_t MaxChanges = 256;
 // Value of a row with the work of one usual request in each slot.
@@ -85,6 +94,11 @@
     m_budget.setReceivers(m_zoneInstances - 1);
 }
 
+void LoadPicture::onFlowOpened(const TrackedUpstream &upstream, Duration handshakeTime)
+{
+    m_zoneDelays.addSample(upstream.record.zone, handshakeTime);
+}
+
 void LoadPicture::onRequest(const RequestKind &kind, const TrackedUpstream &upstream,
                             std::uint64_t flow, TimePoint now)
 {
@@ -107,14 +121,19 @@
                            std::uint64_t flow, Duration responseTime, TimePoint now)
 {
     m_requests.remove(flow);
+    noticePause(now);
+    if (now - responseTime < m_resumedAt) {
+        return;
+    }
+    const auto workTime = m_zoneDelays.workTimeOf(upstream.record.zone, responseTime);
     if (const auto *cost = costOf(kind)) {
         auto &shift = m_services[upstream.record.service].shift;
-        const auto logRatio = cost->logRatio(responseTime) - shift;
+        const auto logRatio = cost->logRatio(workTime) - shift;
         const auto step = logRatio < HastyLog ? HastyShiftStep : ShiftStep;
         shift += std::copysign(step, logRatio);
         observedOf(upstream).evidence.addAnswer(logRatio);
     }
-    addSample(kind, durationOf(microsecondsOf(responseTime) / upstream.load.slowness), now);
+    addSample(kind, durationOf(microsecondsOf(workTime) / upstream.load.slowness), now);
 }
 
 void LoadPicture::onFlowEnded(std::uint64_t flow, TimePoint /*now*/)
@@ -124,12 +143,18 @@
 
 void LoadPicture::refresh(TimePoint now)
 {
+    noticePause(now);
+    if (m_refreshedAt == TimePoint()) {
+        m_countingSince = now;
+    }
     decay(now - m_refreshedAt);
     m_refreshedAt = now;
     m_upstreams.visitServices([&](ServiceId service, const UpstreamTable::Group &group) {
         refreshSlowness(service, group);
     });
     refreshWork(now);
+    std::erase_if(m_reporters,
+                  [&](const auto &item) { return now - item.second > reportWindow(); });
     std::erase_if(m_observed, [&](const auto &item) {
         const auto &observed = item.second;
         const bool isForgotten = observed.evidence.isNegligible()
@@ -143,7 +168,7 @@
                   [&](const auto &item) { return now - item.second.lastSample > KindRetention; });
 }
 
-void LoadPicture::onPeerReport(const LoadReport &report, TimePoint /*now*/)
+void LoadPicture::onPeerReport(const LoadReport &report, TimePoint now, std::uint64_t sender)
 {
     for (const auto &row : report.upstreams) {
         const auto *upstream = m_upstreams.find(row.upstream);
@@ -159,7 +184,13 @@
             m_services[row.service].peerSlots += std::min(row.busySlots, MaxReportedSlots);
         }
     }
-    m_peerReports += report.demands.empty() ? 0.0 : 1.0;
+    if (report.demands.empty()) {
+        return;
+    }
+    m_peerReports += 1.0;
+    if (sender != 0 && (m_reporters.size() < MaxReporters || m_reporters.contains(sender))) {
+        m_reporters[sender] = now;
+    }
 }
 
 std::optional<LoadReport> LoadPicture::takeReport(TimePoint now)
@@ -177,8 +208,9 @@
         return std::nullopt;
     }
     if (!report.demands.empty()) {
-        m_nextDemandAt = now
-                + std::max<Duration>(m_budget.intervalOf(report, DemandShare), MinDemandInterval);
+        m_demandInterval =
+                std::max<Duration>(m_budget.intervalOf(report, DemandShare), MinDemandInterval);
+        m_nextDemandAt = now + m_demandInterval;
     }
     markReported(report);
     return report;
@@ -195,7 +227,7 @@
     const auto age = now - m_refreshedAt;
     const auto ownFactor = decayFactor(age, OwnDemandDecay);
     const auto peerFactor = decayFactor(age, PeerDemandDecay);
-    const auto others = static_cast<double>(m_zoneInstances - 1);
+    const auto others = static_cast<double>(otherInstances(now));
     std::vector<ServiceDemand> demands;
     for (const auto &[id, service] : m_services) {
         const auto own = busySlotsOf(service.ownWork) * ownFactor;
@@ -214,6 +246,14 @@
     return loads;
 }
 
+void LoadPicture::noticePause(TimePoint now)
+{
+    if (m_refreshedAt != TimePoint() && now - m_refreshedAt > MaxRefreshGap) {
+        m_resumedAt = now;
+        m_countingSince = now;
+    }
+}
+
 const RequestCost *LoadPicture::costOf(const RequestKind &kind) const
 {
     auto found = m_kinds.find(kind);
@@ -268,6 +308,18 @@
     }
 }
 
+Duration LoadPicture::reportWindow() const
+{
+    return std::max<Duration>(m_demandInterval * MissedReports, MinReportWindow);
+}
+
+std::size_t LoadPicture::otherInstances(TimePoint now) const
+{
+    const std::size_t members = m_zoneInstances - 1;
+    const bool isCounted = now - m_countingSince >= reportWindow() && !m_reporters.empty();
+    return isCounted ? std::min(m_reporters.size(), members) : members;
+}
+
 void LoadPicture::refreshSlowness(ServiceId service, const UpstreamTable::Group &group)
 {
     if (group.empty()) {
@@ -282,9 +334,10 @@
     m_logs.clear();
     std::ranges::transform(group, std::back_inserter(m_logs),
                            [&](const auto *upstream) { return logOf(*upstream); });
-    auto sorted = m_logs;
-    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>((sorted.size() - 1) / 2);
-    std::ranges::nth_element(sorted, middle);
+    m_sortedLogs = m_logs;
+    const auto middle =
+            m_sortedLogs.begin() + static_cast<std::ptrdiff_t>((m_sortedLogs.size() - 1) / 2);
+    std::ranges::nth_element(m_sortedLogs, middle);
     ServiceLoad load { .service = service, .meanSlowness = 0.0 };
     for (std::size_t index = 0; index < group.size(); ++index) {
         auto &upstream = *group[index];
@@ -316,6 +369,7 @@
         return false;
     }
     const auto age = now - request.startedAt;
+    const auto workAge = m_zoneDelays.workTimeOf(upstream->record.zone, age);
     const auto *cost = costOf(request.kind);
     if (cost == nullptr) {
         return age < MaxUnknownAge;
@@ -325,7 +379,7 @@
     if (age > std::max<Duration>(durationOf(usual * MaxAgeFactor), MinMaxAge)) {
         return false;
     }
-    const auto left = cost->remaining(durationOf(microsecondsOf(age) / slowness));
+    const auto left = cost->remaining(durationOf(microsecondsOf(workAge) / slowness));
     const auto work = std::min(microsecondsOf(left) * slowness, usual * MaxRemainingFactor);
     upstream->load.workLeft += durationOf(work);
     if (!request.isReported) {
@@ -353,6 +407,12 @@
         const auto slots = busySlotsOf(service.ownWork);
         report.demands.push_back({ .service = id, .busySlots = std::min(slots, MaxReportedSlots) });
     }
+    // A report without rows of demand would not count as one of no demand.
+    const auto idle = std::ranges::partition(report.demands, [](const ReportedDemand &demand) {
+        return demand.busySlots >= MinReportedSlots;
+    });
+    const auto kept = std::max(idle.begin(), std::min(report.demands.begin() + 1, idle.end()));
+    report.demands.erase(kept, report.demands.end());
     if (report.demands.size() > MaxDemandRows) {
         std::ranges::sort(report.demands, std::greater {}, &ReportedDemand::busySlots);
         report.demands.resize(MaxDemandRows);
