Compare the two highest ranked with half of the usual time

Cause: an upstream at half the speed was first choice for its flows unless it was slower than that, because the second one had to be sooner by a whole usual time. Change: the difference has to be half of the usual time, which is what callers notice; the ratio of 1.5 stays.

--- a/src/connection/upstreamweight.cpp
+++ b/src/connection/upstreamweight.cpp
@@ -8,6 +8,8 @@
 
 // Figures of other instances are up to some seconds old; smaller differences may have passed.
 constexpr double MinLaterRatio = 1.5;
+// Less of the usual time makes no difference to callers.
+constexpr double MinLaterPart = 0.5;
 
 double expectedCompletion(const TrackedUpstream &upstream, common::Duration usualTime)
 {
@@ -39,7 +41,7 @@
     const auto first = expectedCompletion(*ranked.first, usualTime);
     const auto second = expectedCompletion(*ranked.second, usualTime);
     const bool isClear = first > second * MinLaterRatio
-            && first - second > static_cast<double>(usualTime.count());
+            && first - second > static_cast<double>(usualTime.count()) * MinLaterPart;
     return isClear ? ranked.second : ranked.first;
 }
 
