--- a/src/benchmarks/openingbenchmark.cpp
+++ b/src/benchmarks/openingbenchmark.cpp
@@ -8,12 +8,13 @@
 //                   seven of 14 upstreams crash; flapping: an upstream crashes and restarts four
 //                   times; few, nearly_full, overloaded: 8, 6 or 5 upstreams instead of 14;
 //                   zone_cut: a zone is cut off for 6 s; reconnect: all feeds lose their flows;
-//                   tiny_*: 4 upstreams in three zones; grown_*: the same faults in a fleet of 114
-//                   instances and 120 upstreams slow_quarter: a quarter of the upstreams at less
-//                   than half the speed of the others; heavy_tail: 3 % of the requests with seven
-//                   times the work; uneven_zones: 3, 7 and 8 upstreams and half of the callers in
-//                   the first zone; swing: demand of each zone swings by 0.55 in 15 s;
-//                   long_flows_cut: long flows in four zones, one of which is cut off for 6 s
+//                   slow_short: slow, with flows of one request only; tiny_*: 4 upstreams in three
+//                   zones; grown_*: a fleet of 114 instances and 120 upstreams; slow_quarter: a
+//                   quarter of 120 upstreams at less than half the speed of the others;
+//                   heavy_tail: 3 % of the requests with seven times the work; uneven_zones: 3, 7
+//                   and 8 upstreams and half of the callers in the first zone; swing: demand of
+//                   each zone swings by 0.55 in 15 s; long_flows_cut: long flows in four zones, one
+//                   of which is cut off for 6 s
 //   way             design: rendezvous, two_choices, evidence (passive health checks, choice by
 //                   hash), load (the same, choice by load), oracle (knows all queues)
 //   asked           requests sent
@@ -69,6 +70,15 @@
     load.at(11s, [&load] { load.cutZone(1, false); });
 }
 
+/// All requests with flows of their own.
+FlowLoadSizes withShortFlows()
+{
+    FlowLoadSizes sizes;
+    sizes.feeds = 0;
+    sizes.submissions = 300.0;
+    return sizes;
+}
+
 /// Four upstreams in three zones.
 FlowLoadSizes tiny()
 {
@@ -136,6 +146,12 @@
             });
         };
     };
+    const auto slowTwo = [](FlowLoad &load) {
+        load.at(5s, [&load] {
+            load.setSlowness(0, 5.0);
+            load.setSlowness(1, 5.0);
+        });
+    };
     const auto dropAnswers = [](FlowLoad &load, int count) {
         load.at(5s, [&load, count] {
             for (int upstream = 0; upstream < count; ++upstream) {
@@ -145,14 +161,8 @@
     };
     return {
         { "calm", {}, [](FlowLoad &) {} },
-        { "slow",
-          {},
-          [](FlowLoad &load) {
-              load.at(5s, [&load] {
-                  load.setSlowness(0, 5.0);
-                  load.setSlowness(1, 5.0);
-              });
-          } },
+        { "slow", {}, slowTwo },
+        { "slow_short", withShortFlows(), slowTwo },
         { "mute", {}, [dropAnswers](FlowLoad &load) { dropAnswers(load, 2); } },
         { "crashed", {}, crash(2) },
         { "many_crashed", {}, crash(7) },
