Decide which openings are admitted when room is short

Cause: an opening went to the highest ranked upstream whether or not that upstream could do the work in time, and the priority of a route decided nothing. Ruled out: a threshold on demand alone (the room is an estimate, and nothing may be refused while answers keep the aim); a share that only follows late answers (figures lag by a second, so that it swings between all and none); a token bucket for each instance (it divides the room by the number of instances, whose callers bring different work); remembering refused callers only (a retry reaches another instance, so that the caller's hash has to decide alike at all).

--- /dev/null
+++ b/src/connection/openingadmission.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "common/ids.h"
+#include "common/time.h"
+#include "connection/admittedshare.h"
+#include "connection/returningcallers.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace banyanwall::connection {
+
+/// An opening packet of a route whose contract names all terms that admission needs.
+struct Opening
+{
+    common::ServiceId service;
+    /// Rank of the request when room is short; 0 is served first.
+    std::uint32_t priority = 0;
+    /// Time from the request to its answer that callers expect.
+    common::Duration responseAim {};
+    /// Time from the request until its caller gives up.
+    common::Duration timeBudget {};
+    /// Hash of the caller's address, without the port: a caller returns from another port.
+    std::uint64_t caller = 0;
+    bool isRetransmission = false;
+    /// Time that the request is expected to occupy a slot.
+    common::Duration expectedWork {};
+};
+
+struct OpeningAdmitted
+{ };
+
+/// A refused opening with the figures that decided.
+struct OpeningRefused
+{
+    enum class Cause {
+        /// The room is taken by work of higher or the same priority.
+        Share,
+        /// The expected wait is longer than what is left of the caller's time budget.
+        Wait,
+    };
+
+    Cause cause = Cause::Share;
+    common::ServiceId service;
+    std::uint32_t priority = 0;
+    /// Share of the openings of this priority that is admitted, from 0 to 1.
+    double share = 0.0;
+    double room = 0.0;
+    double demand = 0.0;
+    /// Share of the recent answers that came late.
+    double lateShare = 0.0;
+    common::Duration expectedWait {};
+    /// Age of room and demand.
+    common::Duration figureAge {};
+    /// Time since the caller was first refused; zero for a new caller.
+    common::Duration waited {};
+};
+
+using AdmissionVerdict = std::variant<OpeningAdmitted, OpeningRefused>;
+
+/// A service began or ceased to refuse openings.
+struct AdmissionChange
+{
+    common::ServiceId service;
+    bool isLimiting = false;
+    double share = 1.0;
+    double room = 0.0;
+    double demand = 0.0;
+    double lateShare = 0.0;
+    common::Duration figureAge {};
+};
+
+/// Decides which openings are admitted when callers bring more work than the upstreams of a service
+/// can do within the response aim. Nothing is refused while there is room or answers keep the aim,
+/// shortly after the start, or when the figures are old or few. Beyond that, work is admitted by
+/// priority. Within a priority, callers that were refused go first while they can still be answered
+/// within the aim, and a hash that changes with time decides among the others: each is admitted for
+/// a part of each rotation period. Not thread-safe.
+class OpeningAdmission
+{
+public:
+    /// Priorities from this one on are treated alike.
+    static constexpr std::size_t PriorityCount = 8;
+
+    OpeningAdmission();
+
+    /// Applies the load of a service; called every 200 ms for each service.
+    void update(const RoomObservation &load, common::TimePoint now);
+
+    /// Instances whose clocks agree refuse the same callers at a time, so that a retry at another
+    /// instance meets the same decision. Clocks that disagree cost only this.
+    void setClock(common::WallTime wallTime, common::TimePoint now);
+
+    [[nodiscard]] AdmissionVerdict decide(const Opening &opening, common::TimePoint now);
+
+    /// The opening goes to an upstream of the service.
+    void recordAdmission(const Opening &opening, common::TimePoint now);
+    /// The caller was told that its request has not run.
+    void recordRefusal(const Opening &opening, common::TimePoint now);
+
+    /// Services that began or ceased to refuse openings since the last call.
+    [[nodiscard]] std::vector<AdmissionChange> takeChanges();
+
+    /// Null for a service whose load is not known.
+    [[nodiscard]] const AdmittedShare *shareOf(common::ServiceId service) const;
+
+    /// Services with known load, for metrics.
+    [[nodiscard]] std::vector<common::ServiceId> services() const;
+
+    /// Refused openings by priority since the start.
+    [[nodiscard]] const std::array<std::uint64_t, PriorityCount> &refusals() const
+    {
+        return m_refusals;
+    }
+
+private:
+    /// Whether an opening is the first one of its caller, or the caller was refused before.
+    enum class Arrival {
+        New,
+        /// The caller can still be answered within the response aim.
+        ReturnedInAim,
+        ReturnedLate,
+    };
+    static constexpr std::size_t ArrivalCount = 3;
+
+    /// One value for each arrival of a priority.
+    using ByArrival = std::array<double, ArrivalCount>;
+
+    struct Service
+    {
+        AdmittedShare share;
+        /// Offered work in recent openings; loses weight with time.
+        std::array<ByArrival, PriorityCount> offered {};
+        /// Share of the openings that is admitted.
+        std::array<ByArrival, PriorityCount> admitted {};
+        std::uint32_t openedFlows = 0;
+        bool wasLimiting = false;
+    };
+
+    static void divide(Service &service);
+    [[nodiscard]] static ByArrival divideAmongArrivals(const ByArrival &offered, double granted);
+    [[nodiscard]] Arrival arrivalOf(const Opening &opening,
+                                    const std::optional<common::Duration> &waited) const;
+    /// A number from 0 to 1 for a caller, which falls through all values once in a rotation period.
+    [[nodiscard]] double positionOf(const Opening &opening, common::TimePoint now) const;
+    [[nodiscard]] bool mayRefuse(const Service &service, common::TimePoint now) const;
+
+    std::unordered_map<common::ServiceId, Service> m_services;
+    ReturningCallers m_returning;
+    std::vector<AdmissionChange> m_changes;
+    std::array<std::uint64_t, PriorityCount> m_refusals {};
+    std::optional<common::TimePoint> m_startedAt;
+    /// Difference between the wall clock and the monotonic one.
+    common::Duration m_clockOffset {};
+};
+
+} // namespace banyanwall::connection
--- /dev/null
+++ b/src/tests/openingadmissiontest.cpp
@@ -0,0 +1,287 @@
+#include "connection/openingadmission.h"
+
+#include "common/hash.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <functional>
+#include <vector>
+
+using namespace banyanwall;
+using namespace std::chrono_literals;
+using connection::Opening;
+using connection::OpeningAdmission;
+using connection::OpeningRefused;
+
+namespace {
+
+const common::ServiceId Ledger { 1 };
+constexpr double Room = 100.0;
+
+} // namespace
+
+TEST_GROUP(OpeningAdmission)
+{
+    common::TimePoint now { 100s };
+    OpeningAdmission admission;
+    std::uint64_t nextCaller = 1;
+    /// Share that was admitted while the measured demand arose.
+    double measuredShare = 1.0;
+
+    /// Callers bring a multiple of the room for a while, with openings of the given priorities in
+    /// turn; answers are late while more than the room is admitted. Returns how many openings were
+    /// refused.
+    int load(double offered, common::Duration duration,
+             const std::vector<std::uint32_t> &priorities = { 0, 1 })
+    {
+        return play(duration, priorities, [&] {
+            const auto *share = admission.shareOf(Ledger);
+            const auto admitted = share == nullptr ? 1.0 : share->value();
+            measuredShare += (admitted - measuredShare) * 0.2;
+            const auto demand = offered * measuredShare;
+            update(Room, Room * demand, 20, demand > 1.0 ? 5 : 0);
+        });
+    }
+
+    /// Applies the same figures for a while.
+    int repeat(double demand, std::uint32_t answers, std::uint32_t lateAnswers,
+               common::Duration duration)
+    {
+        return play(duration, { 0, 1 }, [&] { update(Room, demand, answers, lateAnswers); });
+    }
+
+    int play(common::Duration duration, const std::vector<std::uint32_t> &priorities,
+             const std::function<void()> &onUpdate)
+    {
+        int refused = 0;
+        for (const auto end = now + duration; now < end; now += 200ms) {
+            for (int number = 0; number < 20; ++number) {
+                refused += open(priorities[number % priorities.size()], nextCaller++) ? 0 : 1;
+            }
+            onUpdate();
+        }
+        return refused;
+    }
+
+    void update(double room, double demand, std::uint32_t answers, std::uint32_t lateAnswers,
+                common::Duration age = 300ms, common::Duration expectedWait = {})
+    {
+        admission.update({ Ledger, room, demand, expectedWait, answers, lateAnswers, now - age },
+                         now);
+    }
+
+    Opening opening(std::uint32_t priority, std::uint64_t caller) const
+    {
+        return { .service = Ledger,
+                 .priority = priority,
+                 .responseAim = 400ms,
+                 .timeBudget = 4s,
+                 .caller = common::mixBits(caller),
+                 .expectedWork = 30ms };
+    }
+
+    bool open(const Opening &opened)
+    {
+        const auto verdict = admission.decide(opened, now);
+        const bool isAdmitted = std::holds_alternative<connection::OpeningAdmitted>(verdict);
+        if (isAdmitted) {
+            admission.recordAdmission(opened, now);
+        } else {
+            admission.recordRefusal(opened, now);
+        }
+        return isAdmitted;
+    }
+
+    bool open(std::uint32_t priority, std::uint64_t caller)
+    {
+        return open(opening(priority, caller));
+    }
+
+    double admittedShare(std::uint32_t priority, int openings = 500)
+    {
+        int admitted = 0;
+        for (int number = 0; number < openings; ++number) {
+            admitted += open(priority, nextCaller++) ? 1 : 0;
+        }
+        return static_cast<double>(admitted) / openings;
+    }
+
+    /// A caller that is refused at present.
+    std::uint64_t refusedCaller(std::uint32_t priority)
+    {
+        while (open(priority, nextCaller)) {
+            ++nextCaller;
+        }
+        return nextCaller++;
+    }
+};
+
+// Load: twice the room, while answers keep the aim. The room is an estimate, the delay is not.
+TEST(OpeningAdmission, nothingIsRefusedWhileAnswersKeepTheAim)
+{
+    LONGS_EQUAL(0, repeat(200, 20, 0, 10s));
+}
+
+// Load: half of the room, with late answers, as of slow upstreams. Refusals would not help.
+TEST(OpeningAdmission, nothingIsRefusedWhileThereIsRoom)
+{
+    LONGS_EQUAL(0, repeat(50, 20, 10, 10s));
+}
+
+// An instance that has just started knows only its first packets.
+TEST(OpeningAdmission, nothingIsRefusedShortlyAfterTheStart)
+{
+    LONGS_EQUAL(0, load(2.0, 2s));
+    CHECK(load(2.0, 1s) > 0);
+}
+
+// Load: a single delay of 200 ms, as when a path is repaired.
+TEST(OpeningAdmission, singleDelayRefusesNothing)
+{
+    load(0.9, 4s);
+    LONGS_EQUAL(0, repeat(200, 20, 20, 200ms));
+    LONGS_EQUAL(0, load(0.9, 1s));
+}
+
+// A pause of the process, or lost reports: what was known of the load says nothing about now.
+TEST(OpeningAdmission, oldFiguresRefuseNothing)
+{
+    load(2.0, 6s);
+    CHECK(admittedShare(1) < 1.0);
+    now += 2s;
+    DOUBLES_EQUAL(1.0, admittedShare(1), 0.0);
+
+    update(Room, 200, 20, 20, 3s);
+    DOUBLES_EQUAL(1.0, admittedShare(1), 0.0);
+}
+
+// A service whose load was never reported.
+TEST(OpeningAdmission, unknownLoadRefusesNothing)
+{
+    DOUBLES_EQUAL(1.0, admittedShare(0), 0.0);
+    play(6s, { 0 }, [&] { update(0, 0, 20, 20); });
+    DOUBLES_EQUAL(1.0, admittedShare(0), 0.0);
+}
+
+// Load: an instance that got one or two answers; two late ones out of two show no overload.
+TEST(OpeningAdmission, fewAnswersRefuseNothing)
+{
+    LONGS_EQUAL(0, repeat(200, 1, 1, 10s));
+}
+
+// Load: twice the room, half of it of each priority. A share that fell faster would go to nothing
+// before the first figures show its effect.
+TEST(OpeningAdmission, shareFallsAtMostByHalfInAnUpdate)
+{
+    load(0.9, 4s);
+    double before = 1.0;
+    for (int update = 0; update < 20; ++update) {
+        repeat(200, 20, 10, 200ms);
+        const auto share = admission.shareOf(Ledger)->value();
+        CHECK(share >= before / 2 - 1e-9);
+        before = share;
+    }
+    CHECK(before < 1.0);
+}
+
+// The rush is over: callers must be admitted again within 2 s, and not all in one moment.
+TEST(OpeningAdmission, shareRisesByATenthAndIsWholeWithinTwoSeconds)
+{
+    load(2.0, 6s);
+    double before = admission.shareOf(Ledger)->value();
+    for (int update = 0; update < 10; ++update) {
+        load(0.2, 200ms);
+        const auto share = admission.shareOf(Ledger)->value();
+        CHECK(share <= before + 0.1 + 1e-9);
+        before = share;
+    }
+    DOUBLES_EQUAL(1.0, before, 1e-9);
+}
+
+// Load: 1.5 times the room, a third of it of the high priority, which would fit by itself.
+TEST(OpeningAdmission, highPriorityIsAdmittedFirst)
+{
+    load(1.5, 6s, { 0, 1, 1 });
+    CHECK(admission.shareOf(Ledger)->value() < 0.9);
+    DOUBLES_EQUAL(1.0, admittedShare(0), 1e-9);
+    CHECK(admittedShare(1) < 0.9);
+}
+
+// Load: the high priority alone takes more than the room. The low one is not shut out for good.
+TEST(OpeningAdmission, lowPriorityKeepsASmallPart)
+{
+    load(2.0, 8s, { 0, 0, 0, 0, 0, 0, 0, 0, 0, 1 });
+    CHECK(admittedShare(0, 2'000) < 0.6);
+    CHECK(admittedShare(1, 2'000) > 0.0);
+}
+
+// A caller that returns within its aim goes before new ones: it waits already.
+TEST(OpeningAdmission, returningCallerGoesBeforeNewOnes)
+{
+    load(2.0, 4s);
+    int admitted = 0;
+    for (int round = 0; round < 100; ++round) {
+        const auto caller = refusedCaller(1);
+        now += 50ms;
+        admitted += open(1, caller) ? 1 : 0;
+        load(2.0, 200ms);
+    }
+    CHECK(admitted > 50);
+}
+
+// The caller of a refused opening was told so: a retransmission belongs to an admitted opening.
+TEST(OpeningAdmission, retransmissionIsAdmitted)
+{
+    load(2.0, 6s);
+    auto retransmitted = opening(1, refusedCaller(1));
+    retransmitted.isRetransmission = true;
+    CHECK(open(retransmitted));
+}
+
+// A request that cannot be answered within its time budget is refused at once, so that its caller
+// does not wait in vain.
+TEST(OpeningAdmission, openingThatCannotBeServedInTimeIsRefused)
+{
+    load(2.0, 4s);
+    update(Room, 150, 20, 10, 300ms, 5s);
+    const auto verdict = admission.decide(opening(0, nextCaller++), now);
+    const auto *refused = std::get_if<OpeningRefused>(&verdict);
+    CHECK(refused != nullptr);
+    CHECK(refused->cause == OpeningRefused::Cause::Wait);
+}
+
+// No caller is refused for good: the hash that decides changes with time.
+TEST(OpeningAdmission, eachCallerIsAdmittedAtTimes)
+{
+    load(2.0, 4s);
+    constexpr int callers = 50;
+    std::vector<int> admitted(callers);
+    for (int second = 0; second < 60; ++second) {
+        load(2.0, 1s);
+        for (int caller = 0; caller < callers; ++caller) {
+            auto old = opening(1, 1'000'000 + caller);
+            const auto verdict = admission.decide(old, now);
+            admitted[caller] +=
+                    std::holds_alternative<connection::OpeningAdmitted>(verdict) ? 1 : 0;
+        }
+    }
+    for (const auto count : admitted) {
+        CHECK(count > 0);
+        CHECK(count < 60);
+    }
+}
+
+// Operators see when a service begins and ceases to refuse, each once.
+TEST(OpeningAdmission, changesOfStateAreReportedOnce)
+{
+    load(0.9, 4s);
+    CHECK(admission.takeChanges().empty());
+    load(2.0, 2s);
+    const auto began = admission.takeChanges();
+    LONGS_EQUAL(1, began.size());
+    CHECK(began.front().isLimiting);
+    load(0.2, 4s);
+    const auto ended = admission.takeChanges();
+    LONGS_EQUAL(1, ended.size());
+    CHECK_FALSE(ended.front().isLimiting);
+}
