Count the room of a service and choose among the services of a route

Cause: admission needs the slots that may take work, and the service of an opening when its route names several; the packet path has no place for either. Ruled out: leaving suspected upstreams out of the room (one with a full queue leaves openings unanswered, so that each refusal would lead to more of them); moving retransmissions with the other openings (a second service could run the request). Change: AdmissionGate counts the room from the table of upstreams, decides an opening for its service by weight and then for the others, and leaves routes alone that lack a term; a service without slots gives its openings away; reason no_room.

--- a/src/common/reason.cpp
+++ b/src/common/reason.cpp
@@ -17,6 +17,8 @@
         return "hop_limit";
     case Reason::NoUpstream:
         return "no_upstream";
+    case Reason::NoRoom:
+        return "no_room";
     case Reason::ConnectionLimit:
         return "connection_limit";
     case Reason::UnknownFlow:
--- a/src/common/reason.h
+++ b/src/common/reason.h
@@ -17,6 +17,8 @@
     HopLimit,
     /// The service has no upstream that takes new flows or requests.
     NoUpstream,
+    /// Callers bring more work than the upstreams can do within the response aim.
+    NoRoom,
     /// The upstream holds as many flows as it may.
     ConnectionLimit,
     /// The flow is not open, or its token names no known upstream.
--- /dev/null
+++ b/src/connection/admissiongate.cpp
@@ -0,0 +1,162 @@
+#include "connection/admissiongate.h"
+
+#include "common/hash.h"
+
+#include <algorithm>
+#include <iterator>
+#include <numeric>
+
+namespace banyanwall::connection {
+
+using common::Duration;
+using common::ServiceId;
+using common::TimePoint;
+
+namespace {
+
+constexpr std::chrono::milliseconds UpdateInterval { 200 };
+
+} // namespace
+
+AdmissionGate::AdmissionGate(UpstreamTable &upstreams)
+    : m_upstreams(upstreams)
+{ }
+
+AdmissionGate::Verdict AdmissionGate::decide(const Request &request, TimePoint now)
+{
+    const auto &route = request.route;
+    const auto chosen = ServiceSelection::byWeight(route.shares, request.flowHash);
+    if (!hasAllTerms(route)) {
+        return chosen;
+    }
+    const auto first = request.previousService.value_or(chosen);
+    const auto opening = openingOf(request, first);
+    const auto verdict = m_admission.decide(opening, now);
+    const auto *refused = std::get_if<OpeningRefused>(&verdict);
+    if (refused == nullptr && (request.isRetransmission || !isWithoutRoom(first, now))) {
+        m_admission.recordAdmission(opening, now);
+        return first;
+    }
+    if (const auto other = m_selection.alternative(route.address, first, request.flowHash)) {
+        const auto moved = openingOf(request, *other);
+        if (std::holds_alternative<OpeningAdmitted>(m_admission.decide(moved, now))) {
+            m_admission.recordAdmission(moved, now);
+            return *other;
+        }
+    }
+    if (refused == nullptr) {
+        m_admission.recordAdmission(opening, now);
+        return first;
+    }
+    m_admission.recordRefusal(opening, now);
+    return *refused;
+}
+
+void AdmissionGate::recordAnswer(const version::RouteRecord &route, ServiceId service,
+                                 Duration usualTime, bool isLate)
+{
+    if (hasAllTerms(route)) {
+        m_admission.recordAnswer(service, *route.terms.priority, std::max(usualTime, Duration(1)),
+                                 isLate);
+    }
+}
+
+void AdmissionGate::update(std::span<const version::RouteRecord *const> routes,
+                           std::span<const BusySlots> demands, TimePoint now)
+{
+    m_nextUpdate = now + UpdateInterval;
+    for (const auto &demand : demands) {
+        const auto room = roomOf(demand.service, now);
+        m_admission.update({ demand.service, room, demand.slots,
+                             expectedWait(demand.service, room, now), now },
+                           now);
+    }
+    for (const auto *route : routes) {
+        if (route->shares.size() > 1 && hasAllTerms(*route)) {
+            updateSelection(*route, now);
+        }
+    }
+    m_selection.removeUnused();
+}
+
+double AdmissionGate::roomOf(ServiceId service, TimePoint now) const
+{
+    const auto &group = m_upstreams.ofService(service);
+    return std::accumulate(group.begin(), group.end(), 0.0,
+                           [&](double room, const TrackedUpstream *upstream) {
+                               return mayTakeWork(*upstream, now)
+                                       ? room + upstream->record.slots / upstream->load.slowness
+                                       : room;
+                           });
+}
+
+bool AdmissionGate::hasAllTerms(const version::RouteRecord &route)
+{
+    return route.terms.priority && route.terms.responseAim && route.terms.timeBudget;
+}
+
+Opening AdmissionGate::openingOf(const Request &request, ServiceId service)
+{
+    const auto &terms = request.route.terms;
+    return { .service = service,
+             .priority = *terms.priority,
+             .responseAim = *terms.responseAim,
+             .timeBudget = *terms.timeBudget,
+             .caller = common::mixBits(request.callerAddress),
+             .isRetransmission = request.isRetransmission,
+             .expectedWork = request.usualTime };
+}
+
+bool AdmissionGate::mayTakeWork(const TrackedUpstream &upstream, TimePoint now) const
+{
+    // An upstream whose queue is full leaves openings unanswered: it is suspected, and its slots
+    // are busy all the same. Only unanswered data shows that it does not work.
+    return upstream.isRegistered && !upstream.record.draining
+            && !m_upstreams.isWithdrawn(upstream.record.zone) && !upstream.isCold(now)
+            && !upstream.isOutlier && !upstream.health.isUnresponsive(now)
+            && !upstream.health.isUnresponsiveToZone(now)
+            && !m_upstreams.zoneHealth(upstream.record.zone).isUnreachable(now);
+}
+
+Duration AdmissionGate::expectedWait(ServiceId service, double room, TimePoint now) const
+{
+    if (room <= 0.0) {
+        return {};
+    }
+    const auto &group = m_upstreams.ofService(service);
+    const auto work = std::accumulate(group.begin(), group.end(), Duration {},
+                                      [&](Duration sum, const TrackedUpstream *upstream) {
+                                          return mayTakeWork(*upstream, now)
+                                                  ? sum + upstream->load.workLeft
+                                                  : sum;
+                                      });
+    return std::chrono::duration_cast<Duration>(work / room);
+}
+
+bool AdmissionGate::isWithoutRoom(ServiceId service, TimePoint now) const
+{
+    const auto *admission = m_admission.find(service);
+    return admission != nullptr && admission->isInformed(now)
+            && admission->observation().room <= 0.0;
+}
+
+void AdmissionGate::updateSelection(const version::RouteRecord &route, TimePoint now)
+{
+    std::vector<ServiceSelection::ServiceState> states;
+    std::ranges::transform(
+            route.shares, std::back_inserter(states),
+            [&](const version::ServiceShare &share) { return stateOf(share.service, now); });
+    m_selection.update(route.address, route.shares, states);
+}
+
+ServiceSelection::ServiceState AdmissionGate::stateOf(ServiceId service, TimePoint now) const
+{
+    const auto *admission = m_admission.find(service);
+    if (admission == nullptr || !admission->isInformed(now)) {
+        return { .service = service };
+    }
+    const auto &observation = admission->observation();
+    return { service, observation.room, observation.demand, admission->refusedDemand(), true };
+}
+
+} // namespace banyanwall::connection
--- a/src/connection/serviceselection.cpp
+++ b/src/connection/serviceselection.cpp
@@ -17,6 +17,8 @@
 constexpr double Retention = 0.8;
 // Part of the way to a higher share in one update: the measured demand lags behind by a second.
 constexpr double IncreaseGain = 0.2;
+// Part of the room that has to be free for all openings of a service without slots.
+constexpr double FreeBand = 0.2;
 
 /// A number from 0 to 1.
 double fractionOf(std::uint64_t hash)
@@ -96,15 +98,29 @@
 void ServiceSelection::move(Part &part, const ServiceState &from, const ServiceState &to)
 {
     part.laggedShare = part.laggedShare * Retention + part.share * (1.0 - Retention);
-    if (!from.isInformed || !to.isInformed || from.refused <= 0.0) {
-        part.share = 0.0;
-        return;
+    moveTo(part, targetOf(part, from, to));
+}
+
+double ServiceSelection::targetOf(const Part &part, const ServiceState &from,
+                                  const ServiceState &to)
+{
+    if (!from.isInformed || !to.isInformed || to.room <= 0.0) {
+        return 0.0;
+    }
+    const auto free = to.room * MaxUtilization - to.demand;
+    if (from.room <= 0.0) {
+        // Nothing shows how much work the callers of a service without slots would bring.
+        return free / (to.room * FreeBand);
     }
     // The demand holds what has already come from the other service.
-    const auto free = to.room * MaxUtilization - to.demand + part.laggedShare * from.refused;
-    const auto target = std::clamp(free / from.refused, 0.0, 1.0);
-    const auto increased = part.share + (target - part.share) * IncreaseGain;
-    part.share = std::min(target, increased);
+    return from.refused > 0.0 ? free / from.refused + part.laggedShare : 0.0;
+}
+
+void ServiceSelection::moveTo(Part &part, double target)
+{
+    const auto bounded = std::clamp(target, 0.0, 1.0);
+    const auto increased = part.share + (bounded - part.share) * IncreaseGain;
+    part.share = std::min(bounded, increased);
 }
 
 } // namespace banyanwall::connection
--- a/src/connection/serviceselection.h
+++ b/src/connection/serviceselection.h
@@ -66,6 +66,9 @@
 
     [[nodiscard]] static Part &partOf(Route &route, common::ServiceId from, common::ServiceId to);
     static void move(Part &part, const ServiceState &from, const ServiceState &to);
+    [[nodiscard]] static double targetOf(const Part &part, const ServiceState &from,
+                                         const ServiceState &to);
+    static void moveTo(Part &part, double target);
 
     std::unordered_map<common::Endpoint, Route> m_routes;
 };
--- a/src/tests/serviceselectiontest.cpp
+++ b/src/tests/serviceselectiontest.cpp
@@ -92,6 +92,18 @@
     DOUBLES_EQUAL(51.0, 10 + moved.back() * 1'900, 8.0);
 }
 
+// All upstreams of a service are withdrawn, so that it can take no new flow; the other one has
+// room.
+TEST(ServiceSelection, flowsOfAServiceWithoutSlotsMove)
+{
+    double moved = 0.0;
+    for (int step = 0; step < 50; ++step) {
+        update({ Ledger, 0, 0, 0, true }, { Desk, 60, 10 + moved * 20, 0, true });
+        moved = movedShare(Ledger);
+    }
+    DOUBLES_EQUAL(1.0, moved, 0.05);
+}
+
 // Load: both services have too little room. Moving would only take room from the other's callers.
 TEST(ServiceSelection, nothingMovesToAServiceWithoutRoom)
 {
