Name the demand of the own zone's callers as the other parts do

Cause: the choice of an upstream and admission both had a type Opening, and each a type for the busy slots of a service. Ruled out: one type for both openings (the choice needs no terms, and admission needs no token). Change: OfferedOpening for admission; ServiceDemand as the picture of the load and the choice have it; the gate scales the zone's demand to that of all callers.

--- a/src/connection/admissiongate.cpp
+++ b/src/connection/admissiongate.cpp
@@ -62,12 +62,13 @@
 }
 
 void AdmissionGate::update(std::span<const version::RouteRecord *const> routes,
-                           std::span<const BusySlots> demands, TimePoint now)
+                           std::span<const ServiceDemand> demands, double fleetFactor,
+                           TimePoint now)
 {
     m_nextUpdate = now + UpdateInterval;
     for (const auto &demand : demands) {
         const auto room = roomOf(demand.service, now);
-        m_admission.update({ demand.service, room, demand.slots,
+        m_admission.update({ demand.service, room, demand.busySlots * fleetFactor,
                              expectedWait(demand.service, room, now), now },
                            now);
     }
@@ -95,7 +96,7 @@
     return route.terms.priority && route.terms.responseAim && route.terms.timeBudget;
 }
 
-Opening AdmissionGate::openingOf(const Request &request, ServiceId service)
+OfferedOpening AdmissionGate::openingOf(const Request &request, ServiceId service)
 {
     const auto &terms = request.route.terms;
     return { .service = service,
--- a/src/connection/admissiongate.h
+++ b/src/connection/admissiongate.h
@@ -4,6 +4,7 @@
 #include "common/ids.h"
 #include "common/time.h"
 #include "connection/openingadmission.h"
+#include "connection/servicedemand.h"
 #include "connection/serviceselection.h"
 #include "connection/upstreamtable.h"
 #include "version/directory.h"
@@ -16,13 +17,6 @@
 
 namespace banyanwall::connection {
 
-/// Slots that work for a service keeps busy.
-struct BusySlots
-{
-    common::ServiceId service;
-    double slots = 0.0;
-};
-
 /// Chooses the service of an opening and decides whether it is admitted, by the room of the
 /// upstreams that this instance reaches. Decides nothing for a route whose contract does not name
 /// priority, response aim and time budget: its weights alone choose the service. Not thread-safe.
@@ -55,9 +49,10 @@
     /// Whether the next update is due.
     [[nodiscard]] bool isUpdateDue(common::TimePoint now) const { return now >= m_nextUpdate; }
 
-    /// Applies the demand of all instances; called when an update is due, at least once a second.
+    /// Applies the demand of the callers of the own zone, which is fleetFactor times as large for
+    /// all callers; called when an update is due, at least once a second.
     void update(std::span<const version::RouteRecord *const> routes,
-                std::span<const BusySlots> demands, common::TimePoint now);
+                std::span<const ServiceDemand> demands, double fleetFactor, common::TimePoint now);
 
     /// Room of a service in slots that may take work now, divided by their slowness.
     [[nodiscard]] double roomOf(common::ServiceId service, common::TimePoint now) const;
@@ -68,7 +63,8 @@
 
 private:
     [[nodiscard]] static bool hasAllTerms(const version::RouteRecord &route);
-    [[nodiscard]] static Opening openingOf(const Request &request, common::ServiceId service);
+    [[nodiscard]] static OfferedOpening openingOf(const Request &request,
+                                                  common::ServiceId service);
     [[nodiscard]] bool mayTakeWork(const TrackedUpstream &upstream, common::TimePoint now) const;
     [[nodiscard]] common::Duration expectedWait(common::ServiceId service, double room,
                                                 common::TimePoint now) const;
--- a/src/connection/openingadmission.cpp
+++ b/src/connection/openingadmission.cpp
@@ -24,7 +24,7 @@
 // answered within the aim.
 constexpr std::chrono::seconds RotationPeriod { 60 };
 
-std::uint64_t keyOf(const Opening &opening)
+std::uint64_t keyOf(const OfferedOpening &opening)
 {
     return common::hashPair(opening.caller, opening.service.value());
 }
@@ -61,7 +61,7 @@
     m_clockOffset = wallTime.time_since_epoch() - now.time_since_epoch();
 }
 
-AdmissionVerdict OpeningAdmission::decide(const Opening &opening, TimePoint now)
+AdmissionVerdict OpeningAdmission::decide(const OfferedOpening &opening, TimePoint now)
 {
     const auto found = m_services.find(opening.service);
     // The caller of a refused opening was told so: a retransmission is one of an admitted opening.
@@ -96,7 +96,7 @@
                             elapsed };
 }
 
-void OpeningAdmission::recordAdmission(const Opening &opening, TimePoint now)
+void OpeningAdmission::recordAdmission(const OfferedOpening &opening, TimePoint now)
 {
     m_returning.recordAdmission(keyOf(opening), now);
     const auto found = m_services.find(opening.service);
@@ -105,7 +105,7 @@
     }
 }
 
-void OpeningAdmission::recordRefusal(const Opening &opening, TimePoint now)
+void OpeningAdmission::recordRefusal(const OfferedOpening &opening, TimePoint now)
 {
     m_returning.recordRefusal(keyOf(opening), opening.timeBudget, now);
     ++m_refusals[ServiceAdmission::indexOf(opening.priority)];
@@ -131,7 +131,8 @@
     return services;
 }
 
-Arrival OpeningAdmission::arrivalOf(const Opening &opening, const std::optional<Duration> &waited)
+Arrival OpeningAdmission::arrivalOf(const OfferedOpening &opening,
+                                    const std::optional<Duration> &waited)
 {
     if (!waited) {
         return Arrival::New;
@@ -140,7 +141,7 @@
                                                                  : Arrival::ReturnedLate;
 }
 
-double OpeningAdmission::positionOf(const Opening &opening, TimePoint now) const
+double OpeningAdmission::positionOf(const OfferedOpening &opening, TimePoint now) const
 {
     constexpr double hashRange = 18446744073709551616.0; // 2 to the power of 64
     const std::chrono::duration<double> clock = now.time_since_epoch() + m_clockOffset;
--- a/src/connection/openingadmission.h
+++ b/src/connection/openingadmission.h
@@ -15,7 +15,7 @@
 namespace banyanwall::connection {
 
 /// An opening packet of a route whose contract names all terms that admission needs.
-struct Opening
+struct OfferedOpening
 {
     common::ServiceId service;
     /// Rank of the request when room is short; 0 is served first.
@@ -98,12 +98,12 @@
     /// instance meets the same decision. Clocks that disagree cost only this.
     void setClock(common::WallTime wallTime, common::TimePoint now);
 
-    [[nodiscard]] AdmissionVerdict decide(const Opening &opening, common::TimePoint now);
+    [[nodiscard]] AdmissionVerdict decide(const OfferedOpening &opening, common::TimePoint now);
 
     /// The opening goes to an upstream of the service.
-    void recordAdmission(const Opening &opening, common::TimePoint now);
+    void recordAdmission(const OfferedOpening &opening, common::TimePoint now);
     /// The caller was told that its request has not run.
-    void recordRefusal(const Opening &opening, common::TimePoint now);
+    void recordRefusal(const OfferedOpening &opening, common::TimePoint now);
 
     /// Services that began or ceased to refuse openings since the last call.
     [[nodiscard]] std::vector<AdmissionChange> takeChanges();
@@ -127,10 +127,10 @@
         bool wasLimiting = false;
     };
 
-    [[nodiscard]] static Arrival arrivalOf(const Opening &opening,
+    [[nodiscard]] static Arrival arrivalOf(const OfferedOpening &opening,
                                            const std::optional<common::Duration> &waited);
     /// A number from 0 to 1 for a caller, which falls through all values once in a rotation period.
-    [[nodiscard]] double positionOf(const Opening &opening, common::TimePoint now) const;
+    [[nodiscard]] double positionOf(const OfferedOpening &opening, common::TimePoint now) const;
     [[nodiscard]] bool mayRefuse(const Service &service, common::TimePoint now) const;
 
     std::unordered_map<common::ServiceId, Service> m_services;
--- a/src/tests/admissiongatetest.cpp
+++ b/src/tests/admissiongatetest.cpp
@@ -14,7 +14,7 @@
 using common::UpstreamSerial;
 using common::ZoneId;
 using connection::AdmissionGate;
-using connection::BusySlots;
+using connection::ServiceDemand;
 using version::RouteRecord;
 
 namespace {
@@ -91,7 +91,7 @@
     {
         std::pair<int, int> opened;
         const std::vector<const RouteRecord *> routes { &route };
-        const std::vector<BusySlots> demands { { Ledger, ledgerDemand }, { Desk, deskDemand } };
+        const std::vector<ServiceDemand> demands { { Ledger, ledgerDemand }, { Desk, deskDemand } };
         for (int update = 0; update < 5; ++update, now += 200ms) {
             for (int opening = 0; opening < Openings / 5; ++opening) {
                 const auto verdict = gate.decide(request(), now);
@@ -100,7 +100,7 @@
                 opened.second += service != nullptr && *service == Desk ? 1 : 0;
                 gate.recordAnswer(route, Ledger, 30ms, isLate);
             }
-            gate.update(routes, demands, now);
+            gate.update(routes, demands, 1.0, now);
         }
         return opened;
     }
--- a/src/tests/admissionload.cpp
+++ b/src/tests/admissionload.cpp
@@ -154,12 +154,12 @@
         return;
     }
     const auto &kind = m_options.kinds[request.kind];
-    const connection::Opening opening { .service = Service,
-                                        .priority = kind.priority,
-                                        .responseAim = kind.responseAim,
-                                        .timeBudget = kind.timeBudget,
-                                        .caller = common::mixBits(request.caller + 1),
-                                        .expectedWork = kind.work };
+    const connection::OfferedOpening opening { .service = Service,
+                                               .priority = kind.priority,
+                                               .responseAim = kind.responseAim,
+                                               .timeBudget = kind.timeBudget,
+                                               .caller = common::mixBits(request.caller + 1),
+                                               .expectedWork = kind.work };
     const auto verdict = instance.admission.decide(opening, now);
     if (std::holds_alternative<connection::OpeningRefused>(verdict)) {
         instance.admission.recordRefusal(opening, now);
--- a/src/tests/openingadmissiontest.cpp
+++ b/src/tests/openingadmissiontest.cpp
@@ -9,7 +9,7 @@
 
 using namespace banyanwall;
 using namespace std::chrono_literals;
-using connection::Opening;
+using connection::OfferedOpening;
 using connection::OpeningAdmission;
 using connection::OpeningRefused;
 
@@ -85,7 +85,7 @@
         return admission.find(Ledger)->shareOf(priority);
     }
 
-    Opening opening(std::uint32_t priority, std::uint64_t caller) const
+    OfferedOpening opening(std::uint32_t priority, std::uint64_t caller) const
     {
         return { .service = Ledger,
                  .priority = priority,
@@ -95,7 +95,7 @@
                  .expectedWork = 30ms };
     }
 
-    bool open(const Opening &opened)
+    bool open(const OfferedOpening &opened)
     {
         const auto verdict = admission.decide(opened, now);
         const bool isAdmitted = std::holds_alternative<connection::OpeningAdmitted>(verdict);
