--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -5,6 +5,7 @@
 #include "connection/isolationdetector.h"
 #include "connection/openingpolicy.h"
 #include "connection/outlierdetector.h"
+#include "connection/upstreamchoice.h"
 #include "connection/upstreamtable.h"
 #include "version/directory.h"
 
@@ -85,6 +86,7 @@
         std::optional<common::Duration> openFlowsAfterWithdrawal {};
         /// Number of sets of four flows in the table that detects retransmissions; a power of two.
         std::size_t observedFlowSets = 1'024;
+        UpstreamChoice choice = UpstreamChoice::ByContract;
     };
 
     using ResponseTimeSink = std::function<void(common::Duration)>;
