Reset openings for which there is no room

Cause: the packet path sent each opening to an upstream, however much work that had; callers of a high priority waited like all others. Ruled out: dropping the packet (its caller retransmits twice and gives up after 1.4 s without knowing that the request has not run); remembering refused callers until their budget has passed (an address belongs to many callers: new openings were taken for old ones, and were answered late). Callers count as returning within the aim. The demand is given to updateAdmission(); the daemon gives none yet, so that nothing is refused.

--- a/src/connection/admissiongate.cpp
+++ b/src/connection/admissiongate.cpp
@@ -29,7 +29,11 @@
     if (!hasAllTerms(route)) {
         return chosen;
     }
-    const auto first = request.previousService.value_or(chosen);
+    const bool isNamed = request.previousService
+            && std::ranges::any_of(route.shares, [&](const version::ServiceShare &share) {
+                             return share.service == *request.previousService;
+                         });
+    const auto first = isNamed ? *request.previousService : chosen;
     const auto opening = openingOf(request, first);
     const auto verdict = m_admission.decide(opening, now);
     const auto *refused = std::get_if<OpeningRefused>(&verdict);
@@ -53,22 +57,25 @@
 }
 
 void AdmissionGate::recordAnswer(const version::RouteRecord &route, ServiceId service,
-                                 Duration usualTime, bool isLate)
+                                 Duration usualTime, const Answer &answer)
 {
-    if (hasAllTerms(route)) {
-        m_admission.recordAnswer(service, *route.terms.priority, std::max(usualTime, Duration(1)),
-                                 isLate);
+    if (!hasAllTerms(route)) {
+        return;
     }
+    const bool isShort = answer.responseTime && m_answerSizes.isShort(route.address, answer.bytes);
+    const bool isLate = !answer.responseTime || *answer.responseTime > *route.terms.responseAim;
+    m_admission.recordAnswer(service, *route.terms.priority, std::max(usualTime, Duration(1)),
+                             isLate || isShort);
 }
 
 void AdmissionGate::update(std::span<const version::RouteRecord *const> routes,
-                           std::span<const ServiceDemand> demands, double fleetFactor,
-                           TimePoint now)
+                           std::span<const ServiceDemand> demands, TimePoint now)
 {
     m_nextUpdate = now + UpdateInterval;
+    const auto factor = fleetFactor(now);
     for (const auto &demand : demands) {
         const auto room = roomOf(demand.service, now);
-        m_admission.update({ demand.service, room, demand.busySlots * fleetFactor,
+        m_admission.update({ demand.service, room, demand.busySlots * factor,
                              expectedWait(demand.service, room, now), now },
                            now);
     }
@@ -108,6 +115,24 @@
              .expectedWork = request.usualTime };
 }
 
+double AdmissionGate::fleetFactor(TimePoint now)
+{
+    const auto ownMembers = 1.0 + m_position.zonePeers;
+    const auto otherMembers = static_cast<double>(m_position.members.size()) - ownMembers;
+    auto zones = m_upstreams.usableZones();
+    std::erase(zones, m_position.zone);
+    if (zones.empty() || otherMembers <= 0.0) {
+        return 1.0 + std::max(0.0, otherMembers) / ownMembers;
+    }
+    // Callers of zones that this instance does not reach share no upstream with its own callers.
+    const auto reachable = std::ranges::count_if(zones, [&](common::ZoneId zone) {
+        return !m_upstreams.zoneHealth(zone).isUnreachable(now);
+    });
+    return 1.0
+            + otherMembers / ownMembers * static_cast<double>(reachable)
+            / static_cast<double>(zones.size());
+}
+
 bool AdmissionGate::mayTakeWork(const TrackedUpstream &upstream, TimePoint now) const
 {
     // An upstream whose queue is full leaves openings unanswered: it is suspected, and its slots
--- a/src/connection/admissiongate.h
+++ b/src/connection/admissiongate.h
@@ -3,7 +3,9 @@
 #include "common/endpoint.h"
 #include "common/ids.h"
 #include "common/time.h"
+#include "connection/answersizes.h"
 #include "connection/openingadmission.h"
+#include "connection/openingpolicy.h"
 #include "connection/servicedemand.h"
 #include "connection/serviceselection.h"
 #include "connection/upstreamtable.h"
@@ -42,17 +44,28 @@
 
     [[nodiscard]] Verdict decide(const Request &request, common::TimePoint now);
 
-    /// A request on a flow of the route was answered, or its opening was left without an answer.
+    /// How an upstream answered a request.
+    struct Answer
+    {
+        /// Empty when the upstream left the opening of the flow without an answer.
+        std::optional<common::Duration> responseTime {};
+        /// Size of the first acknowledged part of the answer.
+        std::uint32_t bytes = 0;
+    };
+
+    /// A request on a flow of the route was answered.
     void recordAnswer(const version::RouteRecord &route, common::ServiceId service,
-                      common::Duration usualTime, bool isLate);
+                      common::Duration usualTime, const Answer &answer);
+
+    void setPosition(const FleetPosition &position) { m_position = position; }
 
     /// Whether the next update is due.
     [[nodiscard]] bool isUpdateDue(common::TimePoint now) const { return now >= m_nextUpdate; }
 
-    /// Applies the demand of the callers of the own zone, which is fleetFactor times as large for
-    /// all callers; called when an update is due, at least once a second.
+    /// Applies the demand of the callers of the own zone; called when an update is due, at least
+    /// once a second.
     void update(std::span<const version::RouteRecord *const> routes,
-                std::span<const ServiceDemand> demands, double fleetFactor, common::TimePoint now);
+                std::span<const ServiceDemand> demands, common::TimePoint now);
 
     /// Room of a service in slots that may take work now, divided by their slowness.
     [[nodiscard]] double roomOf(common::ServiceId service, common::TimePoint now) const;
@@ -65,6 +78,8 @@
     [[nodiscard]] static bool hasAllTerms(const version::RouteRecord &route);
     [[nodiscard]] static OfferedOpening openingOf(const Request &request,
                                                   common::ServiceId service);
+    /// Demand of the callers of all reachable zones divided by that of the own zone.
+    [[nodiscard]] double fleetFactor(common::TimePoint now);
     [[nodiscard]] bool mayTakeWork(const TrackedUpstream &upstream, common::TimePoint now) const;
     [[nodiscard]] common::Duration expectedWait(common::ServiceId service, double room,
                                                 common::TimePoint now) const;
@@ -75,6 +90,8 @@
                                                          common::TimePoint now) const;
 
     UpstreamTable &m_upstreams;
+    FleetPosition m_position;
+    AnswerSizes m_answerSizes;
     OpeningAdmission m_admission;
     ServiceSelection m_selection;
     common::TimePoint m_nextUpdate;
--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -58,6 +58,7 @@
     , m_onResponseTime(std::move(onResponseTime))
     , m_upstreams(options.instance)
     , m_policy(m_upstreams)
+    , m_gate(m_upstreams)
     , m_isolation(options.ownZone)
     , m_observer(options.observedFlowSets)
 { }
@@ -77,6 +78,7 @@
 void FlowForwarder::setPosition(const FleetPosition &position, TimePoint now)
 {
     m_policy.setPosition(position, now);
+    m_gate.setPosition(position);
     m_upstreams.setHasPeers(position.zonePeers >= MinRefutingPeers);
 }
 
@@ -133,7 +135,12 @@
     }
     const auto hash = flowHashOf(packet);
     const bool isByContract = m_options.choice == UpstreamChoice::ByContract;
-    const Opening opening { .service = serviceOf(*route, hash),
+    const auto admitted = admit(*route, packet, observation, now);
+    if (const auto *refused = std::get_if<OpeningRefused>(&admitted)) {
+        m_lastRefusal = *refused;
+        return ResetFlow { Reason::NoRoom };
+    }
+    const Opening opening { .service = std::get<common::ServiceId>(admitted),
                             .flowHash = hash,
                             .retransmissions = packet.acknowledgement,
                             .avoidedToken = observation.upstream,
@@ -148,6 +155,52 @@
                            upstream->record.zone };
 }
 
+AdmissionGate::Verdict FlowForwarder::admit(const Route &route, const FlowPacket &packet,
+                                            const FlowObservation &observation, TimePoint now)
+{
+    const auto hash = flowHashOf(packet);
+    if (m_options.choice != UpstreamChoice::ByContract) {
+        return ServiceSelection::byWeight(route.record.shares, hash);
+    }
+    const auto *previous = m_upstreams.find(observation.upstream);
+    return m_gate.decide({ .route = route.record,
+                           .flowHash = hash,
+                           .callerAddress = packet.caller.address,
+                           .previousService = previous == nullptr
+                                   ? std::nullopt
+                                   : std::optional(previous->record.service),
+                           .isRetransmission = packet.acknowledgement > 0,
+                           .usualTime = usualTimeOf(route) },
+                         now);
+}
+
+void FlowForwarder::updateAdmission(const std::vector<ServiceDemand> &demands,
+                                    common::WallTime wallTime, TimePoint now)
+{
+    if (m_options.choice != UpstreamChoice::ByContract || !m_gate.isUpdateDue(now)) {
+        return;
+    }
+    m_gate.admission().setClock(wallTime, now);
+    std::vector<const version::RouteRecord *> routes;
+    std::ranges::transform(m_routes, std::back_inserter(routes),
+                           [](const auto &item) { return &item.second.record; });
+    m_gate.update(routes, demands, now);
+}
+
+common::Duration FlowForwarder::usualTimeOf(const Route &route)
+{
+    const auto &service = m_upstreams.serviceResponseTime(route.record.shares.front().service);
+    return common::Duration(static_cast<std::int64_t>(service.mean()));
+}
+
+void FlowForwarder::recordAnswer(const FlowPacket &packet, const TrackedUpstream &upstream,
+                                 const AdmissionGate::Answer &answer)
+{
+    if (const auto *route = routeOf(packet)) {
+        m_gate.recordAnswer(route->record, upstream.record.service, usualTimeOf(*route), answer);
+    }
+}
+
 PacketVerdict FlowForwarder::forward(const FlowPacket &packet, const FlowObservation &observation,
                                      TimePoint now)
 {
@@ -200,6 +253,7 @@
                 .addSample(*observation.responseTime, now);
         upstream->responseTime.addSample(*observation.responseTime, now);
         m_onResponseTime(*observation.responseTime);
+        recordAnswer(packet, *upstream, { observation.responseTime, observation.answeredBytes });
     }
     if (observation.isRetransmission) {
         recordRetransmission(*upstream, packet, now);
@@ -272,6 +326,7 @@
     if (packet.opens) {
         m_report.upstreams.push_back(upstream.record.serial);
         upstream.health.onOpeningRetransmitted(now);
+        recordAnswer(packet, upstream, {});
     } else {
         recordWaitingFlow(upstream, packet, now);
         upstream.health.onDataRetransmitted(flowHashOf(packet), now);
@@ -497,19 +552,6 @@
     return found == m_routes.end() ? nullptr : &found->second;
 }
 
-common::ServiceId FlowForwarder::serviceOf(const Route &route, std::uint64_t flowHash)
-{
-    // Mixes the hash again, so that the share does not depend on the bits that rank the upstreams.
-    auto position = common::mixBits(flowHash) % route.totalWeight;
-    for (const auto &share : route.record.shares) {
-        if (position < share.weight) {
-            return share.service;
-        }
-        position -= share.weight;
-    }
-    return route.record.shares.back().service;
-}
-
 void FlowForwarder::updateRoutes(const version::RulesRecord &rules)
 {
     m_routes.clear();
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/admissiongate.h"
 #include "connection/flowobserver.h"
 #include "connection/flowpacket.h"
 #include "connection/isolationdetector.h"
@@ -104,6 +105,22 @@
 
     PacketVerdict handle(const FlowPacket &packet, common::TimePoint now);
 
+    /// Updates the shares of admitted openings by the demand of the own zone's callers; called
+    /// every 100 ms. wallTime is that of now.
+    void updateAdmission(const std::vector<ServiceDemand> &demands, common::WallTime wallTime,
+                         common::TimePoint now);
+
+    [[nodiscard]] const OpeningAdmission &admission() const { return m_gate.admission(); }
+
+    /// Services that began or ceased to refuse openings since the last call.
+    [[nodiscard]] std::vector<AdmissionChange> takeAdmissionChanges()
+    {
+        return m_gate.admission().takeChanges();
+    }
+
+    /// The last opening that was reset for want of room.
+    [[nodiscard]] const OpeningRefused &lastRefusal() const { return m_lastRefusal; }
+
     /// Finds overdue requests and upstreams that are outliers; called every 100 ms or more often.
     void findOutliers(common::TimePoint now);
 
@@ -157,6 +174,15 @@
                        common::TimePoint now);
     PacketVerdict forward(const FlowPacket &packet, const FlowObservation &observation,
                           common::TimePoint now);
+    /// Service to which the opening goes, or why it is refused.
+    [[nodiscard]] AdmissionGate::Verdict admit(const Route &route, const FlowPacket &packet,
+                                               const FlowObservation &observation,
+                                               common::TimePoint now);
+    /// Time that requests of the route usually take; zero while unknown.
+    [[nodiscard]] common::Duration usualTimeOf(const Route &route);
+    /// Tells admission how a request of the packet's route was answered.
+    void recordAnswer(const FlowPacket &packet, const TrackedUpstream &upstream,
+                      const AdmissionGate::Answer &answer);
     PacketVerdict handleUnknown(const FlowPacket &packet, common::TimePoint now);
     void recordObservation(const FlowPacket &packet, const FlowObservation &observation,
                            common::TimePoint now);
@@ -189,13 +215,14 @@
                                    common::TimePoint now);
     [[nodiscard]] bool isDirectoryCurrent(common::TimePoint now) const;
     [[nodiscard]] const Route *routeOf(const FlowPacket &packet) const;
-    [[nodiscard]] static common::ServiceId serviceOf(const Route &route, std::uint64_t flowHash);
     void updateRoutes(const version::RulesRecord &rules);
 
     Options m_options;
     ResponseTimeSink m_onResponseTime;
     UpstreamTable m_upstreams;
     OpeningPolicy m_policy;
+    AdmissionGate m_gate;
+    OpeningRefused m_lastRefusal;
     IsolationDetector m_isolation;
     OutlierDetector m_outliers;
     common::TimePoint m_nextOutlierScan;
--- a/src/connection/flowobserver.cpp
+++ b/src/connection/flowobserver.cpp
@@ -115,6 +115,7 @@
         observation.hasResponse = observation.hasResponse || isPureAcknowledgement;
         if (flow.isWaiting && isPureAcknowledgement) {
             observation.responseTime = now - flow.waitingSince;
+            observation.answeredBytes = packet.acknowledgement - flow.acknowledged;
         }
         flow.acknowledged = packet.acknowledgement;
         flow.isWaiting = false;
--- a/src/connection/flowobserver.h
+++ b/src/connection/flowobserver.h
@@ -23,6 +23,8 @@
     /// Time from the first transmission of a request to the acknowledgement of the first part of
     /// its response.
     std::optional<common::Duration> responseTime {};
+    /// With responseTime: size of the first acknowledged part of the response.
+    std::uint32_t answeredBytes = 0;
     /// When this instance first saw the flow open; the flow may be older.
     common::TimePoint openSince {};
 };
--- a/src/connection/openingadmission.cpp
+++ b/src/connection/openingadmission.cpp
@@ -70,7 +70,7 @@
     }
     auto &admission = found->second.admission;
     const auto waited = m_returning.waited(keyOf(opening), now);
-    const auto arrival = arrivalOf(opening, waited);
+    const auto arrival = waited ? Arrival::Returned : Arrival::New;
     const auto priority = ServiceAdmission::indexOf(opening.priority);
     const auto work = std::max(opening.expectedWork, Duration(1));
     admission.recordOffered(priority, arrival, work);
@@ -79,8 +79,7 @@
     }
     const auto &observation = admission.observation();
     const auto share = admission.shareOf(priority, arrival);
-    const auto elapsed = waited.value_or(Duration {});
-    const bool isServable = elapsed + observation.expectedWait + work <= opening.timeBudget;
+    const bool isServable = observation.expectedWait + work <= opening.timeBudget;
     if (isServable && positionOf(opening, now) < share) {
         return OpeningAdmitted {};
     }
@@ -93,7 +92,7 @@
                             admission.lateShare(),
                             observation.expectedWait,
                             now - observation.measuredAt,
-                            elapsed };
+                            waited.value_or(Duration {}) };
 }
 
 void OpeningAdmission::recordAdmission(const OfferedOpening &opening, TimePoint now)
@@ -107,7 +106,7 @@
 
 void OpeningAdmission::recordRefusal(const OfferedOpening &opening, TimePoint now)
 {
-    m_returning.recordRefusal(keyOf(opening), opening.timeBudget, now);
+    m_returning.recordRefusal(keyOf(opening), opening.responseAim, now);
     ++m_refusals[ServiceAdmission::indexOf(opening.priority)];
 }
 
@@ -131,16 +130,6 @@
     return services;
 }
 
-Arrival OpeningAdmission::arrivalOf(const OfferedOpening &opening,
-                                    const std::optional<Duration> &waited)
-{
-    if (!waited) {
-        return Arrival::New;
-    }
-    return *waited + opening.expectedWork <= opening.responseAim ? Arrival::ReturnedInAim
-                                                                 : Arrival::ReturnedLate;
-}
-
 double OpeningAdmission::positionOf(const OfferedOpening &opening, TimePoint now) const
 {
     constexpr double hashRange = 18446744073709551616.0; // 2 to the power of 64
--- a/src/connection/openingadmission.h
+++ b/src/connection/openingadmission.h
@@ -40,7 +40,7 @@
     enum class Cause {
         /// The room is taken by work of higher or the same priority.
         Share,
-        /// The expected wait is longer than what is left of the caller's time budget.
+        /// The expected wait is longer than the time budget.
         Wait,
     };
 
@@ -56,7 +56,7 @@
     common::Duration expectedWait {};
     /// Age of room and demand.
     common::Duration figureAge {};
-    /// Time since the caller was first refused; zero for a new caller.
+    /// Time since the caller was first refused; zero for a new opening.
     common::Duration waited {};
 };
 
@@ -127,8 +127,6 @@
         bool wasLimiting = false;
     };
 
-    [[nodiscard]] static Arrival arrivalOf(const OfferedOpening &opening,
-                                           const std::optional<common::Duration> &waited);
     /// A number from 0 to 1 for a caller, which falls through all values once in a rotation period.
     [[nodiscard]] double positionOf(const OfferedOpening &opening, common::TimePoint now) const;
     [[nodiscard]] bool mayRefuse(const Service &service, common::TimePoint now) const;
--- a/src/connection/returningcallers.cpp
+++ b/src/connection/returningcallers.cpp
@@ -14,14 +14,13 @@
     , m_mask(sets - 1)
 { }
 
-void ReturningCallers::recordRefusal(std::uint64_t caller, common::Duration timeBudget,
-                                     TimePoint now)
+void ReturningCallers::recordRefusal(std::uint64_t caller, common::Duration time, TimePoint now)
 {
     if (find(caller, now) != nullptr) {
         return;
     }
     const auto set = std::span(m_callers).subspan(setOf(caller), Ways);
-    *std::ranges::min_element(set, {}, &Caller::expiresAt) = { caller, now, now + timeBudget };
+    *std::ranges::min_element(set, {}, &Caller::expiresAt) = { caller, now, now + time };
 }
 
 void ReturningCallers::recordAdmission(std::uint64_t caller, TimePoint now)
--- a/src/connection/returningcallers.h
+++ b/src/connection/returningcallers.h
@@ -9,23 +9,23 @@
 
 namespace banyanwall::connection {
 
-/// Callers whose opening was refused and whose time budget has not passed since. The table has a
-/// fixed size: when it is full, the caller whose budget passes first is forgotten and counts as a
-/// new one when it returns. Not thread-safe.
+/// Callers whose opening was refused a short time ago. The table has a fixed size: when it is full,
+/// the caller whose time passes first is forgotten and counts as a new one when it returns. Not
+/// thread-safe.
 class ReturningCallers
 {
 public:
     /// sets is the number of sets of four callers; a power of two.
     explicit ReturningCallers(std::size_t sets);
 
-    /// caller is a hash of the caller's address and of what it asked for. A caller that is refused
-    /// again keeps the time of its first refusal.
-    void recordRefusal(std::uint64_t caller, common::Duration timeBudget, common::TimePoint now);
+    /// caller is a hash of the caller's address and of what it asked for. It counts as returning
+    /// for the given time; a caller that is refused again keeps the time of its first refusal.
+    void recordRefusal(std::uint64_t caller, common::Duration time, common::TimePoint now);
     /// The caller was admitted, so that its next opening is a new one.
     void recordAdmission(std::uint64_t caller, common::TimePoint now);
 
     /// Time since the first refusal of the caller; empty for a caller that was not refused or whose
-    /// time budget has passed.
+    /// time has passed.
     [[nodiscard]] std::optional<common::Duration> waited(std::uint64_t caller,
                                                          common::TimePoint now) const;
 
@@ -36,7 +36,7 @@
     {
         std::uint64_t key = 0;
         common::TimePoint refusedAt {};
-        /// End of the time budget; entries that have ended are free.
+        /// Entries that have expired are free.
         common::TimePoint expiresAt {};
     };
 
--- a/src/connection/serviceadmission.cpp
+++ b/src/connection/serviceadmission.cpp
@@ -34,9 +34,6 @@
 constexpr double TargetIncrease = 1.01;
 // Part of the room that each priority may use, so that a low one is not shut out for good.
 constexpr double MinPriorityPart = 0.05;
-// Part of a priority's room for callers whose aim has passed: an answer within the aim is worth
-// more to its caller than a late one, and a caller that waits must not wait until it gives up.
-constexpr double LateReturnPart = 0.1;
 
 double secondsOf(Duration duration)
 {
@@ -196,15 +193,11 @@
 
 ServiceAdmission::ByArrival ServiceAdmission::divide(const Priority &priority)
 {
-    const auto [newWork, inAim, late] = priority.offered;
+    const auto [newWork, returned] = priority.offered;
     const auto granted = sumOf(priority.offered) * priority.share.value();
-    const auto reservedLate = std::min(late, granted * LateReturnPart);
-    const auto grantedInAim = std::min(inAim, granted - reservedLate);
-    const auto grantedNew = std::min(newWork, granted - reservedLate - grantedInAim);
-    const auto grantedLate = std::min(late, granted - grantedInAim - grantedNew);
+    const auto grantedReturned = std::min(returned, granted);
     const auto shareOf = [](double part, double work) { return work > 0.0 ? part / work : 1.0; };
-    return { shareOf(grantedNew, newWork), shareOf(grantedInAim, inAim),
-             shareOf(grantedLate, late) };
+    return { shareOf(granted - grantedReturned, newWork), shareOf(grantedReturned, returned) };
 }
 
 } // namespace banyanwall::connection
--- a/src/connection/serviceadmission.h
+++ b/src/connection/serviceadmission.h
@@ -26,12 +26,10 @@
     common::TimePoint measuredAt {};
 };
 
-/// Whether an opening is the first one of its caller, or the caller was refused before.
+/// Whether an opening is a new one, or its caller was refused within the response aim.
 enum class Arrival {
     New,
-    /// The caller can still be answered within the response aim.
-    ReturnedInAim,
-    ReturnedLate,
+    Returned,
 };
 
 /// Controls which openings of one service are admitted, by priority and arrival. Nothing is limited
@@ -79,7 +77,7 @@
     [[nodiscard]] double refusedDemand() const;
 
 private:
-    static constexpr std::size_t ArrivalCount = 3;
+    static constexpr std::size_t ArrivalCount = 2;
 
     /// One value for each arrival.
     using ByArrival = std::array<double, ArrivalCount>;
@@ -88,7 +86,7 @@
     struct Priority
     {
         AdmittedShare share;
-        ByArrival admitted { 1.0, 1.0, 1.0 };
+        ByArrival admitted { 1.0, 1.0 };
         /// Work in offered openings, in seconds.
         ByArrival offered {};
         double opened = 0.0;
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -1,6 +1,7 @@
 #include "process/flowdaemon.h"
 
 #include "common/hash.h"
+#include "process/admissionmetrics.h"
 #include "process/boottimeclock.h"
 #include "wire/passivehealthcodec.h"
 
@@ -236,6 +237,10 @@
     m_trafficSocket.send_to(boost::asio::buffer(reset), toAsio(caller), 0, error);
     m_metrics.count(error ? Counter::SendErrors : Counter::FlowsReset);
     m_metrics.countRefusal(reason);
+    if (reason == common::Reason::NoRoom) {
+        m_flowLog.logNoRoom(packet, m_forwarder.lastRefusal(), now);
+        return;
+    }
     m_flowLog.logRefused("flow_reset", packet, reason, received, directoryState(), now);
 }
 
@@ -370,6 +375,7 @@
         m_forwarder.removeExpired(now);
     }
     m_forwarder.findOutliers(now);
+    updateAdmission(now);
     m_forwarder.findIsolation({ m_sync.outsideContactAt(), m_sync.isLeaderIsolated() }, now);
     m_sync.setIsolated(m_forwarder.isIsolated());
     sendHealthReports(now);
@@ -378,6 +384,16 @@
     checkSettingsFile(now);
 }
 
+void FlowDaemon::updateAdmission(TimePoint now)
+{
+    const auto wallTime = std::chrono::time_point_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now());
+    m_forwarder.updateAdmission({}, wallTime, now);
+    for (const auto &change : m_forwarder.takeAdmissionChanges()) {
+        FlowLog::logAdmissionChange(change);
+    }
+}
+
 void FlowDaemon::sendHealthReports(TimePoint now)
 {
     const auto zonePeers = static_cast<std::int64_t>(m_sync.zonePeers().size());
@@ -595,7 +611,8 @@
 {
     std::ostringstream text;
     const auto age = std::chrono::duration<double>(bootTimeNow() - m_sync.confirmedAt()).count();
-    text << m_metrics.prometheusText() << "# TYPE banyanwall_directory_revision gauge\n"
+    text << m_metrics.prometheusText() << admissionMetricsText(m_forwarder.admission())
+         << "# TYPE banyanwall_directory_revision gauge\n"
          << "banyanwall_directory_revision " << m_directory.revision().value() << "\n"
          << "# TYPE banyanwall_directory_age_seconds gauge\n"
          << "banyanwall_directory_age_seconds " << age << "\n"
--- a/src/process/flowlog.cpp
+++ b/src/process/flowlog.cpp
@@ -12,6 +12,11 @@
 constexpr double ServedPerSecond = 40.0;
 constexpr double Burst = 60.0;
 
+std::int64_t millisecondsOf(common::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 } // namespace
 
 FlowLog::FlowLog(const PacketFormat &format)
@@ -72,6 +77,38 @@
     }
 }
 
+void FlowLog::logNoRoom(const connection::FlowPacket &packet,
+                        const connection::OpeningRefused &refused, TimePoint now)
+{
+    const auto line = m_refusalLog.event(LogLevel::Info, "opening_refused", now);
+    if (!line) {
+        return;
+    }
+    const bool isForWait = refused.cause == connection::OpeningRefused::Cause::Wait;
+    line->with("cause", isForWait ? "wait" : "share")
+            .with("caller", common::toString(packet.caller))
+            .with("service", common::toString(packet.service))
+            .with("service_id", refused.service.value())
+            .with("priority", refused.priority)
+            .with("share", refused.share)
+            .with("room", refused.room)
+            .with("demand", refused.demand)
+            .with("late_share", refused.lateShare)
+            .with("expected_wait_ms", millisecondsOf(refused.expectedWait))
+            .with("figure_age_ms", millisecondsOf(refused.figureAge))
+            .with("waited_ms", millisecondsOf(refused.waited));
+}
+
+void FlowLog::logAdmissionChange(const connection::AdmissionChange &change)
+{
+    LogEvent(LogLevel::Info, change.isLimiting ? "admission_limited" : "admission_released")
+            .with("service_id", change.service.value())
+            .with("room", change.room)
+            .with("demand", change.demand)
+            .with("late_share", change.lateShare)
+            .with("figure_age_ms", millisecondsOf(change.figureAge));
+}
+
 void FlowLog::logMalformed(std::string_view event, common::Endpoint from, std::size_t bytes,
                            TimePoint now)
 {
--- a/src/process/flowlog.h
+++ b/src/process/flowlog.h
@@ -35,6 +35,11 @@
     void logRefused(std::string_view event, const connection::FlowPacket &packet,
                     common::Reason reason, std::span<const std::uint8_t> bytes,
                     const DirectoryState &directory, common::TimePoint now);
+    /// Logs a refused opening with the figures that decided.
+    void logNoRoom(const connection::FlowPacket &packet, const connection::OpeningRefused &refused,
+                   common::TimePoint now);
+    /// Logs that a service began or ceased to refuse openings; always written.
+    static void logAdmissionChange(const connection::AdmissionChange &change);
     /// Logs a datagram that could not be decoded as a packet or a peer's message.
     void logMalformed(std::string_view event, common::Endpoint from, std::size_t bytes,
                       common::TimePoint now);
--- a/src/tests/admissiongatetest.cpp
+++ b/src/tests/admissiongatetest.cpp
@@ -98,9 +98,9 @@
                 const auto *service = std::get_if<ServiceId>(&verdict);
                 opened.first += service != nullptr && *service == Ledger ? 1 : 0;
                 opened.second += service != nullptr && *service == Desk ? 1 : 0;
-                gate.recordAnswer(route, Ledger, 30ms, isLate);
+                gate.recordAnswer(route, Ledger, 30ms, { isLate ? 800ms : 30ms, 600 });
             }
-            gate.update(routes, demands, 1.0, now);
+            gate.update(routes, demands, now);
         }
         return opened;
     }
@@ -112,6 +112,20 @@
         }
     }
 
+    /// Callers retransmit to the zone while upstreams of other zones respond.
+    void makeUnreachable(ZoneId zone)
+    {
+        now += 10s;
+        auto &health = upstreams.zoneHealth(zone);
+        for (std::uint64_t serial = 1; serial <= 7; serial += 2) {
+            health.onRetransmission(tracked(serial).token, now);
+        }
+        for (int response = 0; response < 10; ++response) {
+            health.onOtherZoneResponse();
+        }
+        CHECK(health.isUnreachable(now));
+    }
+
     void nameDesk()
     {
         route.shares = { { Ledger, 90 }, { Desk, 10 } };
@@ -194,6 +208,34 @@
     CHECK(overload.second > calm.second);
 }
 
+// Load: twice the room, and upstreams refuse a third of the requests at once by a short answer.
+// Fast errors must not look like answers within the aim.
+TEST(AdmissionGate, shortErrorsCountAsLateAnswers)
+{
+    playSecond(10, 1, false);
+    for (int second = 0; second < 8; ++second) {
+        for (int answer = 0; answer < Openings / 2; ++answer) {
+            gate.recordAnswer(route, Ledger, 30ms, { 3ms, 120 });
+        }
+        playSecond(40, 1, false);
+    }
+    CHECK(playSecond(40, 1, false).first < Openings);
+}
+
+// A zone that reaches no other
+// decides by its own callers and upstreams alone.
+TEST(AdmissionGate, demandOfUnreachableZonesDoesNotCount)
+{
+    std::vector<std::uint64_t> members(20);
+    gate.setPosition({ .zone = Zone, .instance = 1, .members = members, .zonePeers = 9 });
+    playSecond(5, 1, false);
+    DOUBLES_EQUAL(10.0, gate.admission().find(Ledger)->observation().demand, 1e-9);
+    makeUnreachable(OtherZone);
+    playSecond(5, 1, false);
+    DOUBLES_EQUAL(5.0, gate.admission().find(Ledger)->observation().demand, 1e-9);
+    DOUBLES_EQUAL(10.0, gate.admission().find(Ledger)->observation().room, 1e-9);
+}
+
 // All upstreams of one service are cold, as after the return of a zone.
 TEST(AdmissionGate, openingsOfAServiceWithoutSlotsGoToTheOther)
 {
--- a/src/tests/flowobservertest.cpp
+++ b/src/tests/flowobservertest.cpp
@@ -72,6 +72,7 @@
     CHECK(observation.hasResponse);
     CHECK(observation.responseTime.has_value());
     LONGS_EQUAL(46'000, observation.responseTime->count());
+    LONGS_EQUAL(1'200, observation.answeredBytes);
 }
 
 // A zone is cut off: a request that is lost acknowledges the response to the request before it,
--- a/src/tests/returningcallerstest.cpp
+++ b/src/tests/returningcallerstest.cpp
@@ -13,7 +13,7 @@
 };
 
 // A caller that returns must not count as a new one, or it is put behind those that came later.
-TEST(ReturningCallers, refusedCallerIsKnownUntilItsTimeBudgetHasPassed)
+TEST(ReturningCallers, refusedCallerIsKnownUntilItsTimeHasPassed)
 {
     callers.recordRefusal(7, 2s, now);
     CHECK(callers.waited(7, now + 1'999ms) == common::Duration(1'999ms));
@@ -39,8 +39,8 @@
 }
 
 // A rush of many callers must not take more memory, nor displace callers with time left by callers
-// whose budget has passed.
-TEST(ReturningCallers, fullTableForgetsTheCallersWhoseBudgetPassesFirst)
+// whose time has passed.
+TEST(ReturningCallers, fullTableForgetsTheCallersWhoseTimePassesFirst)
 {
     ReturningCallers oneSet(1);
     for (std::uint64_t caller = 1; caller <= 4; ++caller) {
