Count cold slots by their limit, and see errors that close a flow

Cause: cold upstreams counted as no room, so that openings were refused that their limit allows; an error that ends a flow is acknowledged by the caller's last packet and was no answer to admission. Ruled out: counting all slots of cold upstreams (their limit allows far fewer openings); taking the time of such answers (data and last packets may acknowledge a response that arrived long before).

--- a/src/connection/admissiongate.cpp
+++ b/src/connection/admissiongate.cpp
@@ -62,10 +62,10 @@
     if (!hasAllTerms(route)) {
         return;
     }
-    const bool isShort = answer.responseTime && m_answerSizes.isShort(route.address, answer.bytes);
-    const bool isLate = !answer.responseTime || *answer.responseTime > *route.terms.responseAim;
+    const bool isFailed = answer.bytes == 0 || m_answerSizes.isShort(route.address, answer.bytes);
+    const bool isLate = answer.responseTime && *answer.responseTime > *route.terms.responseAim;
     m_admission.recordAnswer(service, *route.terms.priority, std::max(usualTime, Duration(1)),
-                             isLate || isShort);
+                             isLate || isFailed);
 }
 
 void AdmissionGate::update(std::span<const version::RouteRecord *const> routes,
@@ -90,12 +90,24 @@
 double AdmissionGate::roomOf(ServiceId service, TimePoint now) const
 {
     const auto &group = m_upstreams.ofService(service);
-    return std::accumulate(group.begin(), group.end(), 0.0,
-                           [&](double room, const TrackedUpstream *upstream) {
-                               return mayTakeWork(*upstream, now)
-                                       ? room + upstream->record.slots / upstream->load.slowness
-                                       : room;
-                           });
+    return std::accumulate(
+            group.begin(), group.end(), 0.0, [&](double room, const TrackedUpstream *upstream) {
+                return mayTakeWork(*upstream, now) ? room + slotsOf(*upstream, now) : room;
+            });
+}
+
+double AdmissionGate::slotsOf(const TrackedUpstream &upstream, TimePoint now) const
+{
+    const auto slots = static_cast<double>(upstream.record.slots);
+    const auto service = upstream.record.service;
+    const auto *rules = m_upstreams.serviceRules(service);
+    if (!upstream.isCold(now) || rules == nullptr) {
+        return slots / upstream.load.slowness;
+    }
+    const std::chrono::duration<double, std::micro> usualTime(
+            m_upstreams.serviceResponseTime(service).mean());
+    const std::chrono::duration<double> seconds = usualTime;
+    return std::min(slots, rules->coldOpensPerSecond * seconds.count()) / upstream.load.slowness;
 }
 
 bool AdmissionGate::hasAllTerms(const version::RouteRecord &route)
@@ -138,9 +150,8 @@
     // An upstream whose queue is full leaves openings unanswered: it is suspected, and its slots
     // are busy all the same. Only unanswered data shows that it does not work.
     return upstream.isRegistered && !upstream.record.draining
-            && !m_upstreams.isWithdrawn(upstream.record.zone) && !upstream.isCold(now)
-            && !upstream.isOutlier && !upstream.health.isUnresponsive(now)
-            && !upstream.health.isUnresponsiveToZone(now)
+            && !m_upstreams.isWithdrawn(upstream.record.zone) && !upstream.isOutlier
+            && !upstream.health.isUnresponsive(now) && !upstream.health.isUnresponsiveToZone(now)
             && !m_upstreams.zoneHealth(upstream.record.zone).isUnreachable(now);
 }
 
--- a/src/connection/admissiongate.h
+++ b/src/connection/admissiongate.h
@@ -47,9 +47,10 @@
     /// How an upstream answered a request.
     struct Answer
     {
-        /// Empty when the upstream left the opening of the flow without an answer.
+        /// Empty when the answer was acknowledged only with the caller's next packet.
         std::optional<common::Duration> responseTime {};
-        /// Size of the first acknowledged part of the answer.
+        /// Size of the first acknowledged part of the answer; 0 when the upstream left the opening
+        /// of the flow without an answer.
         std::uint32_t bytes = 0;
     };
 
@@ -80,6 +81,9 @@
                                                   common::ServiceId service);
     /// Demand of the callers of all reachable zones divided by that of the own zone.
     [[nodiscard]] double fleetFactor(common::TimePoint now);
+    /// Slots of an upstream divided by its slowness; of a cold one, those that its limit on
+    /// openings can keep busy.
+    [[nodiscard]] double slotsOf(const TrackedUpstream &upstream, common::TimePoint now) const;
     [[nodiscard]] bool mayTakeWork(const TrackedUpstream &upstream, common::TimePoint now) const;
     [[nodiscard]] common::Duration expectedWait(common::ServiceId service, double room,
                                                 common::TimePoint now) const;
--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -267,6 +267,8 @@
                 .addSample(*observation.responseTime, now);
         upstream->responseTime.addSample(*observation.responseTime, now);
         m_onResponseTime(*observation.responseTime);
+    }
+    if (observation.answeredBytes > 0) {
         recordAnswer(packet, *upstream, { observation.responseTime, observation.answeredBytes });
     }
     if (observation.isRetransmission) {
--- a/src/connection/flowobserver.cpp
+++ b/src/connection/flowobserver.cpp
@@ -141,9 +141,9 @@
     if (flow.isWaiting) {
         observation.endsRequest = true;
         observation.sizeClass = flow.sizeClass;
+        observation.answeredBytes = packet.acknowledgement - flow.acknowledged;
         if (isPureAcknowledgement) {
             observation.responseTime = now - flow.waitingSince;
-            observation.answeredBytes = packet.acknowledgement - flow.acknowledged;
             observation.answerTime = flow.isTimed ? observation.responseTime : std::nullopt;
         }
     }
--- a/src/connection/flowobserver.h
+++ b/src/connection/flowobserver.h
@@ -23,7 +23,7 @@
     /// Time from the first transmission of a request to the acknowledgement of the first part of
     /// its response.
     std::optional<common::Duration> responseTime {};
-    /// With responseTime: size of the first acknowledged part of the response.
+    /// Size of the first part of the response to the request, when the packet acknowledges it.
     std::uint32_t answeredBytes = 0;
     /// When this instance first saw the flow open; the flow may be older.
     common::TimePoint openSince {};
--- a/src/connection/serviceadmission.h
+++ b/src/connection/serviceadmission.h
@@ -44,7 +44,7 @@
     /// Index of a priority of a contract.
     [[nodiscard]] static std::size_t indexOf(std::uint32_t priority);
 
-    /// A request of this instance was answered. late: not within the response aim, or without
+    /// A request of this instance was answered. isLate: not within the response aim, or without
     /// success.
     void recordAnswer(std::size_t priority, common::Duration work, bool isLate);
     /// An opening arrived.
--- a/src/tests/flowobservertest.cpp
+++ b/src/tests/flowobservertest.cpp
@@ -75,6 +75,17 @@
     LONGS_EQUAL(1'200, observation.answeredBytes);
 }
 
+// An upstream answers with an error and closes the flow: the caller's last packet shows its size.
+TEST(FlowObserver, lastPacketShowsTheSizeOfTheAnswer)
+{
+    observer.observe(packet(1000, 5000, 100), now);
+    auto last = packet(1100, 5120, 0);
+    last.finishes = true;
+    const auto observation = observer.observe(last, now + 5ms);
+    CHECK_FALSE(observation.responseTime.has_value());
+    LONGS_EQUAL(120, observation.answeredBytes);
+}
+
 // A zone is cut off: a request that is lost acknowledges the response to the request before it,
 // which is no proof that the upstream still responds.
 TEST(FlowObserver, acknowledgementWithDataIsNoResponse)
