Compute the demands of all priorities before their shares move

Cause: the loop over the priorities changed the lagged share of a priority before the demand of the next one was computed from the shares of all. Ruled out: a copy of all priorities (their demands are enough). Change: the demands are computed first.

--- a/src/connection/serviceadmission.cpp
+++ b/src/connection/serviceadmission.cpp
@@ -152,17 +152,23 @@
 {
     const auto room = m_observation.room * m_targetUtilization;
     const bool mayFall = m_overloadedUpdates >= MinOverloadedUpdates;
+    const auto offeredPart = offeredRatio();
+    // The demand of each priority depends on the shares of all, which change below.
+    std::array<double, PriorityCount> demands {};
+    std::ranges::transform(m_priorities, demands.begin(), [&](const Priority &priority) {
+        return demandOf(priority) * (1.0 - newDemandOf(priority) * (1.0 - offeredPart));
+    });
     auto left = room;
-    for (auto &priority : m_priorities) {
-        const auto newDemand = newDemandOf(priority);
-        const auto demand = demandOf(priority) * (1.0 - newDemand * (1.0 - offeredRatio()));
+    for (std::size_t index = 0; index < PriorityCount; ++index) {
+        auto &priority = m_priorities[index];
         if (m_answers < MinAnswers) {
             priority.share.release();
         } else {
-            priority.share.update({ std::max(left, room * MinPriorityPart), demand, newDemand },
+            priority.share.update({ std::max(left, room * MinPriorityPart), demands[index],
+                                    newDemandOf(priority) },
                                   mayFall);
         }
-        left -= demand;
+        left -= demands[index];
         priority.admitted = divide(priority);
     }
     if (!isLimiting()) {
