Let the rotation alone order the callers that return

Cause: a table of refused addresses put their next openings first. An address belongs to many callers, and most retries reach other instances: the table admitted new openings by chance and undid the decision that all instances share. Change: no ReturningCallers.

--- a/src/connection/admissiongate.cpp
+++ b/src/connection/admissiongate.cpp
@@ -38,21 +38,21 @@
     const auto verdict = m_admission.decide(opening, now);
     const auto *refused = std::get_if<OpeningRefused>(&verdict);
     if (refused == nullptr && (request.isRetransmission || !isWithoutRoom(first, now))) {
-        m_admission.recordAdmission(opening, now);
+        m_admission.recordAdmission(opening);
         return first;
     }
     if (const auto other = m_selection.alternative(route.address, first, request.flowHash)) {
         const auto moved = openingOf(request, *other);
         if (std::holds_alternative<OpeningAdmitted>(m_admission.decide(moved, now))) {
-            m_admission.recordAdmission(moved, now);
+            m_admission.recordAdmission(moved);
             return *other;
         }
     }
     if (refused == nullptr) {
-        m_admission.recordAdmission(opening, now);
+        m_admission.recordAdmission(opening);
         return first;
     }
-    m_admission.recordRefusal(opening, now);
+    m_admission.recordRefusal(opening);
     return *refused;
 }
 
--- a/src/connection/openingadmission.cpp
+++ b/src/connection/openingadmission.cpp
@@ -17,24 +17,18 @@
 
 // After a start, the load that the instance knows is that of its first packets only.
 constexpr std::chrono::seconds StartPeriod { 2 };
-// Remembers 1,024 refused callers.
-constexpr std::size_t ReturningCallerSets = 256;
 // Time in which each caller is admitted once and refused once. It is longer than the time in which
 // callers retry: the retries of refused callers do not take the room of callers that can still be
 // answered within the aim.
 constexpr std::chrono::seconds RotationPeriod { 60 };
 
-std::uint64_t keyOf(const OfferedOpening &opening)
+std::uint64_t hashOf(const OfferedOpening &opening)
 {
     return common::hashPair(opening.caller, opening.service.value());
 }
 
 } // namespace
 
-OpeningAdmission::OpeningAdmission()
-    : m_returning(ReturningCallerSets)
-{ }
-
 void OpeningAdmission::update(const RoomObservation &observation, TimePoint now)
 {
     if (!m_startedAt) {
@@ -69,16 +63,14 @@
         return OpeningAdmitted {};
     }
     auto &admission = found->second.admission;
-    const auto waited = m_returning.waited(keyOf(opening), now);
-    const auto arrival = waited ? Arrival::Returned : Arrival::New;
     const auto priority = ServiceAdmission::indexOf(opening.priority);
     const auto work = std::max(opening.expectedWork, Duration(1));
-    admission.recordOffered(priority, arrival, work);
+    admission.recordOffered(priority, work);
     if (!admission.isLimiting() || !mayRefuse(found->second, now)) {
         return OpeningAdmitted {};
     }
     const auto &observation = admission.observation();
-    const auto share = admission.shareOf(priority, arrival);
+    const auto share = admission.shareOf(priority);
     const bool isServable = observation.expectedWait + work <= opening.timeBudget;
     if (isServable && positionOf(opening, now) < share) {
         return OpeningAdmitted {};
@@ -91,22 +83,19 @@
                             observation.demand,
                             admission.lateShare(),
                             observation.expectedWait,
-                            now - observation.measuredAt,
-                            waited.value_or(Duration {}) };
+                            now - observation.measuredAt };
 }
 
-void OpeningAdmission::recordAdmission(const OfferedOpening &opening, TimePoint now)
+void OpeningAdmission::recordAdmission(const OfferedOpening &opening)
 {
-    m_returning.recordAdmission(keyOf(opening), now);
     const auto found = m_services.find(opening.service);
     if (found != m_services.end() && !opening.isRetransmission) {
         found->second.admission.recordOpened(ServiceAdmission::indexOf(opening.priority));
     }
 }
 
-void OpeningAdmission::recordRefusal(const OfferedOpening &opening, TimePoint now)
+void OpeningAdmission::recordRefusal(const OfferedOpening &opening)
 {
-    m_returning.recordRefusal(keyOf(opening), opening.responseAim, now);
     ++m_refusals[ServiceAdmission::indexOf(opening.priority)];
 }
 
@@ -135,7 +124,7 @@
     constexpr double hashRange = 18446744073709551616.0; // 2 to the power of 64
     const std::chrono::duration<double> clock = now.time_since_epoch() + m_clockOffset;
     const auto turns = clock / RotationPeriod;
-    const auto position = static_cast<double>(keyOf(opening)) / hashRange - turns;
+    const auto position = static_cast<double>(hashOf(opening)) / hashRange - turns;
     return position - std::floor(position);
 }
 
--- a/src/connection/openingadmission.h
+++ b/src/connection/openingadmission.h
@@ -2,7 +2,6 @@
 
 #include "common/ids.h"
 #include "common/time.h"
-#include "connection/returningcallers.h"
 #include "connection/serviceadmission.h"
 
 #include <array>
@@ -56,8 +55,6 @@
     common::Duration expectedWait {};
     /// Age of room and demand.
     common::Duration figureAge {};
-    /// Time since the caller was first refused; zero for a new opening.
-    common::Duration waited {};
 };
 
 using AdmissionVerdict = std::variant<OpeningAdmitted, OpeningRefused>;
@@ -76,16 +73,13 @@
 /// Decides which openings are admitted when callers bring more work than the upstreams of a service
 /// can do within the response aim. Nothing is refused while there is room or answers keep the aim,
 /// shortly after the start, or when the figures are old or few. Beyond that, work is admitted by
-/// priority. Within a priority, callers that were refused go first while they can still be answered
-/// within the aim, and a hash that changes with time decides among the others: each is admitted for
-/// a part of each rotation period. Not thread-safe.
+/// priority. Within a priority, a hash of the caller that changes with time decides: each caller is
+/// admitted for a part of each rotation period. Not thread-safe.
 class OpeningAdmission
 {
 public:
     static constexpr std::size_t PriorityCount = ServiceAdmission::PriorityCount;
 
-    OpeningAdmission();
-
     /// Applies room and demand of a service; called every 200 ms for each service.
     void update(const RoomObservation &observation, common::TimePoint now);
 
@@ -101,9 +95,9 @@
     [[nodiscard]] AdmissionVerdict decide(const OfferedOpening &opening, common::TimePoint now);
 
     /// The opening goes to an upstream of the service.
-    void recordAdmission(const OfferedOpening &opening, common::TimePoint now);
+    void recordAdmission(const OfferedOpening &opening);
     /// The caller was told that its request has not run.
-    void recordRefusal(const OfferedOpening &opening, common::TimePoint now);
+    void recordRefusal(const OfferedOpening &opening);
 
     /// Services that began or ceased to refuse openings since the last call.
     [[nodiscard]] std::vector<AdmissionChange> takeChanges();
@@ -132,7 +126,6 @@
     [[nodiscard]] bool mayRefuse(const Service &service, common::TimePoint now) const;
 
     std::unordered_map<common::ServiceId, Service> m_services;
-    ReturningCallers m_returning;
     std::vector<AdmissionChange> m_changes;
     std::array<std::uint64_t, PriorityCount> m_refusals {};
     std::optional<common::TimePoint> m_startedAt;
--- a/src/connection/serviceadmission.cpp
+++ b/src/connection/serviceadmission.cpp
@@ -47,11 +47,6 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-double sumOf(const auto &values)
-{
-    return std::accumulate(values.begin(), values.end(), 0.0);
-}
-
 } // namespace
 
 std::size_t ServiceAdmission::indexOf(std::uint32_t priority)
@@ -67,9 +62,9 @@
     m_priorities[priority].answeredWork += secondsOf(work);
 }
 
-void ServiceAdmission::recordOffered(std::size_t priority, Arrival arrival, Duration work)
+void ServiceAdmission::recordOffered(std::size_t priority, Duration work)
 {
-    m_priorities[priority].offered[static_cast<std::size_t>(arrival)] += secondsOf(work);
+    m_priorities[priority].offered += secondsOf(work);
     m_openings += 1.0;
 }
 
@@ -98,11 +93,6 @@
     decay();
 }
 
-double ServiceAdmission::shareOf(std::size_t priority, Arrival arrival) const
-{
-    return m_priorities[priority].admitted[static_cast<std::size_t>(arrival)];
-}
-
 bool ServiceAdmission::isLimiting() const
 {
     return std::ranges::any_of(
@@ -135,7 +125,6 @@
     m_targetUtilization = 1.0;
     for (auto &priority : m_priorities) {
         priority.share.admitAll();
-        priority.admitted.fill(1.0);
     }
 }
 
@@ -169,7 +158,6 @@
                                   mayFall);
         }
         left -= demands[index];
-        priority.admitted = divide(priority);
     }
     if (!isLimiting()) {
         m_targetUtilization = 1.0;
@@ -184,7 +172,7 @@
         priority.opened *= MixRetention;
         priority.answers *= MixRetention;
         priority.answeredWork *= MixRetention;
-        std::ranges::for_each(priority.offered, [](double &work) { work *= MixRetention; });
+        priority.offered *= MixRetention;
     }
 }
 
@@ -196,7 +184,7 @@
 double ServiceAdmission::workOf(const Priority &priority)
 {
     const auto newDemand = newDemandOf(priority);
-    const auto admitted = sumOf(priority.offered) * priority.share.lagged();
+    const auto admitted = priority.offered * priority.share.lagged();
     return newDemand * admitted + (1.0 - newDemand) * priority.answeredWork;
 }
 
@@ -215,13 +203,4 @@
     return work > 0.0 ? m_observation.demand * workOf(priority) / work : 0.0;
 }
 
-ServiceAdmission::ByArrival ServiceAdmission::divide(const Priority &priority)
-{
-    const auto [newWork, returned] = priority.offered;
-    const auto granted = sumOf(priority.offered) * priority.share.value();
-    const auto grantedReturned = std::min(returned, granted);
-    const auto shareOf = [](double part, double work) { return work > 0.0 ? part / work : 1.0; };
-    return { shareOf(granted - grantedReturned, newWork), shareOf(grantedReturned, returned) };
-}
-
 } // namespace banyanwall::connection
--- a/src/connection/serviceadmission.h
+++ b/src/connection/serviceadmission.h
@@ -26,13 +26,7 @@
     common::TimePoint measuredAt {};
 };
 
-/// Whether an opening is a new one, or its caller was refused within the response aim.
-enum class Arrival {
-    New,
-    Returned,
-};
-
-/// Controls which openings of one service are admitted, by priority and arrival. Nothing is limited
+/// Controls which share of the openings of one service is admitted, by priority. Nothing is limited
 /// until both demand and delay have been too high for some hundred milliseconds. Each priority gets
 /// the room that the higher ones leave, and a small part of all at least. Not thread-safe.
 class ServiceAdmission
@@ -48,7 +42,7 @@
     /// success.
     void recordAnswer(std::size_t priority, common::Duration work, bool isLate);
     /// An opening arrived.
-    void recordOffered(std::size_t priority, Arrival arrival, common::Duration work);
+    void recordOffered(std::size_t priority, common::Duration work);
 
     /// An opening was sent to an upstream.
     void recordOpened(std::size_t priority) { m_priorities[priority].opened += 1.0; }
@@ -56,10 +50,7 @@
     /// Applies room and demand; called every 200 ms.
     void update(const RoomObservation &observation, common::TimePoint now);
 
-    /// Share of the openings that is admitted, from 0 to 1.
-    [[nodiscard]] double shareOf(std::size_t priority, Arrival arrival) const;
-
-    /// Share of the openings of a priority that is admitted.
+    /// Share of the openings of a priority that is admitted, from 0 to 1.
     [[nodiscard]] double shareOf(std::size_t priority) const
     {
         return m_priorities[priority].share.value();
@@ -77,18 +68,12 @@
     [[nodiscard]] double refusedDemand() const;
 
 private:
-    static constexpr std::size_t ArrivalCount = 2;
-
-    /// One value for each arrival.
-    using ByArrival = std::array<double, ArrivalCount>;
-
     /// Recent figures lose weight with time.
     struct Priority
     {
         AdmittedShare share;
-        ByArrival admitted { 1.0, 1.0 };
         /// Work in offered openings, in seconds.
-        ByArrival offered {};
+        double offered = 0.0;
         double opened = 0.0;
         double answers = 0.0;
         /// Work in answered requests, in seconds.
@@ -108,7 +93,6 @@
     /// Recent openings divided by those that the measured demand stems from; 1 unless they have
     /// clearly become fewer.
     [[nodiscard]] double offeredRatio() const;
-    [[nodiscard]] static ByArrival divide(const Priority &priority);
 
     RoomObservation m_observation;
     std::array<Priority, PriorityCount> m_priorities {};
--- a/src/process/flowlog.cpp
+++ b/src/process/flowlog.cpp
@@ -97,8 +97,7 @@
             .with("demand", refused.demand)
             .with("late_share", refused.lateShare)
             .with("expected_wait_ms", millisecondsOf(refused.expectedWait))
-            .with("figure_age_ms", millisecondsOf(refused.figureAge))
-            .with("waited_ms", millisecondsOf(refused.waited));
+            .with("figure_age_ms", millisecondsOf(refused.figureAge));
 }
 
 void FlowLog::logAdmissionChange(const connection::AdmissionChange &change)
--- a/src/tests/admissionloadtest.cpp
+++ b/src/tests/admissionloadtest.cpp
@@ -124,8 +124,17 @@
     }
 }
 
-// Load: as above at instances that get 20 requests a second each, so that their own observations
-// are few.
+// Load: a retry storm of callers that back off: they return after 600 ms and 1,200 ms, when their
+// aim has passed. Retries must not take the room of callers that can still be answered in time.
+TEST(AdmissionLoad, overloadOfCallersThatBackOff)
+{
+    for (const auto load : { 1.2, 1.5, 2.0 }) {
+        checkOverload("two late retries", { .retries = 2, .backoff = 600ms }, load);
+    }
+}
+
+// Load: quick retries at instances that get 20 requests a second each, so that their own
+// observations are few.
 TEST(AdmissionLoad, overloadAtManySmallInstances)
 {
     for (const auto load : { 1.2, 1.5, 2.0 }) {
@@ -133,8 +142,8 @@
     }
 }
 
-// Load: as above while the demand is known with a lag of 2 s, as in large zones whose instances
-// seldom report. A share that followed the demand alone would swing.
+// Load: quick retries while the demand is known with a lag of 2 s, as in large zones whose
+// instances seldom report. A share that followed the demand alone would swing.
 TEST(AdmissionLoad, overloadWithDemandKnownLate)
 {
     for (const auto load : { 1.2, 1.5, 2.0 }) {
