--- a/src/connection/flowobserver.cpp
+++ b/src/connection/flowobserver.cpp
@@ -159,6 +159,7 @@
     if (flow.isWaiting) {
         observation.endsRequest = true;
         observation.sizeClass = flow.sizeClass;
+        observation.answeredBytes = packet.acknowledgement - flow.acknowledged;
         if (isPureAcknowledgement) {
             observation.responseTime = now - flow.waitingSince;
             observation.isTimed = flow.isTimed;
