--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -210,6 +210,7 @@
         onFragment(message.fragment(), now, actions);
         break;
     case DirectoryMessage::kSilence:
+    case DirectoryMessage::kLoad:
     case DirectoryMessage::BODY_NOT_SET:
         break;
     }
