--- a/src/connection/loadpicture.cpp
+++ b/src/connection/loadpicture.cpp
@@ -1,8 +1,11 @@
 #include "connection/loadpicture.h"
 
+#include "common/hash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 
 namespace banyanwall::connection {
 
@@ -44,12 +47,12 @@
 constexpr double MinWorkMicroseconds = 100.0;
 
 // Demands take at most this part of the report bytes.
-constexpr double DemandShare = 0.2;
+constexpr double DemandShare = 0.15;
 constexpr std::chrono::milliseconds MinDemandInterval { 500 };
 constexpr double MinReportedSlots = 0.001;
 constexpr std::size_t MaxDemandRows = 8;
 // An instance that has missed this many reports of its demand has left.
-constexpr int MissedReports = 4;
+constexpr int MissedReports = 6;
 constexpr std::chrono::seconds MinReportWindow { 3 };
 // More than the instances of a zone.
 constexpr std::size_t MaxReporters = 1'024;
@@ -76,6 +79,13 @@
     return std::exp(-Seconds(elapsed) / decay);
 }
 
+/// What is left of a sum that arrived evenly over the time.
+double decayedPart(Duration elapsed, Seconds decay)
+{
+    const auto times = Seconds(elapsed) / decay;
+    return times > 0.0 ? -std::expm1(-times) / times : 1.0;
+}
+
 /// Mean number of busy slots of a sum of work that decays.
 double busySlotsOf(double workMicroseconds)
 {
@@ -107,6 +117,7 @@
                      .kind = kind,
                      .upstream = upstream.token,
                      .incarnation = upstream.record.incarnation });
+    m_lastFlow = flow;
     auto &service = m_services[upstream.record.service];
     const auto usual = microsecondsOf(usualTime(kind));
     if (usual > 0.0) {
@@ -114,7 +125,7 @@
                 ? service.meanTime + (usual - service.meanTime) / ServiceTimeSamples
                 : usual;
     }
-    service.ownWork += usual > 0.0 ? usual : service.meanTime;
+    service.newWork += usual > 0.0 ? usual : service.meanTime;
 }
 
 void LoadPicture::onAnswer(const RequestKind &kind, const TrackedUpstream &upstream,
@@ -133,7 +144,9 @@
         shift += std::copysign(step, logRatio);
         observedOf(upstream).evidence.addAnswer(logRatio);
     }
-    addSample(kind, durationOf(microsecondsOf(workTime) / upstream.load.slowness), now);
+    // Below this, the slowness may be scatter.
+    const auto slowness = upstream.load.slowness >= UsualRatio ? upstream.load.slowness : 1.0;
+    addSample(kind, durationOf(microsecondsOf(workTime) / slowness), now);
 }
 
 void LoadPicture::onFlowEnded(std::uint64_t flow, TimePoint /*now*/)
@@ -210,7 +223,7 @@
     if (!report.demands.empty()) {
         m_demandInterval =
                 std::max<Duration>(m_budget.intervalOf(report, DemandShare), MinDemandInterval);
-        m_nextDemandAt = now + m_demandInterval;
+        m_nextDemandAt = now + variedInterval();
     }
     markReported(report);
     return report;
@@ -303,11 +316,20 @@
     const auto peerFactor = decayFactor(elapsed, PeerDemandDecay);
     m_peerReports *= peerFactor;
     for (auto &[id, service] : m_services) {
-        service.ownWork *= ownFactor;
+        // New work arrived evenly since the last refresh.
+        service.ownWork = service.ownWork * ownFactor
+                + std::exchange(service.newWork, 0.0) * decayedPart(elapsed, OwnDemandDecay);
         service.peerSlots *= peerFactor;
     }
 }
 
+Duration LoadPicture::variedInterval() const
+{
+    const auto fraction = static_cast<double>(common::mixBits(m_lastFlow))
+            / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return durationOf(microsecondsOf(m_demandInterval) * (0.5 + fraction));
+}
+
 Duration LoadPicture::reportWindow() const
 {
     return std::max<Duration>(m_demandInterval * MissedReports, MinReportWindow);
--- a/src/connection/loadpicture.h
+++ b/src/connection/loadpicture.h
@@ -116,8 +116,10 @@
         double shift = 0.0;
         /// Mean usual time of a request in microseconds; zero while unknown.
         double meanTime = 0.0;
-        /// Work that own callers have brought, in microseconds; decays.
+        /// Work that own callers have brought until the last refresh, in microseconds; decays.
         double ownWork = 0.0;
+        /// Work that own callers have brought since then, in microseconds.
+        double newWork = 0.0;
         /// Busy slots in reports of other instances; decays like m_peerReports.
         double peerSlots = 0.0;
         ServiceLoad load;
@@ -137,6 +139,9 @@
     /// Empty observations when the upstream has restarted since the last ones.
     [[nodiscard]] Observed &observedOf(const TrackedUpstream &upstream);
     void decay(common::Duration elapsed);
+    /// Between half and one and a half times m_demandInterval, so that instances that started at
+    /// the same time do not use their report bytes at the same time.
+    [[nodiscard]] common::Duration variedInterval() const;
     /// Time within which each instance that runs has reported its demand.
     [[nodiscard]] common::Duration reportWindow() const;
     /// Number of other instances in the zone that bring demand.
@@ -167,8 +172,10 @@
     std::unordered_map<std::uint64_t, common::TimePoint> m_reporters;
     /// Start of the observation of m_reporters.
     common::TimePoint m_countingSince;
-    /// Time between two own reports of demand.
+    /// Mean time between two own reports of demand.
     common::Duration m_demandInterval {};
+    /// Flow of the last request; different at each instance.
+    std::uint64_t m_lastFlow = 0;
     common::TimePoint m_refreshedAt;
     /// End of the last pause of this process.
     common::TimePoint m_resumedAt;
