--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -28,6 +28,11 @@
 // Callers retransmit lost packets after 200 ms; a response after one retransmission is not overdue.
 constexpr std::chrono::milliseconds MinOverdueTime { 300 };
 constexpr std::chrono::milliseconds OutlierScanInterval { 200 };
+// Callers retransmit an opening packet after 200 ms, unless it was reset. The margin covers delays
+// on the way to this instance.
+constexpr std::chrono::milliseconds MaxOpeningTime { 250 };
+// Scans are made every 100 ms; after a longer gap the instance was paused.
+constexpr std::chrono::milliseconds MaxScanGap { 450 };
 // A single peer may be stopping, or may be cut off together with this instance.
 constexpr std::uint32_t MinRefutingPeers = 2;
 // Without any response for this long, this instance itself may be cut off. The smallest instances
@@ -274,7 +279,8 @@
     if (observation.isRetransmission) {
         recordRetransmission(*upstream, packet, now);
     }
-    if (observation.beginsRequest || observation.endsRequest) {
+    if (observation.beginsRequest || observation.endsRequest
+        || observation.handshakeTime > common::Duration()) {
         recordRequest(packet, observation, *upstream, now);
     }
 }
@@ -286,9 +292,12 @@
     if (route == nullptr || !route->record.terms.responseAim) {
         return;
     }
+    if (observation.handshakeTime > common::Duration()) {
+        m_load.onFlowOpened(upstream, observation.handshakeTime);
+    }
     const RequestKind kind { packet.service, observation.sizeClass };
-    if (observation.answerTime) {
-        m_load.onAnswer(kind, upstream, observation.flow, *observation.answerTime, now);
+    if (const auto time = observation.answerTime()) {
+        m_load.onAnswer(kind, upstream, observation.flow, *time, now);
     } else if (observation.endsRequest) {
         m_load.onFlowEnded(observation.flow, now);
     }
@@ -392,6 +401,7 @@
 
 void FlowForwarder::findOutliers(TimePoint now)
 {
+    findUnopenedFlows(now);
     if (now < m_nextOutlierScan) {
         return;
     }
@@ -407,6 +417,23 @@
     std::ranges::copy(m_upstreams.setOutliers(outliers), std::back_inserter(m_report.outliers));
 }
 
+void FlowForwarder::findUnopenedFlows(TimePoint now)
+{
+    // After a pause of this instance, packets of the callers may still wait in its socket.
+    const bool wasPaused = now - std::exchange(m_unopenedScanAt, now) > MaxScanGap;
+    m_observer.visitUnopened(now - MaxOpeningTime, [&](common::FlowToken token) {
+        auto *upstream = m_upstreams.find(token);
+        if (wasPaused || upstream == nullptr
+            || !m_servicesWithAim.contains(upstream->record.service)) {
+            return;
+        }
+        upstream->health.onOpeningReset(now);
+        if (m_report.unopened.size() < MaxReportedFlows) {
+            m_report.unopened.push_back(upstream->record.serial);
+        }
+    });
+}
+
 void FlowForwarder::findOverdueFlows(TimePoint now)
 {
     m_observer.visitWaiting(now - MinOverdueTime,
@@ -501,6 +528,11 @@
             recordZoneRetransmission(*upstream, now);
         }
     }
+    for (const auto serial : report.unopened) {
+        if (auto *upstream = findBySerial(serial)) {
+            upstream->health.onPeerOpeningReset(now);
+        }
+    }
     for (const auto &overdue : report.overdueFlows) {
         if (const auto *upstream = findBySerial(overdue.upstream)) {
             m_outliers.recordOverdueFlow(upstream->record.service, upstream->token, overdue.flow,
@@ -593,6 +625,7 @@
 void FlowForwarder::updateRoutes(const version::RulesRecord &rules)
 {
     m_routes.clear();
+    m_servicesWithAim.clear();
     for (const auto &record : rules.routes) {
         const auto total = std::accumulate(
                 record.shares.begin(), record.shares.end(), 0U,
@@ -600,6 +633,11 @@
         if (total > 0) {
             m_routes.emplace(record.address, Route { record, total });
         }
+        if (record.terms.responseAim && m_options.choice == UpstreamChoice::ByContract) {
+            std::ranges::transform(record.shares,
+                                   std::inserter(m_servicesWithAim, m_servicesWithAim.end()),
+                                   &version::ServiceShare::service);
+        }
     }
 }
 
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace banyanwall::connection {
@@ -46,6 +47,8 @@
 {
     /// Upstreams to which callers retransmitted opening packets; one entry for each packet.
     std::vector<common::UpstreamSerial> upstreams {};
+    /// Upstreams that have reset an opening packet; one entry for each packet.
+    std::vector<common::UpstreamSerial> unopened {};
     /// Flows whose callers retransmitted data; each flow once.
     std::vector<WaitingFlow> waitingFlows {};
     /// Flows whose upstream received the request but has not answered for a multiple of the mean
@@ -66,8 +69,8 @@
 
     [[nodiscard]] bool isEmpty() const
     {
-        return upstreams.empty() && waitingFlows.empty() && overdueFlows.empty() && outliers.empty()
-                && recovered.empty() && zones.empty() && respondingZones.empty()
+        return upstreams.empty() && unopened.empty() && waitingFlows.empty() && overdueFlows.empty()
+                && outliers.empty() && recovered.empty() && zones.empty() && respondingZones.empty()
                 && respondingUpstreams.empty() && assumedRestarts.empty();
     }
 };
@@ -122,7 +125,8 @@
     /// The last opening that was reset for want of room.
     [[nodiscard]] const OpeningRefused &lastRefusal() const { return m_lastRefusal; }
 
-    /// Finds overdue requests and upstreams that are outliers; called every 100 ms or more often.
+    /// Finds opening packets that were reset, overdue requests and upstreams that are outliers;
+    /// called every 100 ms or more often.
     void findOutliers(common::TimePoint now);
 
     /// Finds out whether this instance is isolated; called every 100 ms or more often.
@@ -165,9 +169,10 @@
         return m_load.takeReport(now);
     }
 
-    void onPeerLoadReport(const LoadReport &report, common::TimePoint now)
+    /// sender identifies the instance that sent the report; zero when it is not known.
+    void onPeerLoadReport(const LoadReport &report, common::TimePoint now, std::uint64_t sender = 0)
     {
-        m_load.onPeerReport(report, now);
+        m_load.onPeerReport(report, now, sender);
     }
 
     [[nodiscard]] const LoadPicture &load() const { return m_load; }
@@ -205,8 +210,8 @@
     PacketVerdict handleUnknown(const FlowPacket &packet, common::TimePoint now);
     void recordObservation(const FlowPacket &packet, const FlowObservation &observation,
                            common::TimePoint now);
-    /// Tells the picture of the load that a request has begun or ended, if the contract names a
-    /// response aim for it.
+    /// Tells the picture of the load that a flow was opened, or a request has begun or ended, if
+    /// the contract names a response aim for it.
     void recordRequest(const FlowPacket &packet, const FlowObservation &observation,
                        const TrackedUpstream &upstream, common::TimePoint now);
     void recordResponse(TrackedUpstream &upstream, common::TimePoint flowOpenSince,
@@ -223,6 +228,9 @@
                               common::TimePoint now);
     void recordWaitingFlow(const TrackedUpstream &upstream, const FlowPacket &packet,
                            common::TimePoint now);
+    /// Records upstreams that have reset opening packets. Instances do not see the resets, only
+    /// that the caller neither retransmits the packet nor goes on.
+    void findUnopenedFlows(common::TimePoint now);
     /// Records flows whose requests are overdue.
     void findOverdueFlows(common::TimePoint now);
     [[nodiscard]] bool mayRetryRequest(const FlowPacket &packet) const;
@@ -250,8 +258,11 @@
     IsolationDetector m_isolation;
     OutlierDetector m_outliers;
     common::TimePoint m_nextOutlierScan;
+    common::TimePoint m_unopenedScanAt;
     FlowObserver m_observer;
     std::unordered_map<common::Endpoint, Route> m_routes;
+    /// Services of routes whose contract names a response aim.
+    std::unordered_set<common::ServiceId> m_servicesWithAim;
     /// Tokens that no known upstream has, with the time of the first packet.
     std::unordered_map<common::FlowToken, common::TimePoint> m_unknownTokens;
     common::TimePoint m_confirmedAt;
--- a/src/connection/flowobserver.h
+++ b/src/connection/flowobserver.h
@@ -23,8 +23,6 @@
     /// Time from the first transmission of a request to the acknowledgement of the first part of
     /// its response.
     std::optional<common::Duration> responseTime {};
-    /// Size of the first part of the response to the request, when the packet acknowledges it.
-    std::uint32_t answeredBytes = 0;
     /// When this instance first saw the flow open; the flow may be older.
     common::TimePoint openSince {};
     /// Hash of the flow.
@@ -33,11 +31,22 @@
     bool beginsRequest = false;
     /// The flow's request has been answered, or its caller has given up.
     bool endsRequest = false;
-    /// Like responseTime, but empty when the request was retransmitted, when its caller paused
-    /// while it sent the request, or when this instance may not have seen its first packet.
-    std::optional<common::Duration> answerTime {};
+    /// responseTime is that of the upstream: the request was not retransmitted, its caller did not
+    /// pause while it sent the request, and this instance has seen the first packet.
+    bool isTimed = false;
     /// Size class of the request that begins or ends; see sizeClassOf().
     std::uint8_t sizeClass = 0;
+    /// Size of the first part of the response to the request, when the packet acknowledges it.
+    std::uint32_t answeredBytes = 0;
+    /// Time from the opening packet to the caller's next packet: the delay to the upstream and back
+    /// without any work. Zero when unknown or when the opening packet was retransmitted.
+    common::Duration handshakeTime {};
+
+    /// Time from a request to its answer that tells about the upstream.
+    [[nodiscard]] std::optional<common::Duration> answerTime() const
+    {
+        return isTimed ? responseTime : std::nullopt;
+    }
 };
 
 /// Tracks the sequence numbers of flows that pass through this instance to detect retransmissions
@@ -60,6 +69,12 @@
     /// Calls the visitor for each flow that waits for a response to a request first sent before the
     /// given time.
     void visitWaiting(common::TimePoint before, const WaitingVisitor &visitor);
+    using UnopenedVisitor = std::function<void(common::FlowToken)>;
+
+    /// Calls the visitor once for each flow whose opening packet was forwarded before the given
+    /// time and neither retransmitted nor followed by another packet, with the token of the
+    /// upstream.
+    void visitUnopened(common::TimePoint before, const UnopenedVisitor &visitor);
     /// Whether, as far as this instance sees, data of the packet's flow still waits for a response.
     [[nodiscard]] bool isWaiting(const FlowPacket &packet);
     /// Records the upstream of a flow that is being opened.
@@ -86,7 +101,11 @@
         bool isFinished = false;
         /// The visitor returned true for the current request.
         bool isOverdue = false;
-        /// The time to the answer of the current request is that of the upstream.
+        /// The first transmission of the opening packet was forwarded, and no visitor has got the
+        /// flow.
+        bool isOpening = false;
+        /// The time to the answer of the current request, or to the upstream's reply to the opening
+        /// packet, is that of the upstream.
         bool isTimed = false;
         std::uint8_t sizeClass = 0;
     };
--- a/src/connection/loadpicture.h
+++ b/src/connection/loadpicture.h
@@ -8,6 +8,7 @@
 #include "connection/servicedemand.h"
 #include "connection/upstreamevidence.h"
 #include "connection/upstreamtable.h"
+#include "connection/zonedelays.h"
 
 #include <cstdint>
 #include <map>
@@ -46,6 +47,8 @@
     /// Sets the number of instances of the own zone, this one included.
     void setZoneInstances(std::uint32_t count);
 
+    /// An upstream replied to an opening packet, without any work, after this time.
+    void onFlowOpened(const TrackedUpstream &upstream, common::Duration handshakeTime);
     /// A request was sent to an upstream for the first time; flow is a hash of the flow.
     void onRequest(const RequestKind &kind, const TrackedUpstream &upstream, std::uint64_t flow,
                    common::TimePoint now);
@@ -59,16 +62,24 @@
     /// Writes TrackedUpstream::load of all upstreams and drops expired state; called every 100 ms.
     void refresh(common::TimePoint now);
 
-    void onPeerReport(const LoadReport &report, common::TimePoint now);
+    /// sender identifies the instance that sent the report; zero when it is not known.
+    void onPeerReport(const LoadReport &report, common::TimePoint now, std::uint64_t sender = 0);
     /// Returns a report to be sent to each other instance of the zone; empty when none is due
     /// within the limits of ReportBudget.
     [[nodiscard]] std::optional<LoadReport> takeReport(common::TimePoint now);
 
-    /// Mean time of requests of a kind at a usual upstream, or of all requests of its route when
-    /// the kind is not known; zero while unknown.
+    /// Usual time from an instance to an upstream of the zone and back through the caller, without
+    /// any work; zero while unknown.
+    [[nodiscard]] common::Duration zoneDelay(common::ZoneId zone) const
+    {
+        return m_zoneDelays.of(zone);
+    }
+
+    /// Mean time of requests of a kind at a usual upstream without the delay to its zone, or of all
+    /// requests of its route when the kind is not known; zero while unknown.
     [[nodiscard]] common::Duration usualTime(const RequestKind &kind) const;
-    /// Work that the callers of the own zone bring, through all instances of the zone. Instances
-    /// that do not report count like the mean of the others.
+    /// Work that the callers of the own zone bring, through all instances of the zone. While no
+    /// reports arrive, all instances count like this one.
     [[nodiscard]] std::vector<ServiceDemand> demands(common::TimePoint now) const;
 
     /// Services with observations; as of the last refresh.
@@ -118,11 +129,18 @@
         double value = 0.0;
     };
 
+    /// Finds out whether this process was paused, so that times that include the pause say nothing
+    /// about upstreams.
+    void noticePause(common::TimePoint now);
     [[nodiscard]] const RequestCost *costOf(const RequestKind &kind) const;
     void addSample(const RequestKind &kind, common::Duration responseTime, common::TimePoint now);
     /// Empty observations when the upstream has restarted since the last ones.
     [[nodiscard]] Observed &observedOf(const TrackedUpstream &upstream);
     void decay(common::Duration elapsed);
+    /// Time within which each instance that runs has reported its demand.
+    [[nodiscard]] common::Duration reportWindow() const;
+    /// Number of other instances in the zone that bring demand.
+    [[nodiscard]] std::size_t otherInstances(common::TimePoint now) const;
     void refreshSlowness(common::ServiceId service, const UpstreamTable::Group &group);
     void refreshWork(common::TimePoint now);
     /// Returns false when the request has ended unseen.
@@ -141,14 +159,25 @@
     RequestsInProgress m_requests;
     std::unordered_map<common::FlowToken, Observed> m_observed;
     std::map<common::ServiceId, Service> m_services;
+    ZoneDelays m_zoneDelays;
     /// Number of reports with demands; old ones count less.
     double m_peerReports = 0.0;
+    /// When each other instance last reported its demand. The list of members holds instances that
+    /// have left.
+    std::unordered_map<std::uint64_t, common::TimePoint> m_reporters;
+    /// Start of the observation of m_reporters.
+    common::TimePoint m_countingSince;
+    /// Time between two own reports of demand.
+    common::Duration m_demandInterval {};
     common::TimePoint m_refreshedAt;
+    /// End of the last pause of this process.
+    common::TimePoint m_resumedAt;
     ReportBudget m_budget;
     common::TimePoint m_nextDemandAt;
     std::vector<SlownessChange> m_changes;
-    /// Member only to reuse its memory.
+    /// Members only to reuse their memory.
     std::vector<double> m_logs;
+    std::vector<double> m_sortedLogs;
 };
 
 } // namespace banyanwall::connection
--- a/src/tests/ctltest.cpp
+++ b/src/tests/ctltest.cpp
@@ -70,6 +70,15 @@
     LONGS_EQUAL(2, accepted.words.size());
 }
 
+// Guards against a long comment in the first line of a file that ends the program.
+TEST(Ctl, longFirstLineIsNoHeader)
+{
+    const auto comment = "# contract of clinic" + std::string(300'000, 'c') + ", version 1\n";
+    const auto file = ctl::parseContractFile(comment + clinicContract(50), "copy");
+    CHECK_FALSE(common::valueOf(file).baseVersion.has_value());
+    CHECK_TRUE(common::valueOf(file).toml == comment + clinicContract(50));
+}
+
 // Guards against a lost edit. Two operators edit version 1; the first one stores version 2. The
 // second one must get a conflict that shows both texts, and can then apply the edit with --base 2.
 TEST(Ctl, conflictShowsBothVersionsAndWritesNothing)
@@ -140,6 +149,18 @@
     LONGS_EQUAL(2, progressLines.size());
 }
 
+// Guards against a zone command that is silent about a contract whose zones it cannot know.
+TEST(Ctl, zoneCommandsReportDamagedContracts)
+{
+    const auto damaged = version::nextVersion({}, "customer = 1", "ana", {});
+    CHECK_TRUE(common::isOk(
+            store.write("contracts/school", 0, version::formatContractDocument(damaged))));
+    checkExitCode(ExitCode::Ok, apply(clinicContract(50)));
+    progressLines.clear();
+    checkExitCode(ExitCode::Ok, run({ "zone", "withdraw", "east" }));
+    LONGS_EQUAL(1, progressLines.size());
+}
+
 // Guards against a returned zone that gets its full load at once instead of the first step of 20 %,
 // and against a mistyped zone name that is accepted. Withdrawing a zone twice makes one version.
 TEST(Ctl, returnedZoneStartsWithOneShareStep)
--- a/src/version/contractparser.cpp
+++ b/src/version/contractparser.cpp
@@ -117,7 +117,8 @@
                 reader.integer("usual_latency_ms", UsualLatencyRangeMs, DefaultUsualLatencyMs));
         service.idleLimit = std::chrono::seconds(
                 reader.integer("idle_limit_s", IdleLimitRangeSeconds, DefaultIdleLimitSeconds));
-        if (service.usualLatency > service.longestRequest) {
+        if (service.usualLatency > service.longestRequest
+            && !reader.hasFailed("longest_request_ms")) {
             reader.fail("usual_latency_ms", "must be at most longest_request_ms");
         }
         readGroups(reader, service);
@@ -151,7 +152,8 @@
         UpstreamSpec upstream;
         upstream.name = reader.requiredName("name");
         upstream.zone = reader.requiredName("zone");
-        if (std::ranges::find(m_contract.zones, upstream.zone) == m_contract.zones.end()) {
+        if (!m_root.hasFailed("zones")
+            && std::ranges::find(m_contract.zones, upstream.zone) == m_contract.zones.end()) {
             reader.fail("zone", "must be one of the contract's zones, is '" + upstream.zone + "'");
         }
         upstream.address = readAddress(reader);
@@ -233,27 +235,41 @@
 
 } // namespace
 
-common::Result<Contract> parseContract(std::string_view toml, std::string_view sourceName)
+common::Result<PlacedContract, std::vector<TomlProblem>>
+parseContractWithPlaces(std::string_view toml, std::string_view sourceName)
 {
     if (toml.size() > MaximumContractBytes) {
-        return common::Error { "invalid_contract",
-                               std::string(sourceName) + ":1: contract: must be at most "
-                                       + std::to_string(MaximumContractBytes) + " bytes, has "
-                                       + std::to_string(toml.size()) };
+        return std::vector { TomlProblem { {},
+                                           "contract",
+                                           "must be at most " + std::to_string(MaximumContractBytes)
+                                                   + " bytes, has "
+                                                   + std::to_string(toml.size()) } };
     }
-    TomlErrors errors(sourceName);
-    try {
-        const auto table = toml::parse(toml, sourceName);
-        const TomlReader root(table, "", errors, { "customer", "zones", "service" });
-        auto contract = ContractReader(root).read();
-        if (errors.first()) {
-            return common::Error { "invalid_contract", errors.first()->message };
-        }
-        return contract;
-    } catch (const toml::parse_error &error) {
-        errors.add(error.source(), "", std::string(error.description()));
-        return *errors.first();
+    auto document = TomlDocument::parse(toml, sourceName);
+    if (!common::isOk(document)) {
+        return std::vector { common::errorOf(document) };
+    }
+    TomlErrors errors;
+    const TomlReader root(common::valueOf(document).root(), "", errors,
+                          { "customer", "zones", "service" });
+    auto contract = ContractReader(root).read();
+    if (!errors.problems().empty()) {
+        return errors.problems();
+    }
+    return PlacedContract { std::move(contract), common::valueOf(std::move(document)) };
+}
+
+common::Result<Contract> parseContract(std::string_view toml, std::string_view sourceName)
+{
+    auto parsed = parseContractWithPlaces(toml, sourceName);
+    if (common::isOk(parsed)) {
+        return common::valueOf(std::move(parsed)).contract;
     }
+    const auto &problem = common::errorOf(parsed).front();
+    const auto key = problem.key.empty() ? "" : problem.key + ": ";
+    return common::Error { problem.key.empty() ? "invalid_toml" : "invalid_contract",
+                           std::string(sourceName) + ":" + std::to_string(problem.place.line) + ": "
+                                   + key + problem.reason };
 }
 
 std::optional<NoticeUrl> parseNoticeUrl(std::string_view url)
