Look up the usual time of a route less often

Cause: each answer looked up its route twice and the usual time of its kind, for admission alone; an instance that keeps the former choice learned answers that no decision used, and services without known load were kept. Ruled out: the usual time in the packet path without a bound on its age (it is renewed with each update of admission). Change: a route holds its usual time; answers are recorded where the route is known; nothing is recorded with the choice by hash; services without known load for a minute are forgotten.

--- a/src/connection/admissiongate.cpp
+++ b/src/connection/admissiongate.cpp
@@ -85,6 +85,7 @@
         }
     }
     m_selection.removeUnused();
+    m_admission.removeExpired(now);
 }
 
 double AdmissionGate::roomOf(ServiceId service, TimePoint now) const
--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <numeric>
 #include <utility>
 
 namespace banyanwall::connection {
@@ -184,7 +183,7 @@
                                    ? std::nullopt
                                    : std::optional(previous->record.service),
                            .isRetransmission = packet.acknowledgement > 0,
-                           .usualTime = usualTimeOf(route) },
+                           .usualTime = route.usualTime },
                          now);
 }
 
@@ -195,27 +194,31 @@
         return;
     }
     m_gate.admission().setClock(wallTime, now);
+    updateUsualTimes();
     std::vector<const version::RouteRecord *> routes;
     std::ranges::transform(m_routes, std::back_inserter(routes),
                            [](const auto &item) { return &item.second.record; });
     m_gate.update(routes, demands, now);
 }
 
-common::Duration FlowForwarder::usualTimeOf(const Route &route)
+void FlowForwarder::updateUsualTimes()
 {
-    const auto known = m_load.usualTime({ route.record.address });
-    if (known > common::Duration()) {
-        return known;
+    for (auto &[address, route] : m_routes) {
+        const auto known = m_load.usualTime({ address });
+        const auto service = route.record.shares.front().service;
+        const auto mean = m_upstreams.serviceResponseTime(service).mean();
+        route.usualTime = known > common::Duration()
+                ? known
+                : common::Duration(static_cast<std::int64_t>(mean));
     }
-    const auto &service = m_upstreams.serviceResponseTime(route.record.shares.front().service);
-    return common::Duration(static_cast<std::int64_t>(service.mean()));
 }
 
-void FlowForwarder::recordAnswer(const FlowPacket &packet, const TrackedUpstream &upstream,
-                                 const AdmissionGate::Answer &answer)
+void FlowForwarder::recordUnansweredOpening(const FlowPacket &packet,
+                                            const TrackedUpstream &upstream)
 {
-    if (const auto *route = routeOf(packet)) {
-        m_gate.recordAnswer(route->record, upstream.record.service, usualTimeOf(*route), answer);
+    const auto *route = routeOf(packet);
+    if (route != nullptr && m_options.choice == UpstreamChoice::ByContract) {
+        m_gate.recordAnswer(route->record, upstream.record.service, route->usualTime, {});
     }
 }
 
@@ -273,9 +276,6 @@
         upstream->responseTime.addSample(*observation.responseTime, now);
         m_onResponseTime(*observation.responseTime);
     }
-    if (observation.answeredBytes > 0) {
-        recordAnswer(packet, *upstream, { observation.responseTime, observation.answeredBytes });
-    }
     if (observation.isRetransmission) {
         recordRetransmission(*upstream, packet, now);
     }
@@ -301,6 +301,10 @@
     } else if (observation.endsRequest) {
         m_load.onFlowEnded(observation.flow, now);
     }
+    if (observation.answeredBytes > 0 && m_options.choice == UpstreamChoice::ByContract) {
+        m_gate.recordAnswer(route->record, upstream.record.service, route->usualTime,
+                            { observation.responseTime, observation.answeredBytes });
+    }
     if (observation.beginsRequest) {
         m_load.onRequest(kind, upstream, observation.flow, now);
     }
@@ -372,7 +376,7 @@
     if (packet.opens) {
         m_report.upstreams.push_back(upstream.record.serial);
         upstream.health.onOpeningRetransmitted(now);
-        recordAnswer(packet, upstream, {});
+        recordUnansweredOpening(packet, upstream);
     } else {
         recordWaitingFlow(upstream, packet, now);
         upstream.health.onDataRetransmitted(flowHashOf(packet), now);
@@ -627,11 +631,10 @@
     m_routes.clear();
     m_servicesWithAim.clear();
     for (const auto &record : rules.routes) {
-        const auto total = std::accumulate(
-                record.shares.begin(), record.shares.end(), 0U,
-                [](std::uint32_t sum, const auto &share) { return sum + share.weight; });
-        if (total > 0) {
-            m_routes.emplace(record.address, Route { record, total });
+        const bool hasWeight = std::ranges::any_of(
+                record.shares, [](const auto &share) { return share.weight > 0; });
+        if (hasWeight) {
+            m_routes.emplace(record.address, Route { record });
         }
         if (record.terms.responseAim && m_options.choice == UpstreamChoice::ByContract) {
             std::ranges::transform(record.shares,
@@ -639,6 +642,7 @@
                                    &version::ServiceShare::service);
         }
     }
+    updateUsualTimes();
 }
 
 } // namespace banyanwall::connection
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -190,7 +190,8 @@
     struct Route
     {
         version::RouteRecord record;
-        std::uint32_t totalWeight = 0;
+        /// Time that requests usually take, of the last update of admission; zero while unknown.
+        common::Duration usualTime {};
     };
 
     [[nodiscard]] bool isPastWithdrawalLimit(const FlowPacket &packet, common::TimePoint now);
@@ -202,11 +203,9 @@
     [[nodiscard]] AdmissionGate::Verdict admit(const Route &route, const FlowPacket &packet,
                                                const FlowObservation &observation,
                                                common::TimePoint now);
-    /// Time that requests of the route usually take; zero while unknown.
-    [[nodiscard]] common::Duration usualTimeOf(const Route &route);
-    /// Tells admission how a request of the packet's route was answered.
-    void recordAnswer(const FlowPacket &packet, const TrackedUpstream &upstream,
-                      const AdmissionGate::Answer &answer);
+    void updateUsualTimes();
+    /// Tells admission that an upstream left an opening packet without an answer.
+    void recordUnansweredOpening(const FlowPacket &packet, const TrackedUpstream &upstream);
     PacketVerdict handleUnknown(const FlowPacket &packet, common::TimePoint now);
     void recordObservation(const FlowPacket &packet, const FlowObservation &observation,
                            common::TimePoint now);
--- a/src/connection/openingadmission.cpp
+++ b/src/connection/openingadmission.cpp
@@ -17,6 +17,7 @@
 
 // After a start, the load that the instance knows is that of its first packets only.
 constexpr std::chrono::seconds StartPeriod { 2 };
+constexpr std::chrono::minutes ServiceRetention { 1 };
 // Time in which each caller is admitted once and refused once. It is longer than the time in which
 // callers retry: the retries of refused callers do not take the room of callers that can still be
 // answered within the aim.
@@ -44,6 +45,13 @@
     }
 }
 
+void OpeningAdmission::removeExpired(TimePoint now)
+{
+    std::erase_if(m_services, [&](const auto &item) {
+        return now - item.second.admission.updatedAt() > ServiceRetention;
+    });
+}
+
 void OpeningAdmission::recordAnswer(ServiceId service, std::uint32_t priority, Duration work,
                                     bool isLate)
 {
--- a/src/connection/openingadmission.h
+++ b/src/connection/openingadmission.h
@@ -83,6 +83,9 @@
     /// Applies room and demand of a service; called every 200 ms for each service.
     void update(const RoomObservation &observation, common::TimePoint now);
 
+    /// Forgets services whose load has not been known for a minute.
+    void removeExpired(common::TimePoint now);
+
     /// A request of this instance was answered, or no answer is expected any more. isLate: not
     /// within the response aim, or without success.
     void recordAnswer(common::ServiceId service, std::uint32_t priority, common::Duration work,
--- a/src/connection/serviceadmission.h
+++ b/src/connection/serviceadmission.h
@@ -62,6 +62,9 @@
 
     [[nodiscard]] const RoomObservation &observation() const { return m_observation; }
 
+    /// Time of the last update.
+    [[nodiscard]] common::TimePoint updatedAt() const { return m_updatedAt; }
+
     /// Share of the recent answers that came late.
     [[nodiscard]] double lateShare() const;
     /// Work in slots that is refused at present, of all instances together.
--- a/src/tests/openingadmissiontest.cpp
+++ b/src/tests/openingadmissiontest.cpp
@@ -296,6 +296,16 @@
     }
 }
 
+// A contract without the service must not leave its state behind.
+TEST(OpeningAdmission, serviceWithoutKnownLoadIsForgotten)
+{
+    load(2.0, 6s);
+    admission.removeExpired(now + 30s);
+    CHECK(admission.find(Ledger) != nullptr);
+    admission.removeExpired(now + 61s);
+    POINTERS_EQUAL(nullptr, admission.find(Ledger));
+}
+
 // Operators see when a service begins and ceases to refuse, each once.
 TEST(OpeningAdmission, changesOfStateAreReportedOnce)
 {
