--- a/src/connection/flowobserver.h
+++ b/src/connection/flowobserver.h
@@ -23,8 +23,6 @@
     /// Time from the first transmission of a request to the acknowledgement of the first part of
     /// its response.
     std::optional<common::Duration> responseTime {};
-    /// Size of the first part of the response to the request, when the packet acknowledges it.
-    std::uint32_t answeredBytes = 0;
     /// When this instance first saw the flow open; the flow may be older.
     common::TimePoint openSince {};
     /// Hash of the flow.
@@ -38,6 +36,8 @@
     bool isTimed = false;
     /// Size class of the request that begins or ends; see sizeClassOf().
     std::uint8_t sizeClass = 0;
+    /// Size of the first part of the response to the request, when the packet acknowledges it.
+    std::uint32_t answeredBytes = 0;
     /// Time from the opening packet to the caller's next packet: the delay to the upstream and back
     /// without any work. Zero when unknown or when the opening packet was retransmitted.
     common::Duration handshakeTime {};
