Queue one answer a peer, and no more than two seconds of messages

Cause: while a zone of 46 instances reads the directory again, each asks every 150 ms until it has it, and SendPacer queued an answer to each fetch: 8 MB, or 13 s at half of a link of 10 Mbit/s. Ruled out: a larger part of the link (the same queue is full a little later); sending answers to fetches past the queue (they fill the link). Change: a fetch of a peer for which messages are queued gets a heartbeat only; the queue holds what can be sent in 2 s. The test of a full queue is replaced by one that also bounds its time.

--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -73,6 +73,13 @@
     return (std::uint64_t { peer.address } << 16U) | peer.port;
 }
 
+/// Whether the action sends a part of the directory.
+bool isFragment(const SyncAction &action)
+{
+    const auto *send = std::get_if<SendDirectoryMessage>(&action);
+    return send != nullptr && send->message.has_fragment();
+}
+
 DirectorySync::Options syncOptions(const FlowSettings &settings)
 {
     const auto zone = common::idFromName<common::ZoneId>(settings.zone);
@@ -322,7 +329,11 @@
         }
         return;
     }
-    perform(m_sync.onMessage(fromAsio(from), message, now), now);
+    auto actions = m_sync.onMessage(fromAsio(from), message, now);
+    if (message.has_fetch() && m_sendPacer.hasQueued(fromAsio(from))) {
+        std::erase_if(actions, isFragment);
+    }
+    perform(actions, now);
     if (message.has_fetch()) {
         sendRestartReport(fromAsio(from), now);
     }
--- a/src/process/sendpacer.cpp
+++ b/src/process/sendpacer.cpp
@@ -12,8 +12,8 @@
 
 // Ordinary changes of the directory are smaller and go out at once.
 constexpr double BurstBytes = 12'000.0;
-// A whole directory of the target size for each member of a group of peers.
-constexpr std::size_t MaxQueuedBytes = 8'000'000;
+// A change has to be in force within 3 s.
+constexpr double MaxQueueSeconds = 2.0;
 
 } // namespace
 
@@ -24,10 +24,12 @@
 
 bool SendPacer::push(Message message)
 {
-    if (m_queuedBytes + message.bytes.size() > MaxQueuedBytes) {
+    const auto bytes = static_cast<double>(m_queuedBytes + message.bytes.size());
+    if (bytes > std::max(BurstBytes, m_bytesPerSecond * MaxQueueSeconds)) {
         return false;
     }
     m_queuedBytes += message.bytes.size();
+    ++m_queuedFor[message.to];
     m_queue.push_back(std::move(message));
     return true;
 }
@@ -41,6 +43,10 @@
     auto message = std::move(m_queue.front());
     m_queue.pop_front();
     m_queuedBytes -= message.bytes.size();
+    const auto left = m_queuedFor.find(message.to);
+    if (--left->second == 0) {
+        m_queuedFor.erase(left);
+    }
     m_allowance = available - static_cast<double>(message.bytes.size());
     m_updatedAt = now;
     return message;
--- a/src/process/sendpacer.h
+++ b/src/process/sendpacer.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 
 namespace banyanwall::process {
@@ -24,9 +25,14 @@
     /// Rate at which messages are sent once the allowance for a burst is used up.
     explicit SendPacer(double bytesPerSecond);
 
-    /// Queues a message. Returns false when the queue is full; the peer fetches what it lacks.
+    /// Queues a message. Returns false when the messages in the queue need 2 s already; the peer
+    /// fetches what it lacks.
     [[nodiscard]] bool push(Message message);
 
+    /// Whether a message to the peer is queued. A peer that waits for it asks again, and another
+    /// answer would only delay all others.
+    [[nodiscard]] bool hasQueued(common::Endpoint to) const { return m_queuedFor.contains(to); }
+
     /// Returns the next message that may be sent now.
     [[nodiscard]] std::optional<Message> takeDue(common::TimePoint now);
 
@@ -39,6 +45,8 @@
     double m_bytesPerSecond;
     std::deque<Message> m_queue;
     std::size_t m_queuedBytes = 0;
+    /// Number of queued messages to each peer that has some.
+    std::map<common::Endpoint, std::size_t> m_queuedFor;
     /// Bytes that may be sent at m_updatedAt; negative after a message that was larger.
     double m_allowance;
     common::TimePoint m_updatedAt;
--- a/src/tests/sendpacertest.cpp
+++ b/src/tests/sendpacertest.cpp
@@ -2,6 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <vector>
+
 using namespace banyanwall;
 using namespace std::chrono_literals;
 
@@ -71,12 +74,44 @@
     LONGS_EQUAL(11, next->to.port);
 }
 
-// Guards against memory that grows while a peer asks for the directory again and again.
-TEST(SendPacer, fullQueueRefusesMessages)
+// Guards against memory that grows, and against changes that arrive after their time, while more is
+// queued than the link can carry.
+TEST(SendPacer, queueHoldsNoMoreThanTwoSeconds)
+{
+    int queued = 0;
+    while (queued < 10'000 && pacer.push({ {}, std::string(1'200, 'x') })) {
+        ++queued;
+    }
+    CHECK(queued * 1'200 <= 1'250'000);
+    CHECK(queued * 1'200 > 1'200'000);
+}
+
+// 46 instances of a zone restart and ask for the directory of 60 KB every 150 ms until they have
+// it. Answers to each of these fetches filled the queue with 8 MB of the same directory, and
+// instances kept an older contract for 13 s.
+TEST(SendPacer, instancesThatAskAgainGetOneAnswer)
 {
-    bool isFull = false;
-    for (int message = 0; message < 10'000 && !isFull; ++message) {
-        isFull = !pacer.push({ {}, std::string(1'200, 'x') });
+    constexpr std::uint16_t Instances = 46;
+    constexpr int Fragments = 50;
+    std::vector<int> received(Instances);
+    const auto start = now;
+    while (std::ranges::any_of(received, [](int count) { return count < Fragments; })) {
+        const bool isFetchDue = (now - start) % 150ms == 0ms;
+        for (std::uint16_t instance = 0; instance < Instances && isFetchDue; ++instance) {
+            const common::Endpoint peer { 1, instance };
+            if (received[instance] >= Fragments || pacer.hasQueued(peer)) {
+                continue;
+            }
+            for (int fragment = 0; fragment < Fragments; ++fragment) {
+                static_cast<void>(pacer.push({ peer, std::string(1'200, 'x') }));
+            }
+        }
+        while (const auto message = pacer.takeDue(now)) {
+            ++received[message->to.port];
+        }
+        now += 10ms;
+        CHECK(now - start < 10s);
     }
-    CHECK(isFull);
+    // The link needs 4.4 s for 46 directories.
+    CHECK(now - start < 6s);
 }
