Learn no usual time from requests that wait for a slot

Ruled out: a share that rises faster (it swings); releasing while answers are early (they are early because others are refused). Change: while answers of a whole service take a third longer than usual, one of 16 is a sample of the usual time.

--- a/src/connection/loadpicture.cpp
+++ b/src/connection/loadpicture.cpp
@@ -26,6 +26,10 @@
 constexpr double HastyLog = -1.4;
 constexpr double HastyShiftStep = 0.002;
 constexpr double MaxSlowness = 100.0;
+// Logarithm of the response time of a whole service, relative to the usual one, from which its
+// requests wait for a slot: a third more.
+constexpr double CrowdedLog = 0.3;
+constexpr std::uint32_t CrowdedSampleGap = 16;
 // A request takes about half of its usual time longer or shorter, which is no news.
 constexpr double SlowRatio = 1.5;
 constexpr double UsualRatio = 1.2;
@@ -137,12 +141,19 @@
         return;
     }
     const auto workTime = m_zoneDelays.workTimeOf(upstream.record.zone, responseTime);
+    bool isSample = true;
     if (const auto *cost = costOf(kind)) {
-        auto &shift = m_services[upstream.record.service].shift;
-        const auto logRatio = cost->logRatio(workTime) - shift;
+        auto &service = m_services[upstream.record.service];
+        const auto logRatio = cost->logRatio(workTime) - service.shift;
         const auto step = logRatio < HastyLog ? HastyShiftStep : ShiftStep;
-        shift += std::copysign(step, logRatio);
+        service.shift += std::copysign(step, logRatio);
         observedOf(upstream).evidence.addAnswer(logRatio);
+        // Where all upstreams are slower than usual, requests wait for a slot; demand is their work
+        // without the wait. Kinds whose work has changed for good are learned from the rest.
+        isSample = service.shift < CrowdedLog || ++service.crowdedAnswers % CrowdedSampleGap == 0;
+    }
+    if (!isSample) {
+        return;
     }
     // Below this, the slowness may be scatter.
     const auto slowness = upstream.load.slowness >= UsualRatio ? upstream.load.slowness : 1.0;
--- a/src/connection/loadpicture.h
+++ b/src/connection/loadpicture.h
@@ -114,6 +114,8 @@
         /// Logarithm of the present response times of the service relative to the usual times of
         /// the kinds: a median over the answers to own callers.
         double shift = 0.0;
+        /// Number of answers while the whole service was slower than usual.
+        std::uint32_t crowdedAnswers = 0;
         /// Mean usual time of a request in microseconds; zero while unknown.
         double meanTime = 0.0;
         /// Work that own callers have brought until the last refresh, in microseconds; decays.
--- a/src/tests/loaddemandtest.cpp
+++ b/src/tests/loaddemandtest.cpp
@@ -81,3 +81,21 @@
     DOUBLES_EQUAL(1.0, demandRatio({ .instances = 5, .requestRate = 200.0, .reportLoss = 1.0 }),
                   0.2);
 }
+
+// A rush of 6 s in which requests wait for a slot and take five times as long. The work of requests
+// is the same, and so is the usual time; a demand that counts the wait would keep openings refused
+// after the rush.
+TEST(LoadDemand, waitForASlotIsNoWork)
+{
+    LoadZone::Options options { .instances = 1, .requestRate = 20.0 };
+    LoadZone zone(options, [](std::size_t, std::mt19937_64 &) { return 1.0; });
+    zone.run(10s);
+    const auto before = zone.instance(0).picture.demands(zone.now())[0].busySlots;
+    zone.setCost([](std::size_t, std::mt19937_64 &) { return 5.0; });
+    zone.run(6s);
+    const auto during = zone.instance(0).picture.demands(zone.now())[0].busySlots;
+    CHECK(during < 1.5 * before);
+    zone.setCost([](std::size_t, std::mt19937_64 &) { return 1.0; });
+    zone.run(2s);
+    CHECK(zone.instance(0).picture.demands(zone.now())[0].busySlots < 1.3 * before);
+}
