--- a/src/benchmarks/flowload.cpp
+++ b/src/benchmarks/flowload.cpp
@@ -479,9 +479,9 @@
     const common::StoreRevision from(m_revision);
     ++m_revision;
     auto newChange = change;
-    newChange.revision = common::StoreRevision(m_revision);
+    newChange.position = common::StoreRevision(m_revision);
     for (auto &instance : m_instances) {
-        instance->update({ from, newChange.revision, false, { newChange } }, m_events.now());
+        instance->update({ from, newChange.position, false, { newChange } }, m_events.now());
     }
 }
 
--- a/src/benchmarks/syncfleet.h
+++ b/src/benchmarks/syncfleet.h
@@ -54,17 +54,21 @@
     /// Writes the directory entry of an upstream to the store, or removes it.
     void changeUpstream(std::uint64_t serial, bool isRegistered)
     {
-        const version::UpstreamRecord record {
-            .serial = common::UpstreamSerial(serial),
-            .endpoint = { 0x0a800000U + static_cast<std::uint32_t>(serial), 8080 },
-            .slots = 3
-        };
+        const auto record = upstreamRecord(serial);
         write({ version::keyOf(record),
                 {},
                 isRegistered ? version::DirectoryValue(record)
                              : version::DirectoryValue(version::RemovedRecord {}) });
     }
 
+    /// The upstream begins to drain.
+    void drainUpstream(std::uint64_t serial)
+    {
+        auto record = upstreamRecord(serial);
+        record.draining = true;
+        write({ version::keyOf(record), {}, record });
+    }
+
     /// Withdraws a zone, or returns it.
     void changeWithdrawal(common::ZoneId zone, bool isWithdrawn)
     {
@@ -101,6 +105,49 @@
         write({ version::keyOf(rules), {}, rules });
     }
 
+    /// The store comes back from a copy of this age, in a new era. Operators and upstreams write
+    /// again within rewriteTime what it lacks; instances have to register themselves again.
+    void restoreStore(common::Duration age)
+    {
+        const auto lost = std::ranges::partition_point(
+                m_history, [&](const auto &write) { return write.at <= m_now - age; });
+        std::map<version::EntryKey, Rewrite> rewrites;
+        for (const auto &write : std::ranges::subrange(lost, m_history.end())) {
+            if (write.change.key.kind != version::EntryKind::Member) {
+                rewrites[write.change.key] = { m_now + nextRewriteDelay(), write.change };
+            }
+        }
+        // What was lost before and not written again yet is newer.
+        m_rewrites.merge(rewrites);
+        m_history.erase(lost, m_history.end());
+        m_store.clear();
+        for (const auto &write : m_history) {
+            m_store[write.change.key] = write.change;
+        }
+        m_revision = m_history.empty() ? 0 : m_history.back().change.position.revision.value();
+        ++m_era;
+    }
+
+    /// Whether all that a restored store lacked was written again.
+    [[nodiscard]] bool isRewritten() const { return m_rewrites.empty(); }
+
+    /// Value of an upstream's entry at an instance; nullptr when there is none.
+    [[nodiscard]] const version::UpstreamRecord *upstreamAt(Endpoint endpoint,
+                                                            std::uint64_t serial) const
+    {
+        const auto &entries = m_instances.at(endpoint)->directory.entries();
+        const auto found = entries.find(version::keyOf(upstreamRecord(serial)));
+        return found == entries.end() ? nullptr
+                                      : std::get_if<version::UpstreamRecord>(&found->second.value);
+    }
+
+    [[nodiscard]] common::StoreEra eraAt(Endpoint endpoint) const
+    {
+        return m_instances.at(endpoint)->directory.position().era;
+    }
+
+    [[nodiscard]] common::StoreEra era() const { return common::StoreEra(m_era); }
+
     /// Simulates this time in steps of 10 ms.
     void run(common::Duration time)
     {
@@ -223,6 +270,9 @@
         return endpoints;
     }
 
+    /// Messages that instances did not use because they ended in a former era.
+    [[nodiscard]] std::uint64_t staleEraMessages() const { return m_staleEraMessages; }
+
     /// Number of instances that do not route by the newest contract.
     [[nodiscard]] std::size_t outdated() const
     {
@@ -243,6 +293,19 @@
     /// Whether an instance has ever gone back to an older contract without a restart.
     [[nodiscard]] bool hasReverted() const { return m_hasReverted; }
 
+    /// Largest number of registrations that the store has accepted within 100 ms.
+    [[nodiscard]] std::size_t busiestRegistrations() const
+    {
+        std::size_t most = 0;
+        std::ranges::for_each(m_registrations,
+                              [&](const auto &item) { most = std::max(most, item.second); });
+        return most;
+    }
+
+    void resetRegistrations() { m_registrations.clear(); }
+
+    /// Time within which operators and upstreams write again what a restored store lacks.
+    common::Duration rewriteTime = std::chrono::seconds(2);
     /// Number of routes of each contract that changeRules() writes.
     std::uint16_t routes = 0;
 
@@ -271,7 +334,7 @@
     /// A store call that has not been answered yet.
     struct PendingCall
     {
-        common::StoreRevision after;
+        version::StorePosition after;
         common::TimePoint waitDeadline;
         common::TimePoint earliestAnswer;
         bool isRead = false;
@@ -310,11 +373,49 @@
         return { memberAt(0, 0).endpoint, memberAt(1, 0).endpoint };
     }
 
+    static version::UpstreamRecord upstreamRecord(std::uint64_t serial)
+    {
+        return { .serial = common::UpstreamSerial(serial),
+                 .endpoint = { 0x0a800000U + static_cast<std::uint32_t>(serial), 8080 },
+                 .slots = 3 };
+    }
+
+    /// A write that was lost is written again at a time that differs from entry to entry.
+    common::Duration nextRewriteDelay()
+    {
+        m_rewriteStep = (m_rewriteStep + 7) % 10;
+        return rewriteTime * m_rewriteStep / 10;
+    }
+
     void write(version::DirectoryChange change)
     {
-        change.revision = common::StoreRevision(++m_revision);
+        change.position = { common::StoreEra(m_era), common::StoreRevision(++m_revision) };
+        m_rewrites.erase(change.key);
         m_store[change.key] = change;
-        m_history.push_back(std::move(change));
+        m_history.push_back({ std::move(change), m_now });
+    }
+
+    void rewriteDue()
+    {
+        std::vector<version::DirectoryChange> due;
+        for (const auto &[key, rewrite] : m_rewrites) {
+            if (rewrite.at <= m_now) {
+                due.push_back(rewrite.change);
+            }
+        }
+        std::ranges::for_each(due, [&](const auto &change) { write(change); });
+    }
+
+    /// A change as an answer of the store returns it.
+    [[nodiscard]] version::DirectoryChange answered(version::DirectoryChange change) const
+    {
+        change.position.era = common::StoreEra(m_era);
+        return change;
+    }
+
+    [[nodiscard]] version::StorePosition position() const
+    {
+        return { common::StoreEra(m_era), common::StoreRevision(m_revision) };
     }
 
     /// Entries of a directory or of the store that were not removed.
@@ -334,29 +435,30 @@
     /// Answer to a read: all present entries.
     [[nodiscard]] version::DirectoryDelta allEntries() const
     {
-        version::DirectoryDelta delta { {}, common::StoreRevision(m_revision), true };
+        version::DirectoryDelta delta { {}, position(), true };
         for (const auto &[key, change] : m_store) {
             if (!std::holds_alternative<version::RemovedRecord>(change.value)) {
-                delta.changes.push_back(change);
+                delta.changes.push_back(answered(change));
             }
         }
         return delta;
     }
 
-    /// Answer to a watch: each change after a revision, in their order.
-    [[nodiscard]] version::DirectoryDelta changesAfter(common::StoreRevision after) const
+    /// Answer to a watch: each change after a position, in their order.
+    [[nodiscard]] version::DirectoryDelta changesAfter(version::StorePosition after) const
     {
-        version::DirectoryDelta delta { .from = after,
-                                        .to = common::StoreRevision(m_revision),
-                                        .holdsEachChange = true };
-        const auto first =
-                std::ranges::upper_bound(m_history, after, {}, &version::DirectoryChange::revision);
-        delta.changes.assign(first, m_history.end());
+        version::DirectoryDelta delta { .from = after, .to = position(), .holdsEachChange = true };
+        const auto first = std::ranges::partition_point(m_history, [&](const auto &write) {
+            return write.change.position.revision <= after.revision;
+        });
+        std::transform(first, m_history.end(), std::back_inserter(delta.changes),
+                       [&](const auto &write) { return answered(write.change); });
         return delta;
     }
 
     void step()
     {
+        rewriteDue();
         while (!m_inFlight.empty() && m_inFlight.top().at <= m_now) {
             const auto message = m_inFlight.top();
             m_inFlight.pop();
@@ -410,7 +512,11 @@
             perform(instance, instance.sync.onStoreAnswer(process::HistoryLost {}, m_now));
             return true;
         }
-        const bool hasUpdate = m_revision > call.after.value() && !watchesReceiveNoEvents;
+        if (!call.isRead && call.after.era != era()) {
+            perform(instance, instance.sync.onStoreAnswer(process::EraBegan { era() }, m_now));
+            return true;
+        }
+        const bool hasUpdate = m_revision > call.after.revision.value() && !watchesReceiveNoEvents;
         if (!call.isRead && !hasUpdate && m_now < call.waitDeadline) {
             return false;
         }
@@ -424,7 +530,7 @@
         return true;
     }
 
-    void call(Instance &instance, bool isRead, common::StoreRevision after, common::Duration wait)
+    void call(Instance &instance, bool isRead, version::StorePosition after, common::Duration wait)
     {
         ++m_calls;
         const bool isSlow = isRead && instance.member.endpoint.address % 2 == 0;
@@ -456,6 +562,8 @@
                                },
                                [](const process::DirectoryChanged &) {},
                                [](const process::DeltaRefused &) {},
+                               [](const process::EraEntered &) {},
+                               [&](const process::StaleEraRefused &) { ++m_staleEraMessages; },
                        },
                        action);
         }
@@ -468,6 +576,7 @@
                 && !refusedByStore.contains(member.endpoint);
         if (isReachable && !isRegistered(member)) {
             write({ version::keyOf(member), {}, member });
+            ++m_registrations[m_now.time_since_epoch() / std::chrono::milliseconds(100)];
         }
         perform(instance, instance.sync.onRegistered(isReachable, m_now));
     }
@@ -479,7 +588,8 @@
         const auto entry = m_store.find(key);
         const bool isReachable = !storeIsDown && !cutFromStore.contains(instance.member.endpoint)
                 && !refusedByStore.contains(instance.member.endpoint);
-        if (isReachable && entry != m_store.end() && entry->second.revision == removal.revision) {
+        if (isReachable && entry != m_store.end()
+            && entry->second.position.revision == removal.revision) {
             write({ key, {}, version::RemovedRecord {} });
         }
     }
@@ -514,8 +624,28 @@
     std::map<Endpoint, std::unique_ptr<Instance>> m_instances;
     /// Last change of each entry, including removals.
     std::map<version::EntryKey, version::DirectoryChange> m_store;
+
+    struct Write
+    {
+        version::DirectoryChange change;
+        common::TimePoint at;
+    };
+
     /// All changes in their order.
-    std::vector<version::DirectoryChange> m_history;
+    std::vector<Write> m_history;
+
+    struct Rewrite
+    {
+        common::TimePoint at;
+        version::DirectoryChange change;
+    };
+
+    /// Changes that a restored store lacks and that will be written again.
+    std::map<version::EntryKey, Rewrite> m_rewrites;
+    int m_rewriteStep = 0;
+    std::uint64_t m_era = 1;
+    std::uint64_t m_staleEraMessages = 0;
+    std::map<std::int64_t, std::size_t> m_registrations;
     std::priority_queue<Message, std::vector<Message>, std::greater<>> m_inFlight;
     std::uint64_t m_revision = 0;
     std::uint64_t m_rulesVersion = 0;
--- a/src/common/reason.cpp
+++ b/src/common/reason.cpp
@@ -47,6 +47,10 @@
         return "unknown_peer";
     case Reason::InconsistentDelta:
         return "inconsistent_delta";
+    case Reason::StaleEra:
+        return "stale_era";
+    case Reason::UnreadableEra:
+        return "unreadable_era";
     case Reason::RateLimit:
         return "rate_limit";
     case Reason::FairShare:
--- a/src/common/reason.h
+++ b/src/common/reason.h
@@ -47,6 +47,10 @@
     UnknownPeer,
     /// The changes of a peer's directory do not fit the entries that are known here.
     InconsistentDelta,
+    /// A message of a peer, or an answer of the store, that ends in a former era of the store.
+    StaleEra,
+    /// An answer of the store does not name its era, or names no number.
+    UnreadableEra,
     // Requests
     /// The customer sends more requests per second than the contract allows.
     RateLimit,
--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -14,9 +14,9 @@
 
 using common::Endpoint;
 using common::Overloaded;
-using common::StoreRevision;
 using common::TimePoint;
 using std::chrono::milliseconds;
+using version::StorePosition;
 using wire::proto::DirectoryMessage;
 
 namespace {
@@ -67,6 +67,9 @@
 // Time after the last message of a leader, or of an instance that sent a fetch and is not in the
 // directory, until the peer is removed.
 constexpr std::chrono::seconds PeerRetention { 10 };
+// Instances whose entries a restored store lacks register again within this time. It ends before
+// the entries would be dropped from the directories.
+constexpr milliseconds RegistrationSpread = version::Directory::HoldPeriod * 3 / 4;
 constexpr unsigned PortBits = 16;
 // In larger zones the leader sends changes to some instances only, which forward them: with 130
 // instances the leader sends 12 messages per change, and each forwarding instance 10.
@@ -78,6 +81,11 @@
 // Two heartbeat intervals of a leader that does not watch (1,200 ms) and a margin.
 constexpr milliseconds OtherZoneLeaderTimeout { 1'500 };
 
+StorePosition positionOf(std::uint64_t era, std::uint64_t revision)
+{
+    return { common::StoreEra(era), common::StoreRevision(revision) };
+}
+
 milliseconds nextBackoff(milliseconds backoff)
 {
     return std::clamp(backoff * 2, MinBackoff, MaxBackoff);
@@ -122,6 +130,7 @@
         // Instances that start together send their keep-alives at different times.
         m_nextKeepAlive = now + milliseconds(m_random() % KeepAliveInterval.count());
     }
+    releaseHeld(now, actions);
     updateRoles(now);
     callStore(now, actions);
     registerSelf(now, actions);
@@ -148,6 +157,10 @@
                            m_needsFullRead = true;
                            m_nextStoreCall = now;
                        },
+                       [&](const EraBegan & /*era*/) {
+                           m_needsFullRead = true;
+                           m_nextStoreCall = now;
+                       },
                        [&](const StoreFailure & /*failure*/) {
                            m_backoff = nextBackoff(m_backoff);
                            // Jitter: instances whose calls fail together retry at different times.
@@ -167,14 +180,14 @@
 {
     m_backoff = {};
     m_needsFullRead = false;
-    const auto revision = m_directory.revision();
+    const auto position = m_directory.position();
     const milliseconds transfer(update.bytes * 1'000 / UpdateBytesPerSecond);
-    const bool hasChanges = update.delta.to > revision;
+    const bool hasChanges = update.delta.to > position;
     m_nextStoreCall = now
             + (hasChanges ? std::clamp(transfer, MinBatchInterval, MaxBatchInterval)
                           : milliseconds());
-    // An answer with an older revision does not confirm that the directory is current.
-    if (update.delta.to >= revision) {
+    // An answer with an older position does not confirm that the directory is current.
+    if (update.delta.to >= position) {
         m_confirmedAt = now;
     }
     applyDelta(update.delta, now, actions);
@@ -207,7 +220,7 @@
         onFetch(from, message.fetch(), now, actions);
         break;
     case DirectoryMessage::kFragment:
-        onFragment(message.fragment(), now, actions);
+        onFragment(from, message.fragment(), now, actions);
         break;
     case DirectoryMessage::kSilence:
     case DirectoryMessage::BODY_NOT_SET:
@@ -279,7 +292,7 @@
     if (m_needsFullRead || !m_directory.isLoaded() || isOwnEntryCheckDue) {
         actions.push_back(ReadStore {});
     } else {
-        actions.push_back(WatchStore { m_directory.revision(), WatchWait });
+        actions.push_back(WatchStore { m_directory.position(), WatchWait });
     }
 }
 
@@ -288,7 +301,8 @@
     if (!m_directory.isLoaded() || m_isRegistering || m_isLeaving || now < m_nextRegister) {
         return;
     }
-    if (!isRegistered()) {
+    const bool lacksEntry = !isRegistered() || m_directory.isHeld(version::keyOf(m_options.self));
+    if (lacksEntry) {
         m_isRegistering = true;
         actions.push_back(RegisterMember { m_options.self });
     }
@@ -303,7 +317,8 @@
 
 void DirectorySync::removeMissingMember(TimePoint now, SyncActions &actions)
 {
-    if (!m_isLeading || now < m_nextRemoval) {
+    // The revision of a held entry is one of a former era.
+    if (!m_isLeading || now < m_nextRemoval || m_directory.isHolding()) {
         return;
     }
     m_nextRemoval = now + RemovalInterval;
@@ -317,7 +332,7 @@
         return;
     }
     if (const auto *member = std::get_if<version::MemberRecord>(&entry->second.value)) {
-        actions.push_back(RemoveMember { *member, entry->second.revision });
+        actions.push_back(RemoveMember { *member, entry->second.position.revision });
     }
 }
 
@@ -377,28 +392,49 @@
 void DirectorySync::applyDelta(const version::DirectoryDelta &delta, TimePoint now,
                                SyncActions &actions)
 {
-    const auto before = m_directory.revision();
+    const auto before = m_directory.position();
     const bool neededAllEntries = m_directory.needsAllEntries();
     auto changed = m_directory.apply(delta, now);
+    const auto &after = m_directory.position();
     if (m_directory.needsAllEntries() && !neededAllEntries) {
         actions.push_back(DeltaRefused { delta.from, delta.to });
     }
-    if (before == StoreRevision() && m_directory.isLoaded()) {
+    if (before == StorePosition() && m_directory.isLoaded()) {
         m_loadedAt = now;
     }
+    if (before != StorePosition() && after.era > before.era) {
+        m_nextRegister = now + milliseconds(m_random() % RegistrationSpread.count());
+        actions.push_back(EraEntered { before.era, after.era });
+    }
     if (!changed.empty()) {
         updateMembers(now);
         actions.push_back(DirectoryChanged { std::move(changed) });
     }
-    if (m_isLeading && before != StoreRevision() && m_directory.revision() > before) {
+    if (m_isLeading && before != StorePosition() && after > before) {
         pushChanges(before, now, actions);
-        // On a heartbeat with a newer revision, the leaders of other zones fetch the changes.
+        // On a heartbeat with a newer position, the leaders of other zones fetch the changes.
         m_nextOtherZoneHeartbeat = now;
         sendHeartbeats(now, actions);
     }
 }
 
-void DirectorySync::pushChanges(StoreRevision since, TimePoint now, SyncActions &actions)
+void DirectorySync::releaseHeld(TimePoint now, SyncActions &actions)
+{
+    auto changed = m_directory.releaseHeld(now);
+    if (!changed.empty()) {
+        updateMembers(now);
+        actions.push_back(DirectoryChanged { std::move(changed) });
+    }
+}
+
+void DirectorySync::onStaleEra(Endpoint from, common::StoreEra era, TimePoint now,
+                               SyncActions &actions)
+{
+    actions.push_back(StaleEraRefused { from, era });
+    fetchFrom(from, now, actions);
+}
+
+void DirectorySync::pushChanges(StorePosition since, TimePoint now, SyncActions &actions)
 {
     const auto messages = deltaMessages(since, now);
     auto peers = m_zonePeers;
@@ -420,13 +456,13 @@
     }
 }
 
-std::vector<DirectoryMessage> DirectorySync::deltaMessages(StoreRevision since, TimePoint now)
+std::vector<DirectoryMessage> DirectorySync::deltaMessages(StorePosition since, TimePoint now)
 {
     const auto bytes = wire::encodeDelta(m_directory.changesSince(since, now));
     return cutIntoFragments(bytes, static_cast<std::uint32_t>(m_random()));
 }
 
-void DirectorySync::sendDelta(Endpoint to, StoreRevision since, TimePoint now, SyncActions &actions)
+void DirectorySync::sendDelta(Endpoint to, StorePosition since, TimePoint now, SyncActions &actions)
 {
     for (auto &message : deltaMessages(since, now)) {
         actions.push_back(SendDirectoryMessage { to, std::move(message) });
@@ -445,8 +481,9 @@
 DirectoryMessage DirectorySync::fetchMessage() const
 {
     DirectoryMessage message;
-    const auto since = m_directory.needsAllEntries() ? StoreRevision() : m_directory.revision();
-    message.mutable_fetch()->set_since_revision(since.value());
+    const auto since = m_directory.needsAllEntries() ? StorePosition() : m_directory.position();
+    message.mutable_fetch()->set_since_revision(since.revision.value());
+    message.mutable_fetch()->set_since_era(since.era.value());
     message.mutable_fetch()->set_zone(m_options.self.zone.value());
     return message;
 }
@@ -455,8 +492,11 @@
                                 TimePoint now, SyncActions &actions)
 {
     recordZoneContact(heartbeat, now);
-    const StoreRevision revision(heartbeat.revision());
-    const auto leaderConfirmedAt = now - milliseconds(heartbeat.age_ms());
+    const auto position = positionOf(heartbeat.era(), heartbeat.revision());
+    // The store has not confirmed what it held in a former era.
+    const bool isOfFormerEra = position.era < m_directory.position().era;
+    const auto leaderConfirmedAt =
+            isOfFormerEra ? TimePoint() : now - milliseconds(heartbeat.age_ms());
     if (heartbeat.leaving()) {
         m_leaders.erase(from);
         const bool isOwnZone = common::ZoneId(heartbeat.zone()) == m_options.self.zone;
@@ -466,7 +506,7 @@
     }
     const common::ZoneId zone(heartbeat.zone());
     if (heartbeat.leading()) {
-        m_leaders[from] = { zone, now, revision };
+        m_leaders[from] = { zone, now };
         if (zone == m_options.self.zone && isHigherRanked(from)) {
             m_higherRankedLeaderSeenAt = now;
             m_higherRankedLeaderConfirmedAt =
@@ -479,9 +519,11 @@
         m_higherRankedWatcherConfirmedAt =
                 std::max(m_higherRankedWatcherConfirmedAt, leaderConfirmedAt);
     }
-    if (revision > m_directory.revision()) {
+    if (position > m_directory.position()) {
         fetchFrom(from, now, actions);
-    } else if (m_directory.isLoaded() && revision == m_directory.revision()) {
+    } else if (isOfFormerEra) {
+        onStaleEra(from, position.era, now, actions);
+    } else if (m_directory.isLoaded() && position == m_directory.position()) {
         m_confirmedAt = std::max(m_confirmedAt, leaderConfirmedAt);
     }
 }
@@ -505,19 +547,21 @@
     if (!m_directory.isLoaded()) {
         return;
     }
-    const StoreRevision since(fetch.since_revision());
+    const auto since = positionOf(fetch.since_era(), fetch.since_revision());
     if (!m_members.contains(from)) {
-        m_requesters[from] = { common::ZoneId(fetch.zone()), now, since };
+        m_requesters[from] = { common::ZoneId(fetch.zone()), now };
         updateMembers(now);
     }
-    if (since < m_directory.revision()) {
+    if (since < m_directory.position()) {
         sendDelta(from, since, now, actions);
+    } else if (since.era > m_directory.position().era) {
+        fetchFrom(from, now, actions);
     }
     actions.push_back(SendDirectoryMessage { from, heartbeatMessage(now, false) });
 }
 
-void DirectorySync::onFragment(const wire::proto::DirectoryFragment &fragment, TimePoint now,
-                               SyncActions &actions)
+void DirectorySync::onFragment(Endpoint from, const wire::proto::DirectoryFragment &fragment,
+                               TimePoint now, SyncActions &actions)
 {
     DirectoryMessage forwarded;
     *forwarded.mutable_fragment() = fragment;
@@ -534,9 +578,15 @@
         return;
     }
     const auto delta = wire::decodeDelta(*bytes);
-    if (common::isOk(delta)) {
-        applyDelta(common::valueOf(delta), now, actions);
+    if (!common::isOk(delta)) {
+        return;
+    }
+    const auto era = common::valueOf(delta).to.era;
+    if (era < m_directory.position().era) {
+        actions.push_back(StaleEraRefused { from, era });
+        return;
     }
+    applyDelta(common::valueOf(delta), now, actions);
 }
 
 void DirectorySync::updateMembers(TimePoint now)
@@ -583,7 +633,8 @@
 {
     DirectoryMessage message;
     auto &body = *message.mutable_assurance();
-    body.set_revision(m_directory.revision().value());
+    body.set_revision(m_directory.position().revision.value());
+    body.set_era(m_directory.position().era.value());
     const auto ageInMs = [&](TimePoint time) {
         const auto age = std::chrono::duration_cast<milliseconds>(now - time).count();
         return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
--- a/src/process/directorysync.h
+++ b/src/process/directorysync.h
@@ -22,10 +22,10 @@
 struct ReadStore
 { };
 
-/// Action: wait for changes after a revision (long poll).
+/// Action: wait for changes after a position (long poll).
 struct WatchStore
 {
-    common::StoreRevision after;
+    version::StorePosition after;
     /// Time after which the store answers without changes.
     std::chrono::milliseconds wait {};
 };
@@ -58,12 +58,27 @@
 /// The changes of a peer do not fit the known entries, so that all entries are fetched.
 struct DeltaRefused
 {
-    common::StoreRevision from;
-    common::StoreRevision to;
+    version::StorePosition from;
+    version::StorePosition to;
 };
 
-using SyncAction = std::variant<ReadStore, WatchStore, RegisterMember, RemoveMember,
-                                SendDirectoryMessage, DirectoryChanged, DeltaRefused>;
+/// The directory has got to a later era of the store.
+struct EraEntered
+{
+    common::StoreEra from;
+    common::StoreEra to;
+};
+
+/// A message of a peer was not used, because it ends in a former era.
+struct StaleEraRefused
+{
+    common::Endpoint from;
+    common::StoreEra era;
+};
+
+using SyncAction =
+        std::variant<ReadStore, WatchStore, RegisterMember, RemoveMember, SendDirectoryMessage,
+                     DirectoryChanged, DeltaRefused, EraEntered, StaleEraRefused>;
 using SyncActions = std::vector<SyncAction>;
 
 /// The store no longer holds the changes since the watched revision, so that the watch cannot
@@ -71,6 +86,13 @@
 struct HistoryLost
 { };
 
+/// The store has come back from an older copy since the call was sent. All entries have to be read
+/// again.
+struct EraBegan
+{
+    common::StoreEra era;
+};
+
 /// The call timed out, failed, or its answer could not be decoded.
 struct StoreFailure
 {
@@ -89,7 +111,7 @@
 struct StoreProgress
 { };
 
-using StoreAnswer = std::variant<StoreUpdate, HistoryLost, StoreFailure, StoreProgress>;
+using StoreAnswer = std::variant<StoreUpdate, HistoryLost, EraBegan, StoreFailure, StoreProgress>;
 
 /// Replicates the store's directory to all instances with few calls to the store.
 ///
@@ -102,6 +124,10 @@
 ///   old confirmation, becomes leader. A leader whose zone is not the highest ranked one becomes
 ///   watcher in the same way. The timeouts grow with the number of higher ranked instances or
 ///   zones, so that the highest ranked ones take over first.
+/// - When the store has come back from an older copy, in a new era, the watcher reads all entries,
+///   and the other instances learn of the era from heartbeats and deltas. An instance whose entry
+///   is missing in the copy registers again after a random part of the time for which known entries
+///   are held (version::Directory).
 /// - Each instance sends keep-alives to its leader, which removes the store entries of instances
 ///   that have departed.
 ///
@@ -175,7 +201,6 @@
     {
         common::ZoneId zone;
         common::TimePoint receivedAt;
-        common::StoreRevision revision;
     };
 
     void updateRoles(common::TimePoint now);
@@ -192,19 +217,24 @@
     void fetchFromRandomPeers(common::TimePoint now, SyncActions &actions);
     void applyDelta(const version::DirectoryDelta &delta, common::TimePoint now,
                     SyncActions &actions);
-    void pushChanges(common::StoreRevision since, common::TimePoint now, SyncActions &actions);
-    void sendDelta(common::Endpoint to, common::StoreRevision since, common::TimePoint now,
+    void releaseHeld(common::TimePoint now, SyncActions &actions);
+    /// A message of a peer that does not know the era yet: asks the peer for what it has, from
+    /// which the peer learns of the era and fetches it.
+    void onStaleEra(common::Endpoint from, common::StoreEra era, common::TimePoint now,
+                    SyncActions &actions);
+    void pushChanges(version::StorePosition since, common::TimePoint now, SyncActions &actions);
+    void sendDelta(common::Endpoint to, version::StorePosition since, common::TimePoint now,
                    SyncActions &actions);
     void fetchFrom(common::Endpoint peer, common::TimePoint now, SyncActions &actions);
     void onHeartbeat(common::Endpoint from, const wire::proto::DirectoryAssurance &heartbeat,
                      common::TimePoint now, SyncActions &actions);
     void onFetch(common::Endpoint from, const wire::proto::DirectoryFetch &fetch,
                  common::TimePoint now, SyncActions &actions);
-    void onFragment(const wire::proto::DirectoryFragment &fragment, common::TimePoint now,
-                    SyncActions &actions);
-    /// Changes since a revision, cut into messages that fit into a datagram.
+    void onFragment(common::Endpoint from, const wire::proto::DirectoryFragment &fragment,
+                    common::TimePoint now, SyncActions &actions);
+    /// Changes since a position, cut into messages that fit into a datagram.
     [[nodiscard]] std::vector<wire::proto::DirectoryMessage>
-    deltaMessages(common::StoreRevision since, common::TimePoint now);
+    deltaMessages(version::StorePosition since, common::TimePoint now);
     void updateMembers(common::TimePoint now);
     [[nodiscard]] wire::proto::DirectoryMessage heartbeatMessage(common::TimePoint now,
                                                                  bool isLeaving) const;
--- a/src/process/fleetstore.h
+++ b/src/process/fleetstore.h
@@ -18,10 +18,11 @@
     using WriteHandler = std::function<void(bool isAccepted)>;
 
     virtual ~FleetStore() = default;
-    /// Reads all entries; the delta of the update is complete.
+    /// Reads all entries; the delta of the update is complete and of one era.
     virtual void readAll(AnswerHandler handler) = 0;
-    /// Waits for changes after a revision. Without changes, an empty answer arrives after wait.
-    virtual void watch(common::StoreRevision after, std::chrono::milliseconds wait,
+    /// Waits for changes after a position. Without changes, an empty answer arrives after wait. The
+    /// answer is EraBegan when the store is in a later era.
+    virtual void watch(version::StorePosition after, std::chrono::milliseconds wait,
                        AnswerHandler handler) = 0;
     /// Writes the entry of an instance, unless it exists.
     virtual void registerMember(const version::MemberRecord &member, WriteHandler handler) = 0;
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -407,6 +407,8 @@
                            [this](const SendDirectoryMessage &send) { sendToPeer(send); },
                            [&](const DirectoryChanged &change) { onDirectoryChanged(change, now); },
                            [this](const DeltaRefused &refused) { onDeltaRefused(refused); },
+                           [this](const EraEntered &era) { onEraEntered(era); },
+                           [&](const StaleEraRefused &refused) { onStaleEra(refused, now); },
                    },
                    action);
     }
@@ -487,8 +489,29 @@
     m_metrics.countRefusal(common::Reason::InconsistentDelta);
     LogEvent(LogLevel::Info, "delta_refused")
             .with("revision", m_directory.revision().value())
-            .with("from", refused.from.value())
-            .with("to", refused.to.value());
+            .with("from", refused.from.revision.value())
+            .with("to", refused.to.revision.value())
+            .with("from_era", refused.from.era.value())
+            .with("to_era", refused.to.era.value());
+}
+
+void FlowDaemon::onEraEntered(const EraEntered &era)
+{
+    LogEvent(LogLevel::Warning, "store_era_changed")
+            .with("from", era.from.value())
+            .with("to", era.to.value())
+            .with("revision", m_directory.revision().value())
+            .with("held_entries", m_directory.heldCount());
+}
+
+void FlowDaemon::onStaleEra(const StaleEraRefused &refused, TimePoint now)
+{
+    m_metrics.countRefusal(common::Reason::StaleEra);
+    if (auto event = m_errorLog.event(LogLevel::Info, "stale_era", now)) {
+        event->with("peer", common::toString(refused.from))
+                .with("era", refused.era.value())
+                .with("known_era", m_directory.position().era.value());
+    }
 }
 
 connection::FleetPosition FlowDaemon::position() const
@@ -596,6 +619,10 @@
     const auto age = std::chrono::duration<double>(bootTimeNow() - m_sync.confirmedAt()).count();
     text << m_metrics.prometheusText() << "# TYPE banyanwall_directory_revision gauge\n"
          << "banyanwall_directory_revision " << m_directory.revision().value() << "\n"
+         << "# TYPE banyanwall_store_era gauge\n"
+         << "banyanwall_store_era " << m_directory.position().era.value() << "\n"
+         << "# TYPE banyanwall_held_entries gauge\n"
+         << "banyanwall_held_entries " << m_directory.heldCount() << "\n"
          << "# TYPE banyanwall_directory_age_seconds gauge\n"
          << "banyanwall_directory_age_seconds " << age << "\n"
          << "# TYPE banyanwall_upstreams gauge\n"
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -76,6 +76,8 @@
     void onStoreAnswer(const char *call, const StoreAnswer &answer);
     void onDirectoryChanged(const DirectoryChanged &change, common::TimePoint now);
     void onDeltaRefused(const DeltaRefused &refused);
+    void onEraEntered(const EraEntered &era);
+    void onStaleEra(const StaleEraRefused &refused, common::TimePoint now);
     /// Sends the passive health observations of this instance to the other instances of the zone.
     void sendHealthReports(common::TimePoint now);
     [[nodiscard]] connection::FleetPosition position() const;
--- a/src/process/httpexchange.cpp
+++ b/src/process/httpexchange.cpp
@@ -145,6 +145,7 @@
     if (error.empty()) {
         result.status = m_parser.get().result_int();
         result.body = std::move(m_parser.get().body());
+        result.headers = std::move(m_parser.get().base());
     }
     const auto handler = std::exchange(m_handler, nullptr);
     m_onChunk = nullptr;
--- a/src/process/httpexchange.h
+++ b/src/process/httpexchange.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -21,6 +22,7 @@
 {
     /// HTTP status code; 0 when no complete response arrived.
     unsigned status = 0;
+    boost::beast::http::fields headers;
     std::string body;
     /// The request may have reached the server, whether or not a response arrived.
     bool mayHaveReachedServer = false;
--- a/src/tests/directorycodectest.cpp
+++ b/src/tests/directorycodectest.cpp
@@ -51,8 +51,26 @@
     CHECK(delta.changes == sample().changes);
     CHECK(delta.complete);
     CHECK(delta.mayLackRemovals);
-    LONGS_EQUAL(4, delta.from.value());
-    LONGS_EQUAL(9, delta.to.value());
+    LONGS_EQUAL(4, delta.from.revision.value());
+    LONGS_EQUAL(9, delta.to.revision.value());
+}
+
+// Guards against positions that lose their era between instances, and against larger messages: only
+// an entry of another era than the delta's end names its own.
+TEST(DirectoryCodec, erasAreKept)
+{
+    auto delta = sample();
+    const auto bytes = wire::encodeDelta(delta).size();
+    delta.from.era = common::StoreEra(3);
+    delta.to.era = common::StoreEra(4);
+    std::ranges::for_each(delta.changes,
+                          [](auto &change) { change.position.era = common::StoreEra(4); });
+    CHECK(wire::encodeDelta(delta).size() <= bytes + 4);
+    delta.changes.front().position.era = common::StoreEra(3);
+    const auto decoded = wire::decodeDelta(wire::encodeDelta(delta));
+    CHECK(common::valueOf(decoded).from == delta.from);
+    CHECK(common::valueOf(decoded).to == delta.to);
+    CHECK(common::valueOf(decoded).changes == delta.changes);
 }
 
 // Guards against a damaged datagram that is applied in part.
--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -563,9 +563,119 @@
     }
 }
 
+// Guards against a fleet that refuses for ever what operators write after the store has come back
+// from a copy: the revisions of the new writes are lower than the known ones, and some are equal.
+TEST(DirectorySync, changesWrittenAgainUnderLowerRevisionsAreTaken)
+{
+    fleet->routes = 2;
+    fleet->changeUpstream(1, true);
+    fleet->changeUpstream(2, true);
+    fleet->run(4s);
+    fleet->changeRules(common::ServiceId(1));
+    fleet->drainUpstream(1);
+    fleet->changeUpstream(2, false);
+    fleet->run(1s);
+    fleet->restoreStore(3s);
+    fleet->run(fleet->rewriteTime + ChangeBound);
+    LONGS_EQUAL(0, fleet->diverging());
+    checkChangeArrives();
+}
+
+// Guards against new flows to an upstream that the copy shows as it was before it drained, or
+// before it left, at any moment until it is written again.
+TEST(DirectorySync, copyBringsNoDrainingOrRemovedUpstreamBack)
+{
+    fleet->changeUpstream(1, true);
+    fleet->changeUpstream(2, true);
+    fleet->changeUpstream(3, true);
+    fleet->run(4s);
+    fleet->drainUpstream(1);
+    fleet->changeUpstream(2, false);
+    fleet->changeUpstream(4, true);
+    fleet->run(1s);
+    fleet->rewriteTime = 4s;
+    fleet->restoreStore(3s);
+    for (int check = 0; check < 45; ++check) {
+        fleet->run(100ms);
+        for (const auto instance : fleet->endpoints()) {
+            CHECK_TRUE(fleet->upstreamAt(instance, 1)->draining);
+            CHECK(fleet->upstreamAt(instance, 2) == nullptr);
+            CHECK(fleet->upstreamAt(instance, 3) != nullptr);
+            CHECK(fleet->upstreamAt(instance, 4) != nullptr);
+        }
+    }
+    fleet->run(version::Directory::HoldPeriod);
+    LONGS_EQUAL(0, fleet->diverging());
+}
+
+// Guards against a zone that stays in the former era: it was cut off when the store came back, and
+// some of its instances restart meanwhile.
+TEST(DirectorySync, zoneThatWasCutOffEndsInTheNewEra)
+{
+    using Zones = std::pair<common::ZoneId, common::ZoneId>;
+    fleet->cutZones = { Zones { 1, 2 }, Zones { 2, 3 } };
+    for (int index = 0; index < 7; ++index) {
+        fleet->cutFromStore.insert(SyncFleet::memberAt(1, index).endpoint);
+    }
+    fleet->run(1s);
+    fleet->changeUpstream(1, true);
+    fleet->run(500ms);
+    fleet->restoreStore(2s);
+    fleet->restart(SyncFleet::memberAt(1, 2).endpoint);
+    fleet->run(7s);
+    CHECK(fleet->eraAt(SyncFleet::memberAt(1, 0).endpoint) < fleet->era());
+    fleet->cutZones.clear();
+    fleet->cutFromStore.clear();
+    fleet->run(ChangeBound);
+    for (const auto instance : fleet->endpoints()) {
+        CHECK(fleet->eraAt(instance) == fleet->era());
+    }
+    CHECK(fleet->staleEraMessages() > 0);
+    fleet->run(version::Directory::HoldPeriod);
+    LONGS_EQUAL(0, fleet->diverging());
+}
+
+// Guards against values of the first copy that stay after a second one: the store comes back again
+// while values are still held.
+TEST(DirectorySync, twoRestoresOneAfterTheOther)
+{
+    fleet->changeUpstream(1, true);
+    fleet->run(1s);
+    fleet->drainUpstream(1);
+    fleet->changeRules();
+    fleet->run(1s);
+    fleet->restoreStore(2s);
+    fleet->run(1s);
+    fleet->changeUpstream(2, true);
+    fleet->run(200ms);
+    fleet->restoreStore(500ms);
+    fleet->run(fleet->rewriteTime + version::Directory::HoldPeriod + ChangeBound);
+    LONGS_EQUAL(0, fleet->diverging());
+    CHECK_FALSE(fleet->hasReverted());
+}
+
+// Guards against a fleet that writes all its entries at once, or that loses its members, when the
+// copy is older than its registrations.
+TEST(DirectorySync, instancesRegisterAgainSpreadOverTime)
+{
+    startFleet(4, 74);
+    fleet->run(10s);
+    fleet->resetRegistrations();
+    fleet->restoreStore(15s);
+    LONGS_EQUAL(0, fleet->registered());
+    for (int check = 0; check < 80; ++check) {
+        fleet->run(100ms);
+        LONGS_EQUAL(4, fleet->leaders().size());
+    }
+    LONGS_EQUAL(296, fleet->registered());
+    // Evenly spread, 296 writes within 3.75 s are 8 in 100 ms.
+    CHECK(fleet->busiestRegistrations() < 24);
+    LONGS_EQUAL(1, fleet->watchers().size());
+}
+
 // Guards against instances whose directories never agree with the store again. Contracts, upstreams
 // and withdrawals change and change back while instances restart, messages are lost, zones are cut
-// off, and the store is down or loses its history.
+// off, and the store is down, loses its history or comes back from an older copy.
 TEST(DirectorySync, directoriesAgreeWithTheStoreAfterRandomFaults)
 {
     for (std::uint32_t seed = 1; seed <= 200; ++seed) {
@@ -575,7 +685,7 @@
         const auto endpoints = fleet->endpoints();
         fleet->messageLoss = below(2) * 7;
         for (int step = 0; step < 40; ++step) {
-            switch (below(8)) {
+            switch (below(9)) {
             case 0:
                 fleet->routes = static_cast<std::uint16_t>(below(3));
                 fleet->changeRules(common::ServiceId(1 + below(2)));
@@ -602,6 +712,11 @@
                     fleet->cutZones = { { common::ZoneId(zone), common::ZoneId(zone + 1) } };
                 }
                 break;
+            case 7:
+                if (below(3) == 0) {
+                    fleet->restoreStore(std::chrono::milliseconds(below(1'500)));
+                }
+                break;
             default:
                 fleet->run(std::chrono::milliseconds(below(400)));
             }
@@ -610,7 +725,9 @@
         fleet->historyIsLost = false;
         fleet->storeIsDown = false;
         fleet->cutZones.clear();
-        fleet->run(2 * ChangeBound);
+        fleet->run(fleet->rewriteTime + version::Directory::HoldPeriod + 2 * ChangeBound);
+        CHECK_TRUE(fleet->isRewritten());
+        CHECK_FALSE(fleet->hasReverted());
         LONGS_EQUAL_TEXT(0, fleet->diverging(), StringFromFormat("seed %u", seed).asCharString());
     }
 }
--- a/src/tests/directorytest.cpp
+++ b/src/tests/directorytest.cpp
@@ -391,3 +391,222 @@
     CHECK_FALSE(holds(2));
     CHECK(holds(1));
 }
+
+TEST_GROUP(DirectoryEra)
+{
+    using Position = version::StorePosition;
+
+    Directory directory;
+    common::TimePoint now { 100s };
+
+    static Position at(std::uint64_t era, std::uint64_t revision)
+    {
+        return { common::StoreEra(era), StoreRevision(revision) };
+    }
+
+    static UpstreamRecord record(std::uint64_t serial, bool isDraining = false,
+                                 std::uint64_t incarnation = 1)
+    {
+        return { .serial = common::UpstreamSerial(serial),
+                 .draining = isDraining,
+                 .incarnation = common::Incarnation(incarnation) };
+    }
+
+    static DirectoryChange upstream(const UpstreamRecord &upstream, const Position &position)
+    {
+        return { version::keyOf(upstream), position, upstream };
+    }
+
+    static DirectoryChange removal(std::uint64_t serial, const Position &position)
+    {
+        return { version::keyOf(record(serial)), position, version::RemovedRecord {} };
+    }
+
+    static DirectoryChange rules(std::uint64_t version, const Position &position)
+    {
+        const version::RulesRecord rules { .version = version };
+        return { version::keyOf(rules), position, rules };
+    }
+
+    std::vector<version::EntryKey> read(const Position &to, std::vector<DirectoryChange> changes)
+    {
+        return directory.apply({ {}, to, true, std::move(changes) }, now);
+    }
+
+    std::vector<version::EntryKey> watch(const Position &to, std::vector<DirectoryChange> changes)
+    {
+        return directory.apply({ .from = directory.position(),
+                                 .to = to,
+                                 .changes = std::move(changes),
+                                 .holdsEachChange = true },
+                               now);
+    }
+
+    static const UpstreamRecord *find(const Directory &directory, std::uint64_t serial)
+    {
+        const auto found = directory.entries().find(version::keyOf(record(serial)));
+        return found == directory.entries().end()
+                ? nullptr
+                : std::get_if<UpstreamRecord>(&found->second.value);
+    }
+
+    bool holds(std::uint64_t serial) const
+    {
+        return find(directory, serial) != nullptr;
+    }
+
+    bool isDraining(std::uint64_t serial) const
+    {
+        return find(directory, serial)->draining;
+    }
+
+    void endHold()
+    {
+        now += Directory::HoldPeriod;
+        directory.releaseHeld(now);
+    }
+};
+
+// Guards against a contract that is refused for good because it is written again under a lower
+// revision, and against the older one of the copy.
+TEST(DirectoryEra, contractNeverGoesBackAndIsTakenUnderALowerRevision)
+{
+    read(at(1, 100), { rules(7, at(1, 90)) });
+    read(at(2, 60), { rules(5, at(2, 50)) });
+    LONGS_EQUAL(7, directory.rules()->version);
+    endHold();
+    LONGS_EQUAL(7, directory.rules()->version);
+    watch(at(2, 61), { rules(7, at(2, 61)) });
+    watch(at(2, 62), { rules(8, at(2, 62)) });
+    LONGS_EQUAL(8, directory.rules()->version);
+    read(at(3, 20), {});
+    endHold();
+    LONGS_EQUAL(8, directory.rules()->version);
+}
+
+// Guards against new flows to a drained or removed upstream because the copy is older, and against
+// the loss of upstreams that the copy lacks.
+TEST(DirectoryEra, copyIsHeldOffUntilTheHoldEnds)
+{
+    read(at(1, 100),
+         { upstream(record(1, true), at(1, 95)), upstream(record(2), at(1, 20)),
+           upstream(record(3), at(1, 96)) });
+    watch(at(1, 101), { removal(2, at(1, 101)) });
+    const auto changed =
+            read(at(2, 60), { upstream(record(1), at(2, 50)), upstream(record(2), at(2, 20)) });
+    LONGS_EQUAL(0, changed.size());
+    CHECK_TRUE(isDraining(1));
+    CHECK_FALSE(holds(2));
+    CHECK_TRUE(holds(3));
+    LONGS_EQUAL(3, directory.heldCount());
+    now += Directory::HoldPeriod - 1ms;
+    LONGS_EQUAL(0, directory.releaseHeld(now).size());
+    now += 1ms;
+    LONGS_EQUAL(3, directory.releaseHeld(now).size());
+    CHECK_FALSE(isDraining(1));
+    CHECK_TRUE(holds(2));
+    CHECK_FALSE(holds(3));
+    CHECK_FALSE(directory.isHolding());
+}
+
+// Guards against a change of operators or upstreams that waits for the end of the hold.
+TEST(DirectoryEra, writeAfterTheReadCountsAtOnce)
+{
+    read(at(1, 100), { upstream(record(1), at(1, 95)), upstream(record(2), at(1, 96)) });
+    read(at(2, 60), {});
+    watch(at(2, 62), { upstream(record(1, true), at(2, 61)), removal(2, at(2, 62)) });
+    CHECK_TRUE(isDraining(1));
+    CHECK_FALSE(holds(2));
+    endHold();
+    CHECK_TRUE(isDraining(1));
+    CHECK_FALSE(holds(2));
+}
+
+// Guards against an upstream that stays as it was although the read shows a later state of it: it
+// was written between the return of the store and the read.
+TEST(DirectoryEra, laterStatesInTheReadCountAtOnce)
+{
+    read(at(1, 100), { upstream(record(1), at(1, 95)), upstream(record(2), at(1, 96)) });
+    read(at(2, 60),
+         { upstream(record(1, true), at(2, 58)), upstream(record(2, false, 2), at(2, 59)),
+           upstream(record(3), at(2, 60)) });
+    CHECK_TRUE(isDraining(1));
+    LONGS_EQUAL(2, find(directory, 2)->incarnation.value());
+    CHECK_TRUE(holds(3));
+    LONGS_EQUAL(0, directory.heldCount());
+}
+
+// Guards against two values that are taken for one because the store has given a revision out
+// twice.
+TEST(DirectoryEra, revisionThatIsGivenOutTwiceNamesTwoValues)
+{
+    read(at(1, 100), { upstream(record(1), at(1, 95)) });
+    watch(at(1, 101), { upstream(record(1, true), at(1, 101)) });
+    read(at(2, 100), { upstream(record(1), at(2, 95)) });
+    LONGS_EQUAL(1, watch(at(2, 101), { upstream(record(1, false, 2), at(2, 101)) }).size());
+    CHECK_FALSE(isDraining(1));
+    LONGS_EQUAL(2, find(directory, 1)->incarnation.value());
+}
+
+// Guards against a peer that missed the return of the store and overrides what is known since.
+TEST(DirectoryEra, changesOfAFormerEraAreIgnored)
+{
+    read(at(1, 100), { upstream(record(1), at(1, 95)) });
+    read(at(2, 60), { upstream(record(1), at(2, 60)) });
+    read(at(1, 500), { upstream(record(1, true), at(1, 400)), upstream(record(2), at(1, 401)) });
+    CHECK(directory.position() == at(2, 60));
+    CHECK_FALSE(isDraining(1));
+    CHECK_FALSE(holds(2));
+}
+
+// Guards against instances that learn of the era from a peer and trust the copy, or never give up
+// what they hold.
+TEST(DirectoryEra, peersHoldWhatTheSenderHolds)
+{
+    const std::vector known { upstream(record(1, true), at(1, 95)), upstream(record(2), at(1, 96)),
+                              upstream(record(3), at(1, 10)) };
+    Directory peer;
+    peer.apply({ {}, at(1, 100), true, known }, now);
+    read(at(1, 100), known);
+    read(at(2, 60), { upstream(record(1), at(2, 50)), upstream(record(3), at(2, 10)) });
+    Directory starting;
+    starting.apply(directory.changesSince({}, now), now);
+    const auto delta = directory.changesSince(at(1, 100), now);
+    CHECK_FALSE(delta.complete);
+    // Two entries, as known and as in the copy. The third one is the same in both eras.
+    LONGS_EQUAL(4, delta.changes.size());
+    peer.apply(delta, now);
+    for (auto *receiver : { &peer, &starting }) {
+        CHECK(receiver->position() == at(2, 60));
+        CHECK_TRUE(find(*receiver, 1)->draining);
+        CHECK(find(*receiver, 2) != nullptr);
+        CHECK(find(*receiver, 3) != nullptr);
+        LONGS_EQUAL(2, receiver->releaseHeld(now + Directory::HoldPeriod).size());
+        CHECK_FALSE(find(*receiver, 1)->draining);
+        CHECK(find(*receiver, 2) == nullptr);
+    }
+}
+
+// Guards against an upstream that counts as cold again because the copy shows its first record.
+TEST(DirectoryEra, copyDoesNotMakeAnUpstreamColdAgain)
+{
+    auto cold = record(1);
+    cold.coldFor = 2s;
+    read(at(1, 100), { upstream(cold, at(1, 95)) });
+    now += 1500ms;
+    read(at(2, 95), { upstream(cold, at(2, 95)) });
+    const auto changes = directory.changesSince({}, now).changes;
+    LONGS_EQUAL(500'000, std::get<UpstreamRecord>(changes.front().value).coldFor.count());
+}
+
+// Guards against values of an earlier copy that stay when the store comes back a second time.
+TEST(DirectoryEra, secondCopyReplacesTheFirst)
+{
+    read(at(1, 100), { upstream(record(1, true), at(1, 95)), upstream(record(2), at(1, 96)) });
+    read(at(2, 60), { upstream(record(1), at(2, 50)) });
+    now += 2s;
+    read(at(3, 96), { upstream(record(1, true), at(3, 95)) });
+    endHold();
+    CHECK_TRUE(isDraining(1));
+    CHECK_FALSE(holds(2));
+}
--- a/src/tests/flowdaemontest.cpp
+++ b/src/tests/flowdaemontest.cpp
@@ -50,7 +50,7 @@
         });
     }
 
-    void watch(common::StoreRevision, std::chrono::milliseconds, AnswerHandler) override { }
+    void watch(version::StorePosition, std::chrono::milliseconds, AnswerHandler) override { }
 
     void registerMember(const version::MemberRecord &, WriteHandler) override { }
 
--- a/src/tests/isolationdetectortest.cpp
+++ b/src/tests/isolationdetectortest.cpp
@@ -73,7 +73,7 @@
     {
         const auto from = revision;
         revision = StoreRevision(revision.value() + 1);
-        std::ranges::for_each(changes, [&](auto &change) { change.revision = revision; });
+        std::ranges::for_each(changes, [&](auto &change) { change.position = revision; });
         const version::DirectoryDelta delta { from, revision, from == StoreRevision(),
                                               std::move(changes) };
         forwarder.update(directory, directory.apply(delta, now), now);
--- a/src/tests/openingpolicytest.cpp
+++ b/src/tests/openingpolicytest.cpp
@@ -47,7 +47,7 @@
         const StoreRevision from(revision);
         ++revision;
         std::ranges::for_each(changes,
-                              [&](auto &change) { change.revision = StoreRevision(revision); });
+                              [&](auto &change) { change.position = StoreRevision(revision); });
         const auto changed = directory.apply(
                 { from, StoreRevision(revision), complete, std::move(changes) }, now);
         upstreams.update(directory, changed, now);
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -1,6 +1,6 @@
 #include "version/directory.h"
 
-#include "common/result.h"
+#include "version/directoryvalue.h"
 #include "version/rulespatch.h"
 
 #include <algorithm>
@@ -9,7 +9,6 @@
 
 namespace banyanwall::version {
 
-using common::StoreRevision;
 using common::TimePoint;
 
 namespace {
@@ -18,8 +17,6 @@
 // itself within seconds, so that none is further behind than this.
 constexpr std::chrono::seconds RemovalRetention { 60 };
 
-constexpr std::uint64_t PortBits = 16;
-
 // Allows for different transmission times of the records of one upstream.
 constexpr std::chrono::milliseconds ColdTimeTolerance { 200 };
 
@@ -33,35 +30,11 @@
     return value;
 }
 
-std::set<EntryKey> keysOf(const DirectoryDelta &delta)
-{
-    std::set<EntryKey> keys;
-    std::ranges::transform(delta.changes, std::inserter(keys, keys.end()), &DirectoryChange::key);
-    return keys;
-}
-
-/// Version of the contract; empty if the value holds no rules.
-std::optional<std::uint64_t> contractVersionOf(const DirectoryValue &value)
+/// Last change of an entry as seen by peers that know a position.
+StorePosition changedAt(const Directory::Entry &entry, const StorePosition &known)
 {
-    using Version = std::optional<std::uint64_t>;
-    return std::visit(common::Overloaded {
-                              [](const RulesRecord &rules) { return Version(rules.version); },
-                              [](const RulesPatch &patch) { return Version(patch.version); },
-                              [](const auto & /*other*/) { return Version(); },
-                      },
-                      value);
-}
-
-/// Returns the rules to which a patch leads, and any other value as it is. Empty if the patch does
-/// not fit the known rules.
-std::optional<DirectoryValue> patchedValue(const RulesRecord *known, const DirectoryValue &value)
-{
-    const auto *patch = std::get_if<RulesPatch>(&value);
-    if (patch == nullptr) {
-        return value;
-    }
-    auto patched = patchedRules(known, *patch);
-    return patched ? std::optional<DirectoryValue>(std::move(*patched)) : std::nullopt;
+    const bool isKnownInFormerEra = entry.formerPosition && known.era < entry.position.era;
+    return isKnownInFormerEra ? *entry.formerPosition : entry.position;
 }
 
 /// Returns true if the record of an upstream changes only its cold time, and that time is no longer
@@ -74,61 +47,56 @@
     if (known == nullptr || record == nullptr) {
         return false;
     }
-    auto expected = *known;
-    expected.coldFor = record->coldFor;
     const auto left = known->coldFor - (now - entry.receivedAt);
-    return expected == *record
+    return isSameButForColdTime(entry.value, value)
             && record->coldFor <= std::max(common::Duration {}, left) + ColdTimeTolerance;
 }
 
-} // namespace
-
-EntryKey keyOf(const UpstreamRecord &record)
-{
-    const bool isNamedBySerial = record.entry == common::EntryId();
-    return { EntryKind::Upstream, isNamedBySerial ? record.serial.value() : record.entry.value() };
-}
-
-EntryKey keyOf(const RulesRecord & /*record*/)
-{
-    return { EntryKind::Rules, 0 };
-}
-
-EntryKey keyOf(const RulesPatch & /*patch*/)
+/// Whether the change holds all rules of a later contract than the known one, which a store that
+/// has come back from a copy may lack.
+bool isLaterContractOfFormerEra(const Directory::Entry &entry, const DirectoryChange &change)
 {
-    return { EntryKind::Rules, 0 };
-}
-
-EntryKey keyOf(const WithdrawalRecord &record)
-{
-    return { EntryKind::Withdrawal, record.zone.value() };
+    const auto *known = std::get_if<RulesRecord>(&entry.value);
+    const auto *patch = std::get_if<RulesPatch>(&change.value);
+    const auto version = contractVersionOf(change.value);
+    return known != nullptr && version && *version > known->version
+            && change.position.era < entry.position.era && (patch == nullptr || patch->complete);
 }
 
-EntryKey keyOf(const MemberRecord &record)
-{
-    return { EntryKind::Member,
-             (std::uint64_t { record.endpoint.address } << PortBits) | record.endpoint.port };
-}
+} // namespace
 
 std::vector<EntryKey> Directory::apply(const DirectoryDelta &delta, TimePoint now)
 {
-    const bool startsTooLate = !delta.complete && (!isLoaded() || delta.from > m_revision);
-    if (startsTooLate) {
+    const bool startsTooLate = !delta.complete && (!isLoaded() || delta.from > m_position);
+    // An entry that changed in the former era and changed back in the copy is not listed. It is as
+    // before only for those that start from the same position.
+    const bool skipsEra =
+            !delta.complete && delta.from.era < delta.to.era && delta.from != m_position;
+    if (startsTooLate || skipsEra || delta.to.era < m_position.era) {
         return {};
     }
+    const bool beginsEra = isLoaded() && delta.to.era > m_position.era;
+    if (beginsEra) {
+        m_holdEndsAt = now + HoldPeriod;
+    }
     // A delta of the past may hold entries that were removed since. Where removals are not known,
     // the lack of an entry is all that shows them.
-    const bool isPast = delta.to < m_revision;
+    const bool isPast = delta.to < m_position;
     const auto isKnownToBeGone = [&](const DirectoryChange &change) {
         return isPast && !isPresent(change.key)
-                && (change.revision <= m_removalsCompleteAfter || isInGap(change.revision));
+                && (change.position <= m_removalsCompleteAfter || isInGap(change.position));
     };
-    const bool isNewer = delta.to > m_revision;
+    const bool isNewer = delta.to > m_position;
     std::vector<EntryKey> changed;
     bool isRefused = isNewer && delta.mayLackRemovals && holdsUnlistedEntries(delta);
+    const DirectoryChange *previous = nullptr;
     for (const auto &change : delta.changes) {
-        const auto outcome =
-                isKnownToBeGone(change) ? Outcome::Unchanged : applyChange(delta, change, now);
+        const bool isHeldBySender = previous != nullptr && previous->key == change.key
+                && previous->position.era < change.position.era;
+        previous = &change;
+        const auto outcome = isKnownToBeGone(change)
+                ? Outcome::Unchanged
+                : applyChange({ delta, change, isHeldBySender, beginsEra }, now);
         isRefused = isRefused || outcome == Outcome::Refused;
         if (outcome == Outcome::Changed) {
             changed.push_back(change.key);
@@ -140,32 +108,55 @@
     }
     m_needsAllEntries = m_needsAllEntries && !isNewer;
     if (isLoaded() && isNewer && (delta.complete || delta.mayLackRemovals)) {
-        m_gaps.push_back({ m_revision, delta.to, now });
+        m_gaps.push_back({ m_position, delta.to, now });
     }
     if (delta.complete) {
-        removeMissingEntries(delta, now, changed);
+        removeMissingEntries(delta, beginsEra, now, changed);
         if (!isLoaded()) {
             m_removalsCompleteAfter = delta.to;
         }
+    } else if (beginsEra) {
+        confirmUnlistedEntries(delta);
     }
-    m_revision = std::max(m_revision, delta.to);
+    m_position = std::max(m_position, delta.to);
     removeExpiredRemovals(now);
     return changed;
 }
 
-DirectoryDelta Directory::changesSince(StoreRevision since, TimePoint now) const
+std::vector<EntryKey> Directory::releaseHeld(TimePoint now)
 {
-    DirectoryDelta delta { .from = since, .to = m_revision };
-    delta.complete = since < m_removalsCompleteAfter || since == StoreRevision() || isInGap(since);
+    std::vector<EntryKey> changed;
+    if (!m_holdEndsAt || now < *m_holdEndsAt) {
+        return changed;
+    }
+    m_holdEndsAt.reset();
+    for (auto &[key, copy] : m_copies) {
+        m_entries[key] = std::move(copy);
+        changed.push_back(key);
+    }
+    m_copies.clear();
+    return changed;
+}
+
+DirectoryDelta Directory::changesSince(StorePosition since, TimePoint now) const
+{
+    DirectoryDelta delta { .from = since, .to = m_position };
+    delta.complete = since < m_removalsCompleteAfter || since == StorePosition() || isInGap(since);
     delta.mayLackRemovals = !delta.complete
             && std::ranges::any_of(m_gaps, [&](const auto &gap) { return since < gap.to; });
     for (const auto &[key, entry] : m_entries) {
+        if (const auto copy = m_copies.find(key);
+            copy != m_copies.end() && (delta.complete || copy->second.position > since)) {
+            delta.changes.push_back({ key, entry.position, valueAt(entry, now) });
+            delta.changes.push_back({ key, copy->second.position, valueAt(copy->second, now) });
+            continue;
+        }
         const bool isRemoved = std::holds_alternative<RemovedRecord>(entry.value);
-        if (delta.complete ? !isRemoved : entry.revision > since) {
+        if (delta.complete ? !isRemoved : changedAt(entry, since) > since) {
             auto value = key.kind == EntryKind::Rules && !isRemoved
                     ? DirectoryValue(patchSince(since, delta.complete))
                     : valueAt(entry, now);
-            delta.changes.push_back({ key, entry.revision, std::move(value) });
+            delta.changes.push_back({ key, entry.position, std::move(value) });
         }
     }
     return delta;
@@ -189,20 +180,72 @@
     return members;
 }
 
-Directory::Outcome Directory::applyChange(const DirectoryDelta &delta,
-                                          const DirectoryChange &change, TimePoint now)
+Directory::Outcome Directory::applyChange(const ListedChange &listed, TimePoint now)
 {
+    const auto &change = listed.change;
     auto &entry = m_entries[change.key];
-    if (change.revision <= entry.revision) {
+    if (isLaterContractOfFormerEra(entry, change)) {
+        return replaceValue(entry, { change.key, entry.position, change.value }, now);
+    }
+    if (change.position <= entry.position) {
         return Outcome::Unchanged;
     }
-    if (isRedundantRecord(entry, change.value, now)) {
+    const auto copy = m_copies.find(change.key);
+    if (copy != m_copies.end() && copy->second.position.era == change.position.era) {
+        return change.position <= copy->second.position ? Outcome::Unchanged
+                                                        : replaceValue(entry, change, now);
+    }
+    const bool isOfFormerEra = entry.position != StorePosition()
+            && entry.position.era < change.position.era
+            && (listed.beginsEra || listed.isHeldBySender);
+    if (isOfFormerEra) {
+        if (const auto outcome = confirmOrHold(listed, entry, now)) {
+            return *outcome;
+        }
+    }
+    const bool wasHeld = isHeld(change.key);
+    if (!wasHeld && isRedundantRecord(entry, change.value, now)) {
         // The entry may have had another value in between, which other instances may hold.
-        if (!delta.holdsEachChange) {
-            entry.revision = change.revision;
+        if (!listed.delta.holdsEachChange) {
+            entry.position = change.position;
+            entry.formerPosition.reset();
         }
         return Outcome::Unchanged;
     }
+    return replaceValue(entry, change, now);
+}
+
+std::optional<Directory::Outcome> Directory::confirmOrHold(const ListedChange &listed, Entry &entry,
+                                                           TimePoint now)
+{
+    const auto &[delta, change, isHeldBySender, beginsEra] = listed;
+    // A copy of the past holds no later write than the known one.
+    if (!isHeldBySender && change.position.revision > entry.position.revision) {
+        return std::nullopt;
+    }
+    if (isSameButForColdTime(entry.value, change.value)) {
+        const bool wasHeld = m_copies.erase(change.key) > 0;
+        const bool mayDifferAtPeers = wasHeld || change.key.kind == EntryKind::Rules
+                || change.position.revision != entry.position.revision;
+        entry.formerPosition = mayDifferAtPeers ? std::nullopt : std::optional(entry.position);
+        entry.position = change.position;
+        return Outcome::Unchanged;
+    }
+    if (change.key.kind == EntryKind::Rules) {
+        const bool isMissing = std::holds_alternative<RemovedRecord>(change.value);
+        return isMissing ? std::optional(Outcome::Unchanged) : std::nullopt;
+    }
+    const bool isKnownToSender = !delta.complete && !isHeldBySender && entry.position <= delta.from;
+    if (isKnownToSender || isLaterState(entry.value, change.value)) {
+        return std::nullopt;
+    }
+    hold(change.key, { change.position, change.value, now });
+    return Outcome::Unchanged;
+}
+
+Directory::Outcome Directory::replaceValue(Entry &entry, const DirectoryChange &change,
+                                           TimePoint now)
+{
     const auto *known = std::get_if<RulesRecord>(&entry.value);
     const auto version = contractVersionOf(change.value);
     if (known != nullptr && version && *version < known->version) {
@@ -213,14 +256,23 @@
         return Outcome::Refused;
     }
     if (const auto *newRules = std::get_if<RulesRecord>(&*value)) {
-        recordRouteChanges(known == nullptr ? RulesRecord {} : *known, *newRules, change.revision,
+        recordRouteChanges(known == nullptr ? RulesRecord {} : *known, *newRules, change.position,
                            now);
     }
-    entry = { change.revision, std::move(*value), now };
+    entry = { change.position, std::move(*value), now };
+    m_copies.erase(change.key);
     return Outcome::Changed;
 }
 
-RulesPatch Directory::patchSince(StoreRevision since, bool complete) const
+void Directory::hold(const EntryKey &key, Entry copy)
+{
+    if (!m_holdEndsAt) {
+        m_holdEndsAt = copy.receivedAt + HoldPeriod;
+    }
+    m_copies.insert_or_assign(key, std::move(copy));
+}
+
+RulesPatch Directory::patchSince(StorePosition since, bool complete) const
 {
     const auto &record = *rules();
     RulesPatch patch { .version = record.version,
@@ -229,7 +281,7 @@
                        .services = record.services,
                        .routesDigest = digestOf(record.routes) };
     const auto hasChanged = [&](const common::Endpoint &address) {
-        return complete || m_routeChanges.at(address).revision > since;
+        return complete || m_routeChanges.at(address).position > since;
     };
     std::ranges::copy_if(record.routes, std::back_inserter(patch.routes), hasChanged,
                          &RouteRecord::address);
@@ -237,7 +289,7 @@
         return patch;
     }
     for (const auto &[address, change] : m_routeChanges) {
-        if (change.revision > since && change.isRemoved) {
+        if (change.position > since && change.isRemoved) {
             patch.removedAddresses.push_back(address);
         }
     }
@@ -245,7 +297,7 @@
 }
 
 void Directory::recordRouteChanges(const RulesRecord &previous, const RulesRecord &rules,
-                                   StoreRevision revision, TimePoint now)
+                                   StorePosition position, TimePoint now)
 {
     std::map<common::Endpoint, const RouteRecord *> previousRoutes;
     for (const auto &route : previous.routes) {
@@ -254,14 +306,14 @@
     for (const auto &route : rules.routes) {
         const auto known = previousRoutes.find(route.address);
         if (known == previousRoutes.end() || *known->second != route) {
-            m_routeChanges[route.address] = { revision, now, false };
+            m_routeChanges[route.address] = { position, now, false };
         }
         if (known != previousRoutes.end()) {
             previousRoutes.erase(known);
         }
     }
     for (const auto &[address, route] : previousRoutes) {
-        m_routeChanges[address] = { revision, now, true };
+        m_routeChanges[address] = { position, now, true };
     }
 }
 
@@ -270,7 +322,7 @@
     const auto listed = keysOf(delta);
     return std::ranges::any_of(m_entries, [&](const auto &item) {
         const auto &[key, entry] = item;
-        return entry.revision > delta.from && !listed.contains(key)
+        return entry.position > delta.from && !listed.contains(key)
                 && !std::holds_alternative<RemovedRecord>(entry.value);
     });
 }
@@ -281,26 +333,58 @@
     return found != m_entries.end() && !std::holds_alternative<RemovedRecord>(found->second.value);
 }
 
-bool Directory::isInGap(StoreRevision revision) const
+bool Directory::isInGap(const StorePosition &position) const
 {
     return std::ranges::any_of(
-            m_gaps, [&](const auto &gap) { return gap.from < revision && revision < gap.to; });
+            m_gaps, [&](const auto &gap) { return gap.from < position && position < gap.to; });
 }
 
-void Directory::removeMissingEntries(const DirectoryDelta &delta, TimePoint now,
+void Directory::removeMissingEntries(const DirectoryDelta &delta, bool beginsEra, TimePoint now,
                                      std::vector<EntryKey> &changed)
 {
-    const auto listed = keysOf(delta);
+    const auto present = presentKeysOf(delta);
     for (auto &[key, entry] : m_entries) {
-        const bool isMissing = !std::holds_alternative<RemovedRecord>(entry.value)
-                && !listed.contains(key) && entry.revision <= delta.to;
-        if (isMissing) {
+        const auto copy = m_copies.find(key);
+        const bool isNewer = entry.position > delta.to
+                || (copy != m_copies.end() && copy->second.position > delta.to);
+        const bool isContract = key.kind == EntryKind::Rules && entry.position.era < delta.to.era;
+        if (present.contains(key) || isNewer || isContract) {
+            continue;
+        }
+        if (std::holds_alternative<RemovedRecord>(entry.value)) {
+            // Peers that did not hold the removal learn of it by its later position.
+            if (copy != m_copies.end()) {
+                m_copies.erase(copy);
+                entry = { delta.to, RemovedRecord {}, now };
+            }
+            continue;
+        }
+        const bool isMissingInCopy =
+                copy != m_copies.end() && std::holds_alternative<RemovedRecord>(copy->second.value);
+        if (beginsEra && entry.position.era < delta.to.era) {
+            hold(key, { delta.to, RemovedRecord {}, now });
+        } else if (!isMissingInCopy) {
             entry = { delta.to, RemovedRecord {}, now };
+            m_copies.erase(key);
             changed.push_back(key);
         }
     }
 }
 
+void Directory::confirmUnlistedEntries(const DirectoryDelta &delta)
+{
+    const auto listed = keysOf(delta);
+    for (auto &[key, entry] : m_entries) {
+        const bool isConfirmed = !listed.contains(key) && key.kind != EntryKind::Rules
+                && !std::holds_alternative<RemovedRecord>(entry.value) && !m_copies.contains(key)
+                && entry.position.era < delta.to.era;
+        if (isConfirmed) {
+            entry.formerPosition = entry.position;
+            entry.position.era = delta.to.era;
+        }
+    }
+}
+
 void Directory::removeExpiredRemovals(TimePoint now)
 {
     std::erase_if(m_gaps, [&](const auto &gap) {
@@ -314,7 +398,7 @@
         const auto &change = item.second;
         const bool isExpired = change.isRemoved && now - change.receivedAt > RemovalRetention;
         if (isExpired) {
-            m_removalsCompleteAfter = std::max(m_removalsCompleteAfter, change.revision);
+            m_removalsCompleteAfter = std::max(m_removalsCompleteAfter, change.position);
         }
         return isExpired;
     });
@@ -323,7 +407,7 @@
         const bool isExpired = std::holds_alternative<RemovedRecord>(entry.value)
                 && now - entry.receivedAt > RemovalRetention;
         if (isExpired) {
-            m_removalsCompleteAfter = std::max(m_removalsCompleteAfter, entry.revision);
+            m_removalsCompleteAfter = std::max(m_removalsCompleteAfter, entry.position);
         }
         return isExpired;
     });
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -3,7 +3,10 @@
 #include "common/endpoint.h"
 #include "common/ids.h"
 #include "common/time.h"
+#include "version/storeposition.h"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -169,68 +172,95 @@
 [[nodiscard]] EntryKey keyOf(const WithdrawalRecord &record);
 [[nodiscard]] EntryKey keyOf(const MemberRecord &record);
 
-/// One entry at the revision of its last change.
+/// One entry at the position of its last change.
 struct DirectoryChange
 {
     EntryKey key;
-    common::StoreRevision revision;
+    StorePosition position;
     DirectoryValue value;
 
     bool operator==(const DirectoryChange &) const = default;
 };
 
-/// Changes that lead from one revision to a later one.
+/// Changes that lead from one position to a later one.
 struct DirectoryDelta
 {
-    common::StoreRevision from;
-    common::StoreRevision to;
+    StorePosition from;
+    StorePosition to;
     /// changes holds all entries; all others were removed.
     bool complete = false;
+    /// An entry that the sender holds against the first read of an era is listed twice: as the
+    /// sender knows it from the former era, and then as the store returned it in the new one.
     std::vector<DirectoryChange> changes {};
-    /// Entries that were created and removed between the two revisions may be unknown to the
+    /// Entries that were created and removed between the two positions may be unknown to the
     /// sender, so that their removals are missing in changes.
     bool mayLackRemovals = false;
-    /// changes holds each change between the two revisions, and not only the last one of each
+    /// changes holds each change between the two positions, and not only the last one of each
     /// entry.
     bool holdsEachChange = false;
 };
 
-/// Entries of the store that routing needs, each at its newest known revision. An entry never
-/// returns to an older revision, whether it comes from the store or from a peer. Not thread-safe.
+/// Entries of the store that routing needs, each at its newest known position. An entry never
+/// returns to an older position, whether it comes from the store or from a peer.
+///
+/// The first read of a new era shows a copy of the past. What was known before is held against it
+/// for HoldPeriod: a known value stays where the copy differs from it, unless the difference can
+/// only come from a later write. Any write after that read replaces a held value at once; when the
+/// period ends, the copy counts. A contract never goes back to a lower version. Not thread-safe.
 class Directory
 {
 public:
+    /// Within this time operators and upstreams write again what the copy lacks.
+    static constexpr std::chrono::seconds HoldPeriod { 5 };
+
     struct Entry
     {
-        common::StoreRevision revision;
+        StorePosition position;
         DirectoryValue value;
         common::TimePoint receivedAt;
+        /// Position in the former era, if the entry is the same in the present one. Peers that know
+        /// that position hold the entry.
+        std::optional<StorePosition> formerPosition {};
     };
 
-    /// Returns the newest revision up to which all changes are known; zero before the first
-    /// complete delta.
-    [[nodiscard]] common::StoreRevision revision() const { return m_revision; }
+    /// Returns the newest position up to which all changes are known; the default position before
+    /// the first complete delta.
+    [[nodiscard]] const StorePosition &position() const { return m_position; }
+
+    /// Returns the revision of position().
+    [[nodiscard]] common::StoreRevision revision() const { return m_position.revision; }
+
+    [[nodiscard]] bool isLoaded() const { return m_position != StorePosition(); }
+
+    /// Whether values of a former era are held against a copy.
+    [[nodiscard]] bool isHolding() const { return m_holdEndsAt.has_value(); }
+
+    /// Whether the store lacks the known value of an entry, as far as it is known here.
+    [[nodiscard]] bool isHeld(const EntryKey &key) const { return m_copies.contains(key); }
 
-    [[nodiscard]] bool isLoaded() const { return m_revision != common::StoreRevision(); }
+    [[nodiscard]] std::size_t heldCount() const { return m_copies.size(); }
+
+    /// Ends the hold when its time is over. Returns the keys of the entries that changed.
+    std::vector<EntryKey> releaseHeld(common::TimePoint now);
 
     /// Whether the last delta was refused because its changes do not fit the known entries. Only
-    /// a complete delta, or one of another peer, leads to a later revision.
+    /// a complete delta, or one of another peer, leads to a later position.
     [[nodiscard]] bool needsAllEntries() const { return m_needsAllEntries; }
 
     [[nodiscard]] const std::map<EntryKey, Entry> &entries() const { return m_entries; }
 
     /// Applies a delta and returns the keys of the changed entries. A delta that starts after the
-    /// known revision is ignored unless it is complete, because the changes in between are unknown.
+    /// known position is ignored unless it is complete, because the changes in between are unknown.
+    /// A delta that ends in a former era is ignored.
     /// A delta whose rules are changed from a contract that is not the known one, or that may lack
-    /// the removal of a known entry, does not advance the revision, and needsAllEntries() returns
+    /// the removal of a known entry, does not advance the position, and needsAllEntries() returns
     /// true.
-    /// A delta that ends before the known revision brings no entry back that was removed meanwhile.
+    /// A delta that ends before the known position brings no entry back that was removed meanwhile.
     std::vector<EntryKey> apply(const DirectoryDelta &delta, common::TimePoint now);
 
-    /// Returns the changes after a revision, or a complete delta if some removals since then have
+    /// Returns the changes after a position, or a complete delta if some removals since then have
     /// expired. The rules are returned as a patch, and the cold times of upstreams as of now.
-    [[nodiscard]] DirectoryDelta changesSince(common::StoreRevision since,
-                                              common::TimePoint now) const;
+    [[nodiscard]] DirectoryDelta changesSince(StorePosition since, common::TimePoint now) const;
 
     [[nodiscard]] const RulesRecord *rules() const;
     [[nodiscard]] std::vector<MemberRecord> members() const;
@@ -243,40 +273,62 @@
         Refused,
     };
 
-    Outcome applyChange(const DirectoryDelta &delta, const DirectoryChange &change,
-                        common::TimePoint now);
-    [[nodiscard]] RulesPatch patchSince(common::StoreRevision since, bool complete) const;
+    /// A change of the list of a delta.
+    struct ListedChange
+    {
+        const DirectoryDelta &delta;
+        const DirectoryChange &change;
+        /// The change before it is the value that the sender holds against this one.
+        bool isHeldBySender = false;
+        /// The delta leads to an era that was not known here.
+        bool beginsEra = false;
+    };
+
+    Outcome applyChange(const ListedChange &listed, common::TimePoint now);
+    /// Confirms the known value of a former era, or holds it against the change. Empty if the
+    /// change is later than the known value.
+    std::optional<Outcome> confirmOrHold(const ListedChange &listed, Entry &entry,
+                                         common::TimePoint now);
+    Outcome replaceValue(Entry &entry, const DirectoryChange &change, common::TimePoint now);
+    [[nodiscard]] RulesPatch patchSince(StorePosition since, bool complete) const;
     void recordRouteChanges(const RulesRecord &previous, const RulesRecord &rules,
-                            common::StoreRevision revision, common::TimePoint now);
+                            StorePosition position, common::TimePoint now);
     /// Whether an entry that is newer than the start of the delta is not listed in it.
     [[nodiscard]] bool holdsUnlistedEntries(const DirectoryDelta &delta) const;
     /// Whether the entry exists and was not removed.
     [[nodiscard]] bool isPresent(const EntryKey &key) const;
-    [[nodiscard]] bool isInGap(common::StoreRevision revision) const;
-    void removeMissingEntries(const DirectoryDelta &delta, common::TimePoint now,
+    [[nodiscard]] bool isInGap(const StorePosition &position) const;
+    void removeMissingEntries(const DirectoryDelta &delta, bool beginsEra, common::TimePoint now,
                               std::vector<EntryKey> &changed);
+    /// After changes that lead to a new era: the entries that are not listed are the same in it.
+    void confirmUnlistedEntries(const DirectoryDelta &delta);
+    /// Holds the known value of an entry against what the store returned.
+    void hold(const EntryKey &key, Entry copy);
     void removeExpiredRemovals(common::TimePoint now);
 
     std::map<EntryKey, Entry> m_entries;
+    /// What the store returned for the entries whose known values are held.
+    std::map<EntryKey, Entry> m_copies;
+    std::optional<common::TimePoint> m_holdEndsAt;
 
     struct RouteChange
     {
-        common::StoreRevision revision;
+        StorePosition position;
         common::TimePoint receivedAt;
         bool isRemoved = false;
     };
 
     /// Last change of the route of each address, including recently removed routes.
     std::map<common::Endpoint, RouteChange> m_routeChanges;
-    common::StoreRevision m_revision;
-    /// Removals up to this revision may have expired, so that m_entries and m_routeChanges may lack
+    StorePosition m_position;
+    /// Removals up to this position may have expired, so that m_entries and m_routeChanges may lack
     /// them.
-    common::StoreRevision m_removalsCompleteAfter;
+    StorePosition m_removalsCompleteAfter;
 
     struct HistoryGap
     {
-        common::StoreRevision from;
-        common::StoreRevision to;
+        StorePosition from;
+        StorePosition to;
         common::TimePoint learnedAt;
     };
 
--- a/src/wire/directorycodec.cpp
+++ b/src/wire/directorycodec.cpp
@@ -199,7 +199,8 @@
 }
 
 /// Empty if the kind is unknown or the key does not match the value.
-std::optional<version::DirectoryChange> readChange(const proto::DirectoryChange &in)
+std::optional<version::DirectoryChange> readChange(const proto::DirectoryChange &in,
+                                                   common::StoreEra era)
 {
     const bool isKnownKind = in.kind() >= static_cast<std::uint32_t>(version::EntryKind::Upstream)
             && in.kind() <= static_cast<std::uint32_t>(version::EntryKind::Member);
@@ -208,7 +209,8 @@
     }
     version::DirectoryChange change {
         .key = { static_cast<version::EntryKind>(in.kind()), in.id() },
-        .revision = common::StoreRevision(in.revision()),
+        .position = { in.has_era() ? common::StoreEra(in.era()) : era,
+                      common::StoreRevision(in.revision()) },
         .value = readValue(in),
     };
     const bool isKeyOfValue = std::visit(
@@ -225,15 +227,20 @@
 std::string encodeDelta(const version::DirectoryDelta &delta)
 {
     proto::DirectoryDelta message;
-    message.set_from_revision(delta.from.value());
-    message.set_to_revision(delta.to.value());
+    message.set_from_revision(delta.from.revision.value());
+    message.set_from_era(delta.from.era.value());
+    message.set_to_revision(delta.to.revision.value());
+    message.set_to_era(delta.to.era.value());
     message.set_complete(delta.complete);
     message.set_may_lack_removals(delta.mayLackRemovals);
     for (const auto &change : delta.changes) {
         auto &entry = *message.add_changes();
         entry.set_kind(static_cast<std::uint32_t>(change.key.kind));
         entry.set_id(change.key.id);
-        entry.set_revision(change.revision.value());
+        entry.set_revision(change.position.revision.value());
+        if (change.position.era != delta.to.era) {
+            entry.set_era(change.position.era.value());
+        }
         writeValue(change.value, entry);
     }
     return message.SerializeAsString();
@@ -245,12 +252,14 @@
     if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         return Error { "malformed_delta", "the bytes are not an encoded directory delta" };
     }
-    version::DirectoryDelta delta { .from = common::StoreRevision(message.from_revision()),
-                                    .to = common::StoreRevision(message.to_revision()),
+    version::DirectoryDelta delta { .from = { common::StoreEra(message.from_era()),
+                                              common::StoreRevision(message.from_revision()) },
+                                    .to = { common::StoreEra(message.to_era()),
+                                            common::StoreRevision(message.to_revision()) },
                                     .complete = message.complete(),
                                     .mayLackRemovals = message.may_lack_removals() };
     for (const auto &entry : message.changes()) {
-        auto change = readChange(entry);
+        auto change = readChange(entry, delta.to.era);
         if (!change) {
             return Error { "malformed_delta", "the key of an entry does not match its value" };
         }
