--- a/src/tests/httpresponder.h
+++ b/src/tests/httpresponder.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -21,6 +22,8 @@
 {
 public:
     using Reply = std::function<void(unsigned status, std::string body)>;
+    /// Fields that the next responses get in addition, by name.
+    using Headers = std::map<std::string, std::string>;
     using Handler = std::function<void(const std::string &body, const Reply &reply)>;
 
     HttpResponder(boost::asio::io_context &context, Handler handler)
@@ -30,6 +33,8 @@
         accept();
     }
 
+    void setHeaders(Headers headers) { m_headers = std::move(headers); }
+
     [[nodiscard]] common::Endpoint address() const
     {
         return { m_acceptor.local_endpoint().address().to_v4().to_uint(),
@@ -67,16 +72,19 @@
                 [this, connection](boost::system::error_code error, std::size_t) {
                     if (!error) {
                         m_handler(connection->request.body(),
-                                  [connection](unsigned status, std::string body) {
+                                  [this, connection](unsigned status, std::string body) {
                                       sendResponse(connection, status, std::move(body));
                                   });
                     }
                 });
     }
 
-    static void sendResponse(const std::shared_ptr<Connection> &connection, unsigned status,
-                             std::string body)
+    void sendResponse(const std::shared_ptr<Connection> &connection, unsigned status,
+                      std::string body) const
     {
+        for (const auto &[name, value] : m_headers) {
+            connection->response.set(name, value);
+        }
         connection->response.result(status);
         connection->response.body() = std::move(body);
         connection->response.prepare_payload();
@@ -86,6 +94,7 @@
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     Handler m_handler;
+    Headers m_headers;
 };
 
 } // namespace banyanwall::tests
