--- a/src/benchmarks/syncfleet.h
+++ b/src/benchmarks/syncfleet.h
@@ -589,7 +589,7 @@
         const bool isReachable = !storeIsDown && !cutFromStore.contains(instance.member.endpoint)
                 && !refusedByStore.contains(instance.member.endpoint);
         if (isReachable && entry != m_store.end()
-            && entry->second.position.revision == removal.revision) {
+            && entry->second.position.revision == removal.position.revision) {
             write({ key, {}, version::RemovedRecord {} });
         }
     }
--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -332,7 +332,7 @@
         return;
     }
     if (const auto *member = std::get_if<version::MemberRecord>(&entry->second.value)) {
-        actions.push_back(RemoveMember { *member, entry->second.position.revision });
+        actions.push_back(RemoveMember { *member, entry->second.position });
     }
 }
 
--- a/src/process/directorysync.h
+++ b/src/process/directorysync.h
@@ -36,11 +36,11 @@
     version::MemberRecord member;
 };
 
-/// Action: remove the entry of another instance, unless it has changed since a revision.
+/// Action: remove the entry of another instance, unless it has changed since a position.
 struct RemoveMember
 {
     version::MemberRecord member;
-    common::StoreRevision revision;
+    version::StorePosition position;
 };
 
 struct SendDirectoryMessage
--- a/src/process/fleetstore.h
+++ b/src/process/fleetstore.h
@@ -26,8 +26,9 @@
                        AnswerHandler handler) = 0;
     /// Writes the entry of an instance, unless it exists.
     virtual void registerMember(const version::MemberRecord &member, WriteHandler handler) = 0;
-    /// Removes the entry of an instance, unless it has changed since the revision.
-    virtual void removeMember(const version::MemberRecord &member, common::StoreRevision revision,
+    /// Removes the entry of an instance, unless it has changed since the position. Not sent if the
+    /// store is known to be in a later era, in which the revision names another write.
+    virtual void removeMember(const version::MemberRecord &member, version::StorePosition position,
                               WriteHandler handler) = 0;
 };
 
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -441,7 +441,7 @@
 
 void FlowDaemon::startRemoval(const RemoveMember &removal)
 {
-    m_store.removeMember(removal.member, removal.revision,
+    m_store.removeMember(removal.member, removal.position,
                          [endpoint = removal.member.endpoint](bool isAccepted) {
                              LogEvent(LogLevel::Info, "member_removed")
                                      .with("peer", common::toString(endpoint))
--- a/src/tests/flowdaemontest.cpp
+++ b/src/tests/flowdaemontest.cpp
@@ -54,7 +54,7 @@
 
     void registerMember(const version::MemberRecord &, WriteHandler) override { }
 
-    void removeMember(const version::MemberRecord &, common::StoreRevision, WriteHandler) override
+    void removeMember(const version::MemberRecord &, version::StorePosition, WriteHandler) override
     { }
 
 private:
