Let lost changes lower the revisions in the test of rewritten entries

Cause: changesWrittenAgainUnderLowerRevisionsAreTaken passed on a trial copy that orders positions by the revision alone: few changes were lost, so that the revisions of the new writes were higher than those of the known entries. Ruled out: a longer test with more entries, which the random test covers. Change: 30 changes of an upstream are lost before the contract and the drain.

--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -571,6 +571,9 @@
     fleet->changeUpstream(1, true);
     fleet->changeUpstream(2, true);
     fleet->run(4s);
+    for (int change = 0; change < 30; ++change) {
+        fleet->changeUpstream(3, change % 2 == 0);
+    }
     fleet->changeRules(common::ServiceId(1));
     fleet->drainUpstream(1);
     fleet->changeUpstream(2, false);
@@ -579,6 +582,9 @@
     fleet->run(fleet->rewriteTime + ChangeBound);
     LONGS_EQUAL(0, fleet->diverging());
     checkChangeArrives();
+    fleet->changeUpstream(1, true);
+    fleet->run(ChangeBound);
+    LONGS_EQUAL(0, fleet->diverging());
 }
 
 // Guards against new flows to an upstream that the copy shows as it was before it drained, or
