Use no view of the lost writes in the simulated fleet

Cause: clang-tidy 14 does not compile std::ranges::subrange over the history. Ruled out: an exception for the file; the rule of the house is no piped views and views that the linter cannot read are of the same kind. Change: std::for_each over the iterators.

--- a/src/benchmarks/syncfleet.h
+++ b/src/benchmarks/syncfleet.h
@@ -112,11 +112,11 @@
         const auto lost = std::ranges::partition_point(
                 m_history, [&](const auto &write) { return write.at <= m_now - age; });
         std::map<version::EntryKey, Rewrite> rewrites;
-        for (const auto &write : std::ranges::subrange(lost, m_history.end())) {
+        std::for_each(lost, m_history.end(), [&](const auto &write) {
             if (write.change.key.kind != version::EntryKind::Member) {
                 rewrites[write.change.key] = { m_now + nextRewriteDelay(), write.change };
             }
-        }
+        });
         // What was lost before and not written again yet is newer.
         m_rewrites.merge(rewrites);
         m_history.erase(lost, m_history.end());
