Let no late answer and no revision of another instance outlive a return

A held entry counted as present in the store, so that a late answer brought back a write that had been removed since. And an instance that knows a value since a later write than the sender kept that write's revision in the new era, ahead of the store, and refused the next writes. Ruled out: dropping late answers (they carry changes of the same era); leaving such entries in the former era (a later write of the same revision could not be told from them). Change: a held entry that the copy lacks counts as absent for late answers; an entry that is the same in the new era gets no revision beyond the delta's end.

--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -697,7 +697,11 @@
                 fleet->changeRules(common::ServiceId(1 + below(2)));
                 break;
             case 1:
-                fleet->changeUpstream(1 + below(4), below(2) == 0);
+                if (below(4) == 0) {
+                    fleet->drainUpstream(1 + below(4));
+                } else {
+                    fleet->changeUpstream(1 + below(4), below(2) == 0);
+                }
                 break;
             case 2:
                 fleet->changeWithdrawal(common::ZoneId(1 + below(3)), below(2) == 0);
--- a/src/tests/directorytest.cpp
+++ b/src/tests/directorytest.cpp
@@ -610,3 +610,32 @@
     CHECK_TRUE(isDraining(1));
     CHECK_FALSE(holds(2));
 }
+
+// Guards against an upstream that stays for ever. It is written again and removed while it is held,
+// which this instance skips by a read, and a late answer brings the write only.
+TEST(DirectoryEra, lateAnswerBringsNoHeldEntryBack)
+{
+    read(at(1, 100), { upstream(record(1), at(1, 95)) });
+    read(at(2, 60), {});
+    read(at(2, 70), {});
+    const auto late = upstream(record(1, true), at(2, 62));
+    directory.apply({ .from = at(2, 60), .to = at(2, 65), .changes = { late } }, now);
+    endHold();
+    CHECK_FALSE(holds(1));
+}
+
+// Guards against an entry that refuses later writes, because it gets a revision in the new era that
+// the store has not reached. The sender knows the same value since an earlier write.
+TEST(DirectoryEra, sameEntryGetsNoRevisionAheadOfTheStore)
+{
+    Directory peer;
+    peer.apply({ {}, at(1, 25), true, { upstream(record(1), at(1, 24)) } }, now);
+    read(at(1, 20), { upstream(record(1), at(1, 16)) });
+    watch(at(1, 25), { upstream(record(1), at(1, 24)) });
+    read(at(2, 19), { upstream(record(1), at(2, 16)) });
+    peer.apply(directory.changesSince(at(1, 25), now), now);
+    CHECK(peer.position() == at(2, 19));
+    watch(at(2, 20), { removal(1, at(2, 20)) });
+    peer.apply(directory.changesSince(at(2, 19), now), now);
+    CHECK(find(peer, 1) == nullptr);
+}
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -329,8 +329,12 @@
 
 bool Directory::isPresent(const EntryKey &key) const
 {
-    const auto found = m_entries.find(key);
-    return found != m_entries.end() && !std::holds_alternative<RemovedRecord>(found->second.value);
+    const auto isPresentIn = [&](const auto &entries) {
+        const auto found = entries.find(key);
+        return found != entries.end()
+                && !std::holds_alternative<RemovedRecord>(found->second.value);
+    };
+    return isPresentIn(isHeld(key) ? m_copies : m_entries);
 }
 
 bool Directory::isInGap(const StorePosition &position) const
@@ -380,7 +384,8 @@
                 && entry.position.era < delta.to.era;
         if (isConfirmed) {
             entry.formerPosition = entry.position;
-            entry.position.era = delta.to.era;
+            // The sender may know the value since an earlier write than this instance.
+            entry.position = { delta.to.era, std::min(entry.position.revision, delta.to.revision) };
         }
     }
 }
--- a/src/version/directory.h
+++ b/src/version/directory.h
@@ -295,7 +295,7 @@
                             StorePosition position, common::TimePoint now);
     /// Whether an entry that is newer than the start of the delta is not listed in it.
     [[nodiscard]] bool holdsUnlistedEntries(const DirectoryDelta &delta) const;
-    /// Whether the entry exists and was not removed.
+    /// Whether the store holds the entry, as far as it is known here.
     [[nodiscard]] bool isPresent(const EntryKey &key) const;
     [[nodiscard]] bool isInGap(const StorePosition &position) const;
     void removeMissingEntries(const DirectoryDelta &delta, bool beginsEra, common::TimePoint now,
