Test what a return of the store costs between instances

Cause: most entries are the same in the copy; if each new era sent them to all instances again, 99 instances with 1,000 upstreams would send whole directories for seconds. Ruled out: a bound on messages, which does not tell a small delta from a whole directory. Change: DirectorySync.restoredStoreSendsFewWholeDirectories, with the budget of the tests of restarts.

--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -660,6 +660,27 @@
     CHECK_FALSE(fleet->hasReverted());
 }
 
+// Guards against whole directories that are sent to all instances when the store comes back: most
+// entries are the same in the copy.
+TEST(DirectorySync, restoredStoreSendsFewWholeDirectories)
+{
+    startFleet(3, 33);
+    for (std::uint64_t serial = 1; serial <= 1'000; ++serial) {
+        fleet->changeUpstream(serial, true);
+    }
+    fleet->run(6s);
+    fleet->changeRules();
+    fleet->drainUpstream(1);
+    fleet->run(500ms);
+    const auto before = fleet->bytes();
+    fleet->restoreStore(3s);
+    fleet->run(8s);
+    LONGS_EQUAL(0, fleet->diverging());
+    // Budget of each instance: 10 KB/s, for 8 s.
+    const auto perInstance = (fleet->bytes() - before) / fleet->size();
+    CHECK(perInstance < 80'000);
+}
+
 // Guards against a fleet that writes all its entries at once, or that loses its members, when the
 // copy is older than its registrations.
 TEST(DirectorySync, instancesRegisterAgainSpreadOverTime)
