Refuse changes that list only the first of two removals

Ruled out: a refusal whenever a listed position is older than the known one; records that differ in their cold time only are listed at older positions, and each would cost a whole directory. Change: an earlier removal does not count as the listing of a known entry.

--- a/src/tests/directorytest.cpp
+++ b/src/tests/directorytest.cpp
@@ -326,6 +326,22 @@
     CHECK(holds(peer, 4));
 }
 
+// Guards against a peer that keeps an entry which was removed, created and removed again. This
+// instance knows the first removal only, because it read all entries again after the second one.
+TEST(Directory, peerForgetsAnEntryWhoseFirstRemovalIsKnown)
+{
+    directory.apply(complete(10, { upstream(1, 3), upstream(2, 4) }), now);
+    directory.apply(delta(10, 12, { removal(2, 12) }), now);
+    directory.apply(complete(20, { upstream(1, 3) }), now);
+    Directory peer;
+    peer.apply(complete(16, { upstream(1, 3), upstream(2, 15) }), now);
+
+    peer.apply(directory.changesSince(StoreRevision(10), now), now);
+    CHECK(peer.needsAllEntries());
+    peer.apply(directory.changesSince({}, now), now);
+    CHECK_FALSE(holds(peer, 2));
+}
+
 // Guards against whole directories that are sent to all peers after each full read: a peer that
 // holds no entry that the read may have skipped gets changes only.
 TEST(Directory, fullReadLeadsToChangesForPeersThatWereCurrentBeforeIt)
--- a/src/version/directory.cpp
+++ b/src/version/directory.cpp
@@ -319,7 +319,19 @@
 
 bool Directory::holdsUnlistedEntries(const DirectoryDelta &delta) const
 {
-    const auto listed = keysOf(delta);
+    std::set<EntryKey> listed;
+    for (const auto &change : delta.changes) {
+        // A sender that knows an earlier removal does not know the entry that is known here.
+        const auto found = m_entries.find(change.key);
+        const bool isEarlierRemoval = found != m_entries.end()
+                && std::holds_alternative<RemovedRecord>(change.value)
+                && change.position < found->second.position;
+        if (isEarlierRemoval) {
+            listed.erase(change.key);
+        } else {
+            listed.insert(change.key);
+        }
+    }
     return std::ranges::any_of(m_entries, [&](const auto &item) {
         const auto &[key, entry] = item;
         return entry.position > delta.from && !listed.contains(key)
