--- a/src/tests/admissiongatetest.cpp
+++ b/src/tests/admissiongatetest.cpp
@@ -53,7 +53,7 @@
         const StoreRevision from(revision);
         ++revision;
         std::ranges::for_each(changes,
-                              [&](auto &change) { change.revision = StoreRevision(revision); });
+                              [&](auto &change) { change.position = StoreRevision(revision); });
         const auto changed = directory.apply(
                 { from, StoreRevision(revision), complete, std::move(changes) }, now);
         upstreams.update(directory, changed, now);
--- a/src/tests/flowdaemontest.cpp
+++ b/src/tests/flowdaemontest.cpp
@@ -50,11 +50,11 @@
         });
     }
 
-    void watch(common::StoreRevision, std::chrono::milliseconds, AnswerHandler) override { }
+    void watch(version::StorePosition, std::chrono::milliseconds, AnswerHandler) override { }
 
     void registerMember(const version::MemberRecord &, WriteHandler) override { }
 
-    void removeMember(const version::MemberRecord &, common::StoreRevision, WriteHandler) override
+    void removeMember(const version::MemberRecord &, version::StorePosition, WriteHandler) override
     { }
 
 private:
--- a/src/tests/openingfixture.h
+++ b/src/tests/openingfixture.h
@@ -36,7 +36,7 @@
         const common::StoreRevision from(revision);
         ++revision;
         std::ranges::for_each(
-                changes, [&](auto &change) { change.revision = common::StoreRevision(revision); });
+                changes, [&](auto &change) { change.position = common::StoreRevision(revision); });
         const auto changed = directory.apply(
                 { from, common::StoreRevision(revision), complete, std::move(changes) }, now);
         upstreams.update(directory, changed, now);
