Judge no zone by its silence that is rarely used, and send no empty reports

Cause: flows stay in their zone, so that another zone may answer one request in seconds; the response timeout of at most 1 s then passes by chance, and the verdict resets flows. Reports with outliers only, which are logged and not sent, went out as empty messages to the whole zone. Ruled out: a longer timeout for all (a cut would be found later where zones are used); leaving the verdict to peers (none of them uses the other zone much). Change: a zone that answered less than about once in 0.9 s is not judged unless 8 flows were opened without an answer; a report counts as empty when it holds only outliers.

--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -67,10 +67,11 @@
     /// Upstreams that may have restarted.
     std::vector<AssumedRestart> assumedRestarts {};
 
+    /// Whether the report holds nothing for other instances.
     [[nodiscard]] bool isEmpty() const
     {
         return upstreams.empty() && unopened.empty() && waitingFlows.empty() && overdueFlows.empty()
-                && outliers.empty() && recovered.empty() && zones.empty() && respondingZones.empty()
+                && recovered.empty() && zones.empty() && respondingZones.empty()
                 && respondingUpstreams.empty() && assumedRestarts.empty();
     }
 };
--- a/src/connection/zonehealth.cpp
+++ b/src/connection/zonehealth.cpp
@@ -1,6 +1,7 @@
 #include "connection/zonehealth.h"
 
 #include <algorithm>
+#include <cmath>
 #include <span>
 
 namespace banyanwall::connection {
@@ -20,6 +21,13 @@
 // Callers retransmit a packet after 200 ms, so they cannot detect a shorter gap.
 constexpr Duration MinResponseTimeout = milliseconds(250);
 constexpr Duration MaxResponseTimeout = milliseconds(1'000);
+// Time in which the weight of an answer falls to 1/e (about a third).
+constexpr std::chrono::duration<double> AnswerRetention { 3.0 };
+// About as many answers arrive in AnswerRetention when they are 900 ms apart. With longer gaps, the
+// longest response timeout passes by chance.
+constexpr double MinAnswers = 3.3;
+// Several flows that were opened without any answer show a silence, however rare answers were.
+constexpr std::uint32_t MinUnansweredOpenings = 8;
 // A new gap contributes one part in this many to the mean.
 constexpr int GapWeightDivisor = 16;
 // An instance whose own link is full or cut gets no responses from any zone.
@@ -65,6 +73,9 @@
 {
     const auto gap = std::clamp<Duration>(now - m_lastAnswer, Duration {}, MaxResponseTimeout);
     m_meanAnswerGap += (gap - m_meanAnswerGap) / GapWeightDivisor;
+    const std::chrono::duration<double> elapsed = now - m_lastAnswer;
+    m_answerCount = m_answerCount * std::exp(-elapsed / AnswerRetention) + 1.0;
+    m_openingsSinceAnswer = 0;
     m_lastAnswer = now;
 }
 
@@ -90,7 +101,8 @@
 bool ZoneHealth::isSilent(TimePoint now) const
 {
     const auto minSuspects = hasPeerReport(now) ? 1 : MinSuspects;
-    return m_suspectCount >= minSuspects && now - m_lastResponse > responseTimeout()
+    return !isRarelyUsed() && m_suspectCount >= minSuspects
+            && now - m_lastResponse > responseTimeout()
             && now - m_lastRetransmission < MaxObservationAge;
 }
 
@@ -139,6 +151,12 @@
     return std::clamp(timeout, MinResponseTimeout, MaxResponseTimeout);
 }
 
+bool ZoneHealth::isRarelyUsed() const
+{
+    return m_lastAnswer != TimePoint() && m_answerCount < MinAnswers
+            && m_openingsSinceAnswer < MinUnansweredOpenings;
+}
+
 bool ZoneHealth::hasPeerReport(TimePoint now) const
 {
     return now - m_lastPeerReport < MaxObservationAge;
@@ -151,6 +169,7 @@
 
 void ZoneHealth::onFlowOpened(TimePoint now)
 {
+    ++m_openingsSinceAnswer;
     if (isUnreachable(now)) {
         m_nextProbe = now + ProbeInterval;
     }
--- a/src/connection/zonehealth.h
+++ b/src/connection/zonehealth.h
@@ -67,6 +67,8 @@
 
     [[nodiscard]] bool hasPeerReport(common::TimePoint now) const;
     [[nodiscard]] common::Duration responseTimeout() const;
+    /// Whether the zone answered so rarely that a silence shows nothing.
+    [[nodiscard]] bool isRarelyUsed() const;
 
     /// Upstreams of the zone to which callers retransmitted packets since its last response.
     std::array<common::FlowToken, MinSuspects> m_suspects {};
@@ -76,6 +78,10 @@
     common::TimePoint m_lastResponse;
     common::TimePoint m_silentUntil;
     common::TimePoint m_lastAnswer;
+    /// Number of answers up to the last one; earlier ones count less.
+    double m_answerCount = 0.0;
+    /// Flows opened to the zone since its last answer.
+    std::uint32_t m_openingsSinceAnswer = 0;
     common::TimePoint m_lastRetransmission;
     common::TimePoint m_lastPeerReport;
     common::TimePoint m_lastPeerResponse;
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -464,10 +464,10 @@
     }
     m_lastReportAt = now;
     const auto reports = m_forwarder.takeHealthReport(now);
+    m_flowLog.logReports(reports, now);
     if (reports.isEmpty()) {
         return;
     }
-    m_flowLog.logReports(reports, now);
     const auto message = wire::encodePassiveHealth(reports, now);
     for (const auto peer : m_sync.zonePeers()) {
         sendToPeer({ peer, message });
--- a/src/tests/upstreamhealthtest.cpp
+++ b/src/tests/upstreamhealthtest.cpp
@@ -230,6 +230,26 @@
     CHECK_FALSE(health.isUnreachable(start + 1s));
 }
 
+// Flows stay in their own zone, so that another zone answers one request in three seconds. A
+// silence of one second is its usual state; taken for a cut, it reset flows and was reported and
+// refuted by all instances again and again.
+TEST(ZoneHealth, zoneThatIsRarelyUsedIsNotJudgedByItsSilence)
+{
+    for (int answer = 1; answer <= 4; ++answer) {
+        health.onResponse(start + answer * 3s);
+        health.onRequestAnswered(start + answer * 3s);
+    }
+    retransmitToAllUpstreams(start + 13s);
+    CHECK_FALSE(health.isUnreachable(start + 14s));
+    CHECK_FALSE(health.takeDueReport(start + 14s));
+    // All flows go there now, because the own zone is withdrawn, and none is answered.
+    for (int opening = 0; opening < 8; ++opening) {
+        health.onFlowOpened(start + 14s);
+    }
+    retransmitToAllUpstreams(start + 14500ms);
+    CHECK(health.isUnreachable(start + 15s));
+}
+
 // Without a fault, losses cause retransmissions to one upstream at a time.
 TEST(ZoneHealth, retransmissionsToOneUpstreamAreNotEnough)
 {
