Name the constants of a test as the linter asks

Cause: clang-tidy refuses capital letters for local constants. Ruled out: moving them out of the test, which alone uses them. Change: two names in sendpacertest.

--- a/src/tests/sendpacertest.cpp
+++ b/src/tests/sendpacertest.cpp
@@ -91,18 +91,18 @@
 // instances kept an older contract for 13 s.
 TEST(SendPacer, instancesThatAskAgainGetOneAnswer)
 {
-    constexpr std::uint16_t Instances = 46;
-    constexpr int Fragments = 50;
-    std::vector<int> received(Instances);
+    constexpr std::uint16_t instances = 46;
+    constexpr int fragments = 50;
+    std::vector<int> received(instances);
     const auto start = now;
-    while (std::ranges::any_of(received, [](int count) { return count < Fragments; })) {
+    while (std::ranges::any_of(received, [](int count) { return count < fragments; })) {
         const bool isFetchDue = (now - start) % 150ms == 0ms;
-        for (std::uint16_t instance = 0; instance < Instances && isFetchDue; ++instance) {
+        for (std::uint16_t instance = 0; instance < instances && isFetchDue; ++instance) {
             const common::Endpoint peer { 1, instance };
-            if (received[instance] >= Fragments || pacer.hasQueued(peer)) {
+            if (received[instance] >= fragments || pacer.hasQueued(peer)) {
                 continue;
             }
-            for (int fragment = 0; fragment < Fragments; ++fragment) {
+            for (int fragment = 0; fragment < fragments; ++fragment) {
                 static_cast<void>(pacer.push({ peer, std::string(1'200, 'x') }));
             }
         }
