Refuse openings only where the settings ask for it

Answers of a route whose sizes vary count as late when they are shorter than half of the usual size, so that a demand that is misjudged after restarts is enough to refuse. Change: balancing.admission = "on" or "off", off when left out. Without it every opening is admitted and the services of a route are chosen by weight as before.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -172,7 +172,7 @@
                                             const FlowObservation &observation, TimePoint now)
 {
     const auto hash = flowHashOf(packet);
-    if (m_options.choice != UpstreamChoice::ByContract) {
+    if (!usesAdmission()) {
         return ServiceSelection::byWeight(route.record.shares, hash);
     }
     const auto *previous = m_upstreams.find(observation.upstream);
@@ -190,7 +190,7 @@
 void FlowForwarder::updateAdmission(const std::vector<ServiceDemand> &demands,
                                     common::WallTime wallTime, TimePoint now)
 {
-    if (m_options.choice != UpstreamChoice::ByContract || !m_gate.isUpdateDue(now)) {
+    if (!usesAdmission() || !m_gate.isUpdateDue(now)) {
         return;
     }
     m_gate.admission().setClock(wallTime, now);
@@ -217,7 +217,7 @@
                                             const TrackedUpstream &upstream)
 {
     const auto *route = routeOf(packet);
-    if (route != nullptr && m_options.choice == UpstreamChoice::ByContract) {
+    if (route != nullptr && usesAdmission()) {
         m_gate.recordAnswer(route->record, upstream.record.service, route->usualTime, {});
     }
 }
@@ -301,7 +301,7 @@
     } else if (observation.endsRequest) {
         m_load.onFlowEnded(observation.flow, now);
     }
-    if (observation.answeredBytes > 0 && m_options.choice == UpstreamChoice::ByContract) {
+    if (observation.answeredBytes > 0 && usesAdmission()) {
         m_gate.recordAnswer(route->record, upstream.record.service, route->usualTime,
                             { observation.responseTime, observation.answeredBytes });
     }
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -93,6 +93,9 @@
         /// Number of sets of four flows in the table that detects retransmissions; a power of two.
         std::size_t observedFlowSets = 1'024;
         UpstreamChoice choice = UpstreamChoice::ByContract;
+        /// Openings are refused when room is short, and flows of a route with several services go
+        /// to those with room. Only together with the choice by contract.
+        bool refusesOpenings = false;
     };
 
     using ResponseTimeSink = std::function<void(common::Duration)>;
@@ -199,6 +202,11 @@
         common::Duration usualTime {};
     };
 
+    [[nodiscard]] bool usesAdmission() const
+    {
+        return m_options.refusesOpenings && m_options.choice == UpstreamChoice::ByContract;
+    }
+
     [[nodiscard]] bool isPastWithdrawalLimit(const FlowPacket &packet, common::TimePoint now);
     PacketVerdict open(const FlowPacket &packet, const FlowObservation &observation,
                        common::TimePoint now);
--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -108,7 +108,8 @@
     , m_forwarder({ .ownZone = common::idFromName<common::ZoneId>(m_settings.zone),
                     .instance = instanceIdOf(m_settings.peerAdvertised),
                     .openFlowsAfterWithdrawal = m_settings.openFlowsAfterWithdrawal,
-                    .choice = m_settings.choice },
+                    .choice = m_settings.choice,
+                    .refusesOpenings = m_settings.refusesOpenings },
                   [this](common::Duration time) { m_metrics.observeLatency(time); })
     , m_trafficSocket(context, toAsio(m_settings.trafficListen))
     , m_peerSocket(context, toAsio(m_settings.peerListen))
--- a/src/process/flowsettings.cpp
+++ b/src/process/flowsettings.cpp
@@ -15,7 +15,7 @@
     { "peers", { "seeds" } },
     { "shutdown", { "grace_ms" } },
     { "withdrawal", { "open_flows_ms" } },
-    { "balancing", { "choice" } },
+    { "balancing", { "choice", "admission" } },
     { "log", { "level" } },
 };
 
@@ -34,6 +34,9 @@
 constexpr std::string_view ChoiceByContract = "contract";
 constexpr std::string_view ChoiceByHash = "hash";
 constexpr std::string_view ChoiceRule = "contract or hash";
+constexpr std::string_view AdmissionOn = "on";
+constexpr std::string_view AdmissionOff = "off";
+constexpr std::string_view AdmissionRule = "on or off";
 
 /// Rounds down to tenths, so that instances of the same kind get the same value and small
 /// differences do not change the roles.
@@ -58,6 +61,16 @@
     return connection::UpstreamChoice::ByContract;
 }
 
+bool refusesOpeningsBy(SettingsReader &reader)
+{
+    const auto admission = reader.string("balancing", "admission", AdmissionRule, false);
+    if (!admission.empty() && admission != AdmissionOn && admission != AdmissionOff) {
+        reader.fail(reader.lineOf("balancing", "admission"), "balancing.admission", "unknown value",
+                    AdmissionRule);
+    }
+    return admission == AdmissionOn;
+}
+
 } // namespace
 
 common::Result<FlowSettings> parseFlowSettings(std::string_view toml, std::string_view sourceName)
@@ -89,6 +102,7 @@
         settings.openFlowsAfterWithdrawal = std::chrono::milliseconds(*openFlows);
     }
     settings.choice = choiceOf(reader);
+    settings.refusesOpenings = refusesOpeningsBy(reader);
     settings.logLevel = reader.logLevel(settings.logLevel);
     if (reader.error()) {
         return *reader.error();
--- a/src/process/flowsettings.h
+++ b/src/process/flowsettings.h
@@ -37,6 +37,8 @@
     std::optional<std::chrono::milliseconds> openFlowsAfterWithdrawal {};
     /// How the upstreams of new flows are chosen.
     connection::UpstreamChoice choice = connection::UpstreamChoice::ByContract;
+    /// Whether openings are refused when room is short.
+    bool refusesOpenings = false;
     /// Processor share and link relative to what the roles leader and watcher need, from 0 to 10.
     /// An instance of higher capacity ranks higher for these roles.
     std::uint32_t capacity = 0;
--- a/src/tests/flowadmissiontest.cpp
+++ b/src/tests/flowadmissiontest.cpp
@@ -36,8 +36,9 @@
     FlowForwarder makeForwarder(connection::UpstreamChoice choice =
                                         connection::UpstreamChoice::ByContract)
     {
-        FlowForwarder forwarder({ .ownZone = Zone, .instance = 1, .choice = choice },
-                                [](common::Duration) {});
+        FlowForwarder forwarder(
+                { .ownZone = Zone, .instance = 1, .choice = choice, .refusesOpenings = true },
+                [](common::Duration) {});
         const auto entry = [](const auto &record) {
             return version::DirectoryChange { version::keyOf(record), StoreRevision(1), record };
         };
--- a/src/tests/flowsettingstest.cpp
+++ b/src/tests/flowsettingstest.cpp
@@ -99,6 +99,19 @@
     checkError("withdrawal.open_flows_ms");
 }
 
+// Openings are refused only where an operator asks for it; a misspelt value must not turn it on.
+TEST(FlowSettings, admissionIsOffUnlessItIsSet)
+{
+    const auto parsed = [&] { return common::valueOf(process::parseFlowSettings(text, "f")); };
+    CHECK_FALSE(parsed().refusesOpenings);
+    text += "[balancing]\nadmission = \"off\"\n";
+    CHECK_FALSE(parsed().refusesOpenings);
+    replace("\"off\"", "\"on\"");
+    CHECK(parsed().refusesOpenings);
+    replace("\"on\"", "\"yes\"");
+    checkError("key 'balancing.admission': unknown value; allowed: on or off");
+}
+
 // An operator can keep the choice by hash; a misspelt choice must not change it silently.
 TEST(FlowSettings, choiceFollowsTheContractUnlessTheHashIsSet)
 {
