--- a/src/tests/flowforwardertest.cpp
+++ b/src/tests/flowforwardertest.cpp
@@ -101,6 +101,19 @@
                  .acknowledges = true };
     }
 
+    /// The next contract names a response aim for the route of FeedAddress.
+    void nameResponseAim()
+    {
+        auto withAim = rules();
+        withAim.version = 2;
+        withAim.routes.front().terms.responseAim = 400ms;
+        const StoreRevision revision(2);
+        update({ StoreRevision(1),
+                 revision,
+                 false,
+                 { { version::keyOf(withAim), revision, withAim } } });
+    }
+
     /// All packets that have arrived are read before.
     void findOutliers()
     {
@@ -641,14 +654,7 @@
 // routes of an instance that is set to the choice by hash, spread them over all zones.
 TEST(FlowForwarder, flowsOfARouteWithAnAimStayInTheOwnZone)
 {
-    auto withAim = rules();
-    withAim.version = 2;
-    withAim.routes.front().terms.responseAim = 400ms;
-    const StoreRevision revision(2);
-    update({ StoreRevision(1),
-             revision,
-             false,
-             { { version::keyOf(withAim), revision, withAim } } });
+    nameResponseAim();
     FlowForwarder byHash {
         { .ownZone = OwnZone, .instance = 1, .choice = connection::UpstreamChoice::ByHash },
         [](common::Duration) {}
@@ -681,14 +687,7 @@
 // which instances do not see. Callers open again from other ports, and would reach the same zone.
 TEST(FlowForwarder, flowsLeaveAZoneWhoseUpstreamsResetThem)
 {
-    auto withAim = rules();
-    withAim.version = 2;
-    withAim.routes.front().terms.responseAim = 400ms;
-    const StoreRevision revision(2);
-    update({ StoreRevision(1),
-             revision,
-             false,
-             { { version::keyOf(withAim), revision, withAim } } });
+    nameResponseAim();
     forwarder.setPosition({ .zone = OwnZone, .instance = 1 }, now);
     findOutliers();
     const auto countOwn = [&](std::uint16_t firstPort) {
@@ -727,14 +726,7 @@
 // sees resets all the time, and a report goes to all others of the zone.
 TEST(FlowForwarder, resetOpeningsAreReportedTwiceASecond)
 {
-    auto withAim = rules();
-    withAim.version = 2;
-    withAim.routes.front().terms.responseAim = 400ms;
-    const StoreRevision revision(2);
-    update({ StoreRevision(1),
-             revision,
-             false,
-             { { version::keyOf(withAim), revision, withAim } } });
+    nameResponseAim();
     const auto reportedAfter = [&](common::Duration time) {
         now += time;
         findOutliers();
@@ -752,14 +744,7 @@
 // their own delay for resets told it to their zone, which made all of them busier still.
 TEST(FlowForwarder, onlyOpeningsWithoutAnyFurtherPacketCountAsReset)
 {
-    auto withAim = rules();
-    withAim.version = 2;
-    withAim.routes.front().terms.responseAim = 400ms;
-    const StoreRevision revision(2);
-    update({ StoreRevision(1),
-             revision,
-             false,
-             { { version::keyOf(withAim), revision, withAim } } });
+    nameResponseAim();
     forwarder.setPosition({ .zone = OwnZone, .instance = 1 }, now);
     findOutliers();
     const auto opened = as<ForwardPacket>(forwarder.handle(opening(FeedAddress, 1'000), now));
