Take the grace time in seconds, as a whole number or a fraction

Cause: the template appended "000" to the seconds to get shutdown.grace_ms. 2.5 became 2.5000, and the daemon reads that key as an integer.

Ruled out: the other values of the template, which stayed the same.

--- a/src/process/flowsettings.cpp
+++ b/src/process/flowsettings.cpp
@@ -3,6 +3,7 @@
 #include "process/settingsreader.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace banyanwall::process {
 
@@ -13,7 +14,7 @@
     { "listen", { "traffic", "peer", "peer_advertised", "admin" } },
     { "store", { "endpoint" } },
     { "peers", { "seeds" } },
-    { "shutdown", { "grace_ms" } },
+    { "shutdown", { "grace_ms", "grace_s" } },
     { "withdrawal", { "open_flows_ms" } },
     { "balancing", { "choice", "admission" } },
     { "log", { "level" } },
@@ -24,6 +25,7 @@
 // lost.
 constexpr std::int64_t MinGraceMs = 1'700;
 constexpr std::int64_t MaxGraceMs = 600'000;
+constexpr double MillisecondsPerSecond = 1'000.0;
 // Far above the 60 s that a flow lasts at most on the users' platform.
 constexpr std::int64_t MaxOpenFlowsMs = 600'000;
 // An instance of this size fills the roles leader and watcher without noticeable load.
@@ -48,6 +50,24 @@
     return static_cast<std::uint32_t>(std::clamp(lowestRatio, 0.0, 1.0) * CapacitySteps);
 }
 
+/// From shutdown.grace_ms, or from shutdown.grace_s, which may be a fraction.
+std::chrono::milliseconds graceOf(SettingsReader &reader)
+{
+    if (!reader.isSet("shutdown", "grace_s")) {
+        const auto grace = reader.integer("shutdown", "grace_ms", MinGraceMs, MaxGraceMs, true);
+        return std::chrono::milliseconds(grace.value_or(MinGraceMs));
+    }
+    if (reader.isSet("shutdown", "grace_ms")) {
+        reader.fail(reader.lineOf("shutdown", "grace_s"), "shutdown.grace_s", "set twice",
+                    "only one of grace_s and grace_ms");
+    }
+    constexpr auto MinSeconds = static_cast<double>(MinGraceMs) / MillisecondsPerSecond;
+    constexpr auto MaxSeconds = static_cast<double>(MaxGraceMs) / MillisecondsPerSecond;
+    const auto seconds = reader.number("shutdown", "grace_s", MinSeconds, MaxSeconds, true);
+    return std::chrono::milliseconds(
+            std::llround(seconds.value_or(MinSeconds) * MillisecondsPerSecond));
+}
+
 connection::UpstreamChoice choiceOf(SettingsReader &reader)
 {
     const auto choice = reader.string("balancing", "choice", ChoiceRule, false);
@@ -95,8 +115,7 @@
                           [&](auto &seed) { seed.port = settings.peerAdvertised.port; });
     settings.linkMbps = reader.nonNegativeNumber("instance", "link_mbps", DefaultLinkMbps);
     settings.capacity = capacityOf(reader, settings.linkMbps);
-    const auto grace = reader.integer("shutdown", "grace_ms", MinGraceMs, MaxGraceMs, true);
-    settings.shutdownGrace = std::chrono::milliseconds(grace.value_or(MinGraceMs));
+    settings.shutdownGrace = graceOf(reader);
     const auto openFlows = reader.integer("withdrawal", "open_flows_ms", 0, MaxOpenFlowsMs, false);
     if (openFlows) {
         settings.openFlowsAfterWithdrawal = std::chrono::milliseconds(*openFlows);
--- a/src/process/settingsreader.cpp
+++ b/src/process/settingsreader.cpp
@@ -35,6 +35,15 @@
     return std::string(section) + "." + std::string(key);
 }
 
+/// Value of an integer or a floating-point number.
+std::optional<double> numberOf(const toml::node &node)
+{
+    if (const auto whole = node.value_exact<std::int64_t>()) {
+        return static_cast<double>(*whole);
+    }
+    return node.value_exact<double>();
+}
+
 } // namespace
 
 SettingsReader::SettingsReader(const toml::table &root, std::string_view sourceName)
@@ -94,6 +103,27 @@
     return value;
 }
 
+std::optional<double> SettingsReader::number(std::string_view section, std::string_view key,
+                                             double low, double high, bool isRequired)
+{
+    std::ostringstream allowed;
+    allowed << "a number from " << low << " to " << high;
+    const auto *node = find(section, key, allowed.str(), isRequired);
+    if (node == nullptr) {
+        return std::nullopt;
+    }
+    const auto value = numberOf(*node);
+    if (!value) {
+        fail(node->source().begin.line, path(section, key), "wrong type", allowed.str());
+        return std::nullopt;
+    }
+    if (!(*value >= low && *value <= high)) {
+        fail(node->source().begin.line, path(section, key), "value out of range", allowed.str());
+        return std::nullopt;
+    }
+    return value;
+}
+
 double SettingsReader::nonNegativeNumber(std::string_view section, std::string_view key,
                                          double fallback)
 {
@@ -184,6 +214,11 @@
     m_error = Error { "bad_settings", text.str() };
 }
 
+bool SettingsReader::isSet(std::string_view section, std::string_view key) const
+{
+    return static_cast<bool>(m_root[section][key]);
+}
+
 std::size_t SettingsReader::lineOf(std::string_view section, std::string_view key) const
 {
     const auto node = m_root[section][key];
--- a/src/process/settingsreader.h
+++ b/src/process/settingsreader.h
@@ -35,6 +35,9 @@
                        bool isRequired = true);
     std::optional<std::int64_t> integer(std::string_view section, std::string_view key,
                                         std::int64_t low, std::int64_t high, bool isRequired);
+    /// Whole numbers and fractions from low to high, both included. Empty when the key is not set.
+    std::optional<double> number(std::string_view section, std::string_view key, double low,
+                                 double high, bool isRequired);
     /// Fractions are allowed; fallback when the key is not set.
     double nonNegativeNumber(std::string_view section, std::string_view key, double fallback);
     common::Endpoint endpoint(std::string_view section, std::string_view key);
@@ -51,6 +54,7 @@
     /// Records an error, unless there is one already. allowed describes the allowed values.
     void fail(std::size_t line, std::string_view key, std::string_view problem,
               std::string_view allowed);
+    [[nodiscard]] bool isSet(std::string_view section, std::string_view key) const;
     /// Line of a key in the file; 1 when the key is not set.
     [[nodiscard]] std::size_t lineOf(std::string_view section, std::string_view key) const;
 
--- a/src/tests/flowsettingstest.cpp
+++ b/src/tests/flowsettingstest.cpp
@@ -163,6 +163,37 @@
     checkError("an integer from 1700 to 600000");
 }
 
+// A platform states the grace time in seconds, as a whole number or a fraction. No process started
+// with a fraction.
+TEST(FlowSettings, graceInSecondsMayBeAFraction)
+{
+    const auto graceOf = [this](const std::string &value) {
+        auto given = text;
+        given.replace(given.find("grace_ms = 6000"), 15, "grace_s = " + value);
+        const auto parsed = process::parseFlowSettings(given, "front.toml");
+        return common::isOk(parsed) ? common::valueOf(parsed).shutdownGrace : 0ms;
+    };
+    CHECK(graceOf("6") == 6s);
+    CHECK(graceOf("6.0") == 6s);
+    CHECK(graceOf("2.5") == 2500ms);
+    CHECK(graceOf("2.3") == 2300ms);
+    CHECK(graceOf("true") == 0ms);
+}
+
+TEST(FlowSettings, graceInSecondsHasTheSameLimits)
+{
+    replace("grace_ms = 6000", "grace_s = 1.6");
+    checkError("front.toml:13: key 'shutdown.grace_s': value out of range; "
+               "allowed: a number from 1.7 to 600");
+}
+
+// Guards against a file in which one of two grace times silently counts.
+TEST(FlowSettings, twoGraceTimesAreAnError)
+{
+    replace("grace_ms = 6000", "grace_ms = 6000\ngrace_s = 6");
+    checkError("key 'shutdown.grace_s': set twice");
+}
+
 TEST(FlowSettings, brokenFileIsAnErrorWithItsLine)
 {
     replace("[store]", "[store");
