Replace values of the platform that are not allowed instead of ending

The daemon ended with status 2 on each machine when the platform's settings held a grace time of 0, 0.5, 1, 601 or 3600 s, one that was true, false or missing, a link or share that was missing, true, false or negative, a missing name or zone, a port range without a whole number, or a seed without a port. The rate nan of a link passed the check and was converted to an integer.

Cause: a file that a platform has filled in was checked like one that a person writes and corrects. A placeholder without a value even made the file no TOML. The platform starts the process again with the same values.

Evidence: settingstemplatetest starts processes with the template of the deploy file. Ruled out: the template alone, as it cannot change a value and escapes nothing.

Its lines are read one by one, and a value that is no TOML counts as text; numbers, names, seeds and the peer endpoint that are not allowed are replaced by the nearest allowed value or the default. Keys, addresses and words stay strict, and so do files of people.

--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -90,6 +90,11 @@
              .seed = static_cast<std::uint32_t>(seed) };
 }
 
+double usableLinkMbps(const FlowSettings &settings)
+{
+    return std::max(MinLinkMbps, settings.linkMbps);
+}
+
 } // namespace
 
 FlowDaemon::FlowDaemon(boost::asio::io_context &context, FlowSettings settings,
@@ -117,7 +122,7 @@
               { [this] { return isReady(); }, [this] { return metricsText(); },
                 [this] { return statusText(); } })
     , m_tickTimer(context)
-    , m_sendPacer(std::max(MinLinkMbps, m_settings.linkMbps) * BytesPerMegabit * DirectoryLinkPart)
+    , m_sendPacer(usableLinkMbps(m_settings) * BytesPerMegabit * DirectoryLinkPart)
     , m_sendTimer(context)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
 {
@@ -132,7 +137,11 @@
             .with("traffic", common::toString(m_settings.trafficListen))
             .with("peer", common::toString(m_settings.peerListen))
             .with("store", common::toString(m_settings.store))
-            .with("seeds", m_settings.seeds.size());
+            .with("seeds", m_settings.seeds.size())
+            .with("grace_ms", m_settings.shutdownGrace.count())
+            .with("link_mbps", usableLinkMbps(m_settings))
+            .with("capacity", m_settings.capacity);
+    logReplacedSettings();
     waitForSignal();
     receivePeers();
     m_startedAt = bootTimeNow();
@@ -682,11 +691,25 @@
     const auto &settings = common::valueOf(loaded);
     m_settings.seeds = settings.seeds;
     m_settings.shutdownGrace = settings.shutdownGrace;
+    m_settings.replaced = settings.replaced;
     m_sync.setSeeds(settings.seeds);
     LogEvent(LogLevel::Info, "settings_reloaded")
             .with("seeds", settings.seeds.size())
             .with("grace_ms", settings.shutdownGrace.count())
             .with("needs_restart", settings != m_settings);
+    logReplacedSettings();
+}
+
+void FlowDaemon::logReplacedSettings() const
+{
+    std::ranges::for_each(m_settings.replaced, [](const ReplacedSetting &setting) {
+        LogEvent(LogLevel::Warning, "setting_replaced")
+                .with("key", setting.key)
+                .with("line", setting.line)
+                .with("problem", setting.problem)
+                .with("allowed", setting.allowed)
+                .with("used", setting.used);
+    });
 }
 
 void FlowDaemon::checkSettingsFile(TimePoint now)
@@ -718,6 +741,8 @@
     std::ostringstream text;
     const auto age = std::chrono::duration<double>(bootTimeNow() - m_sync.confirmedAt()).count();
     text << m_metrics.prometheusText() << admissionMetricsText(m_forwarder.admission())
+         << "# TYPE banyanwall_settings_replaced gauge\n"
+         << "banyanwall_settings_replaced " << m_settings.replaced.size() << "\n"
          << "# TYPE banyanwall_directory_revision gauge\n"
          << "banyanwall_directory_revision " << m_directory.revision().value() << "\n"
          << "# TYPE banyanwall_store_era gauge\n"
--- a/src/process/flowdaemon.h
+++ b/src/process/flowdaemon.h
@@ -95,6 +95,7 @@
     void waitForSignal();
     void beginShutdown();
     void reloadSettings();
+    void logReplacedSettings() const;
     void checkSettingsFile(common::TimePoint now);
     [[nodiscard]] bool mayStop(common::TimePoint now) const;
     [[nodiscard]] bool isReady() const;
--- a/src/process/flowsettings.h
+++ b/src/process/flowsettings.h
@@ -3,6 +3,7 @@
 #include "common/endpoint.h"
 #include "common/result.h"
 #include "connection/upstreamchoice.h"
+#include "process/settingsreader.h"
 
 #include <chrono>
 #include <cstdint>
@@ -46,12 +47,15 @@
     double linkMbps = 0.0;
     /// One of trace, debug, info, warning, error.
     std::string logLevel = "info";
+    /// Values that a platform has dictated and that are not used as they are.
+    std::vector<ReplacedSetting> replaced;
 
     bool operator==(const FlowSettings &) const = default;
 };
 
 /// Parses and validates the text. The error bad_settings names source, line, key and what is
-/// allowed.
+/// allowed. Numbers, names, seeds and the peer endpoint of a file that a platform has filled in
+/// cause no error; what is not allowed is replaced.
 [[nodiscard]] common::Result<FlowSettings> parseFlowSettings(std::string_view toml,
                                                              std::string_view sourceName);
 [[nodiscard]] common::Result<FlowSettings> loadFlowSettings(const std::string &path);
--- a/src/tests/flowsettingstest.cpp
+++ b/src/tests/flowsettingstest.cpp
@@ -200,6 +200,101 @@
     checkError("front.toml:8");
 }
 
+// Guards against a strict check that a number which is none passes: nan as a link's rate.
+TEST(FlowSettings, linkThatIsNoNumberIsAnError)
+{
+    replace("[listen]", "link_mbps = nan\n[listen]");
+    checkError("front.toml:4: key 'instance.link_mbps': no number; allowed: a number from 0");
+}
+
+TEST(FlowSettings, unknownOriginIsAnError)
+{
+    text = "[file]\norigin = \"platfrom\"\n" + text;
+    checkError("front.toml:2: key 'file.origin': unknown origin; allowed: operator or platform");
+}
+
+TEST_GROUP(FilledInSettings)
+{
+    const std::string before = R"([file]
+origin = "platform"
+[instance]
+name = "front-1"
+zone = "galpao-a"
+link_mbps = )";
+    const std::string after = R"(
+[listen]
+traffic = "10.1.0.10:8172"
+peer = "10.1.0.10:7720"
+admin = "10.1.0.10:8167"
+[store]
+endpoint = "10.200.1.7:8169"
+[shutdown]
+grace_s = )";
+
+    process::FlowSettings parsed(const std::string &link, const std::string &grace) const
+    {
+        const auto text = before + link + after + grace + "\n";
+        const auto settings = process::parseFlowSettings(text, "front.toml");
+        CHECK_TEXT(common::isOk(settings), text.c_str());
+        return common::valueOf(settings);
+    }
+
+    void checkGrace(const std::string &value, std::chrono::milliseconds grace) const
+    {
+        const auto settings = parsed("700.0", value);
+        LONGS_EQUAL_TEXT(grace.count(), settings.shutdownGrace.count(), value.c_str());
+        const bool isReplaced = !settings.replaced.empty();
+        CHECK_TEXT(isReplaced, value.c_str());
+        STRCMP_EQUAL("shutdown.grace_s", settings.replaced.front().key.c_str());
+        LONGS_EQUAL(14, settings.replaced.front().line);
+    }
+};
+
+TEST(FilledInSettings, allowedValuesAreNotReplaced)
+{
+    const auto settings = parsed("0.5", "2.5");
+    CHECK(settings.replaced.empty());
+    CHECK(settings.shutdownGrace == 2500ms);
+    DOUBLES_EQUAL(0.5, settings.linkMbps, 1e-9);
+}
+
+// No process started with a grace time that is too long, too short or no number.
+TEST(FilledInSettings, graceThatIsNotAllowedIsReplaced)
+{
+    checkGrace("601", 600s);
+    checkGrace("1e300", 600s);
+    checkGrace("1e400", 600s);
+    checkGrace("1" + std::string(40, '0'), 600s);
+    checkGrace("1", 1s);
+    checkGrace("0.5", 500ms);
+    checkGrace("0", 0s);
+    checkGrace("1e-9", 0s);
+    checkGrace("-3", 0s);
+    checkGrace("nan", 1700ms);
+    checkGrace("true", 1700ms);
+    checkGrace("false", 1700ms);
+    checkGrace("", 1700ms);
+    checkGrace("{\"s\":6}", 1700ms);
+}
+
+// The rate of a link that is missing ended each process, since the line is no TOML.
+TEST(FilledInSettings, linkThatIsNotAllowedIsReplaced)
+{
+    DOUBLES_EQUAL(50.0, parsed("", "6").linkMbps, 1e-9);
+    DOUBLES_EQUAL(50.0, parsed("false", "6").linkMbps, 1e-9);
+    DOUBLES_EQUAL(50.0, parsed("nan", "6").linkMbps, 1e-9);
+    DOUBLES_EQUAL(0.0, parsed("-1", "6").linkMbps, 1e-9);
+    DOUBLES_EQUAL(1e9, parsed("1e400", "6").linkMbps, 1.0);
+    STRCMP_EQUAL("instance.link_mbps", parsed("", "6").replaced.front().key.c_str());
+}
+
+// Without the mark of a platform's file, the same values are a person's and are refused.
+TEST(FilledInSettings, valuesOfAPersonAreNotReplaced)
+{
+    const auto text = (before + "700.0" + after + "1\n").substr(before.find("[instance]"));
+    CHECK_FALSE(common::isOk(process::parseFlowSettings(text, "front.toml")));
+}
+
 TEST_GROUP(RateLimitedLog)
 {
     process::RateLimitedLog log { 10.0, 5.0 };
