Take names that the platform fills in letter by letter

With a quote in the name of the machine or its zone, or a backslash at the end, the daemon ended with status 2 at its start. With a\b or a" # b it ran as an instance of another zone.

Cause: the template puts names between the quotes of a TOML string and the platform escapes nothing, so quotes and backslashes got a meaning. The log did not quote the name of the instance.

Ruled out: single quotes or JSON in the template; the former only move the fault to other letters.

Change: in a file that the platform has filled in, the characters between the first and the last quote of a line's value are the value. The log quotes the instance's name as it does other values.

namesAreTakenLetterByLetter failed before (zone "galpao "a"" with its quotes).

--- a/src/process/filledinsettings.cpp
+++ b/src/process/filledinsettings.cpp
@@ -42,6 +42,15 @@
     return text.substr(first, text.find_last_not_of(Blanks) - first + 1);
 }
 
+/// The characters between the quotes of a quoted value; quotes among them are part of the value.
+std::optional<std::string_view> quotedCharacters(std::string_view value)
+{
+    if (value.size() < 2 || value.front() != '"' || value.back() != '"') {
+        return std::nullopt;
+    }
+    return value.substr(1, value.size() - 2);
+}
+
 /// Empty for comments, section headers and empty lines.
 std::optional<Assignment> assignmentOf(std::string_view line)
 {
@@ -53,7 +62,7 @@
     return Assignment { trimmed(content.substr(0, equals)), trimmed(content.substr(equals + 1)) };
 }
 
-bool isTomlValue(std::string_view value)
+bool isToml(std::string_view value)
 {
     try {
         return toml::parse("value = " + std::string(value)).size() == 1;
@@ -69,6 +78,14 @@
     return text.str();
 }
 
+std::string tomlValue(std::string_view value)
+{
+    if (const auto characters = quotedCharacters(value)) {
+        return tomlString(*characters);
+    }
+    return isToml(value) ? std::string(value) : tomlString(value);
+}
+
 } // namespace
 
 bool isFilledIn(std::string_view text)
@@ -89,8 +106,8 @@
     std::string toml;
     for (const auto line : linesOf(filledIn)) {
         const auto assignment = assignmentOf(line);
-        if (assignment && !isTomlValue(assignment->value)) {
-            toml.append(assignment->key).append(" = ").append(tomlString(assignment->value));
+        if (assignment) {
+            toml.append(assignment->key).append(" = ").append(tomlValue(assignment->value));
         } else {
             toml.append(line);
         }
--- a/src/process/filledinsettings.h
+++ b/src/process/filledinsettings.h
@@ -10,7 +10,8 @@
 [[nodiscard]] bool isFilledIn(std::string_view text);
 
 /// TOML with the lines of a filled-in settings file. The platform escapes nothing, so each line
-/// holds one key, and what follows its equals sign is the value. A value that is no TOML becomes a
+/// holds one key, and what follows its equals sign is the value. A value between double quotes is
+/// taken letter by letter, whatever stands between them. Any other value that is no TOML becomes a
 /// string of the same characters; a missing one becomes an empty string.
 [[nodiscard]] std::string tomlOf(std::string_view filledIn);
 
--- a/src/process/logging.cpp
+++ b/src/process/logging.cpp
@@ -75,6 +75,11 @@
     return text + '"';
 }
 
+std::string textOf(const std::string &value)
+{
+    return needsQuotes(value) ? quoted(value) : value;
+}
+
 } // namespace
 
 void startLogging(std::string_view level, const std::string &instance, LogTarget target)
@@ -88,7 +93,7 @@
             << "time="
             << expressions::format_date_time<boost::posix_time::ptime>("TimeStamp",
                                                                        "%Y-%m-%dT%H:%M:%S.%f")
-            << " level=" << blog::trivial::severity << " instance=" << instance << " "
+            << " level=" << blog::trivial::severity << " instance=" << textOf(instance) << " "
             << expressions::smessage;
     if (target == LogTarget::StandardOutput) {
         using Sink = blog::sinks::synchronous_sink<NonBlockingLineSink>;
@@ -118,7 +123,7 @@
     m_line += ' ';
     m_line += key;
     m_line += '=';
-    m_line += needsQuotes(value) ? quoted(value) : value;
+    m_line += textOf(value);
     return *this;
 }
 
--- a/src/tests/flowsettingstest.cpp
+++ b/src/tests/flowsettingstest.cpp
@@ -288,6 +288,29 @@
     STRCMP_EQUAL("instance.link_mbps", parsed("", "6").replaced.front().key.c_str());
 }
 
+// A zone's name with a quote ended each process, since nothing is escaped; one with a backslash was
+// another zone's name.
+TEST(FilledInSettings, namesAreTakenLetterByLetter)
+{
+    const auto zoneOf = [this](const std::string &name) {
+        auto text = before + "700.0" + after + "6\n";
+        text.replace(text.find("galpao-a"), 8, name);
+        const auto settings = process::parseFlowSettings(text, "front.toml");
+        return common::isOk(settings) ? common::valueOf(settings).zone : "refused";
+    };
+    const auto check = [&](const std::string &name) {
+        STRCMP_EQUAL(name.c_str(), zoneOf(name).c_str());
+    };
+    check("galpao \"a\"");
+    check("\"");
+    check("a\" # b");
+    check("a\\b");
+    check("a\\");
+    check("'''");
+    check("a = [b]");
+    check(" a\tb ");
+}
+
 // Without the mark of a platform's file, the same values are a person's and are refused.
 TEST(FilledInSettings, valuesOfAPersonAreNotReplaced)
 {
