Divide a short grace time between forwarding and exit

With 1 s an instance would have forwarded for 0.4 s after SIGTERM, with 0.5 s not at all, while the fabric still sends to it for up to 1 s.

Cause: 0.6 s of the grace time are reserved for the exit, however short it is. Ruled out: forwarding until the end of the grace time, as the process would then be killed instead of ending.

Change: a grace time under 1.2 s is halved: the first half is for packets of callers, the second for the exit. From 1.2 s on nothing changes. The times of a stop have a header of their own.

The test failed before (0.4 s at 1 s, expected 0.5 s).

--- a/src/process/flowdaemon.cpp
+++ b/src/process/flowdaemon.cpp
@@ -4,6 +4,7 @@
 #include "process/admissionmetrics.h"
 #include "process/boottimeclock.h"
 #include "process/loadmetrics.h"
+#include "process/shutdowntiming.h"
 #include "wire/loadreportcodec.h"
 #include "wire/passivehealthcodec.h"
 
@@ -26,13 +27,6 @@
 constexpr std::chrono::milliseconds TickInterval { 100 };
 // Limits the packets read per wake-up, so that traffic does not delay timers.
 constexpr int PacketsPerWakeup = 64;
-// Minimum time from the start of a shutdown until the fabric has stopped sending packets: it checks
-// /health twice a second and stops after two failed checks.
-constexpr std::chrono::milliseconds RotationDelay { 1'600 };
-// After this time without a packet, the fabric is assumed to have stopped sending.
-constexpr std::chrono::milliseconds TrafficIdleTime { 600 };
-// Part of the grace time that is reserved for the exit of the process.
-constexpr std::chrono::milliseconds ExitMargin { 600 };
 constexpr std::chrono::seconds SweepInterval { 1 };
 // A reload changes seeds and grace time only, which take effect at the next outage or stop.
 constexpr std::chrono::seconds SettingsCheckInterval { 2 };
@@ -727,7 +721,7 @@
 {
     const auto elapsed = now - m_shutdownAt;
     const bool isOutOfRotation = elapsed > RotationDelay && now - m_lastPacketAt > TrafficIdleTime;
-    return isOutOfRotation || elapsed > m_settings.shutdownGrace - ExitMargin;
+    return isOutOfRotation || elapsed > longestForwarding(m_settings.shutdownGrace);
 }
 
 bool FlowDaemon::isReady() const
--- a/src/tests/flowdaemontest.cpp
+++ b/src/tests/flowdaemontest.cpp
@@ -1,4 +1,5 @@
 #include "process/flowdaemon.h"
+#include "process/shutdowntiming.h"
 
 #include <CppUTest/TestHarness.h>
 #include <boost/asio/ip/tcp.hpp>
@@ -200,3 +201,19 @@
     daemon.run();
     LONGS_EQUAL(10, metrics.value(process::Counter::PacketsToUpstream));
 }
+
+// A platform's grace time may be shorter than the time that the process needs to exit. Guards
+// against an instance that then stops to forward at SIGTERM, while the fabric still sends to it, or
+// that is killed because it does not exit in time.
+TEST(FlowDaemon, shortGraceTimeIsDividedBetweenForwardingAndExit)
+{
+    const auto forwards = [](std::chrono::milliseconds grace) {
+        return process::longestForwarding(grace).count();
+    };
+    LONGS_EQUAL(5'400, forwards(6s));
+    LONGS_EQUAL(1'100, forwards(1'700ms));
+    LONGS_EQUAL(600, forwards(1'200ms));
+    LONGS_EQUAL(500, forwards(1s));
+    LONGS_EQUAL(250, forwards(500ms));
+    LONGS_EQUAL(0, forwards(0ms));
+}
