Reset no flow of an upstream by the verdict on its zone alone

Cause: with a zone taken for unreachable, one retransmission was enough to reset a flow of any of its upstreams, and for 3 s after it each first packet to it, at all instances that had heard of it. An answer took this back only where it was seen: an upstream with one retransmission was not reported as recovered, a report with both the retransmission and the answer was applied in the wrong order, and an answer of a zone was told only to those who asked.

Change: the verdict on a zone counts for upstreams that are unanswered themselves: retransmissions of several flows, of one flow 150 ms apart, or one forwarded by this instance 200 ms before. At the first packet of a request the last retransmission must be younger than 1 s. Answers after any retransmission, and of a zone that was taken for silent, go to the own zone with the next report, and what was heard before counts no more.

--- a/src/connection/upstreamhealth.cpp
+++ b/src/connection/upstreamhealth.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::milliseconds RefutationTimeout { 60 };
 // An older response says nothing about a packet that was retransmitted just now.
 constexpr std::chrono::milliseconds MaxRefutationAge { 300 };
+// After this time without a retransmission, the next packet shows whether the upstream is back.
+constexpr std::chrono::milliseconds MaxUnprobedTime { 1'000 };
 // Callers retransmit after 200 ms and 400 ms; retransmissions further apart are due to separate
 // losses.
 constexpr std::chrono::milliseconds MaxRetransmissionGap { 1'000 };
@@ -48,8 +50,10 @@
     : m_probeJitter(probeJitter)
 { }
 
-void UpstreamHealth::DataRetransmissions::add(std::uint64_t flow)
+void UpstreamHealth::DataRetransmissions::add(std::uint64_t flow, TimePoint now)
 {
+    firstAt = packets == 0 ? now : firstAt;
+    lastAt = now;
     ++packets;
     if (flow != lastFlow) {
         lastFlow = flow;
@@ -82,14 +86,14 @@
 void UpstreamHealth::onDataRetransmitted(std::uint64_t flow, TimePoint now)
 {
     recordRetransmission(now);
-    m_ownRetransmissions.add(flow);
-    m_zoneRetransmissions.add(flow);
+    m_ownRetransmissions.add(flow, now);
+    m_zoneRetransmissions.add(flow, now);
 }
 
 void UpstreamHealth::onPeerDataRetransmitted(std::uint64_t flow, TimePoint now)
 {
     recordRetransmission(now);
-    m_zoneRetransmissions.add(flow);
+    m_zoneRetransmissions.add(flow, now);
 }
 
 void UpstreamHealth::onReportSent(TimePoint now)
@@ -125,9 +129,24 @@
     return m_retransmissionCount > 0 && now - m_lastRetransmission < SuspicionTimeout;
 }
 
-bool UpstreamHealth::hasRecentRetransmissions(TimePoint now) const
+bool UpstreamHealth::isUnanswered(TimePoint now) const
 {
-    return m_retransmissionCount > 0 && now - m_lastRetransmission < MaxObservationAge;
+    if (m_zoneRetransmissions.packets == 0
+        || now - m_zoneRetransmissions.lastAt >= MaxObservationAge) {
+        return false;
+    }
+    const bool hasSeveralFlows = m_zoneRetransmissions.flowChanges >= MinUnresponsiveFlows;
+    // Copies of one packet arrive within a few milliseconds.
+    const bool hasSeveralPackets =
+            m_zoneRetransmissions.lastAt - m_zoneRetransmissions.firstAt >= UnresponsiveTimeout;
+    const bool isOwnOverdue = m_ownRetransmissions.packets > 0
+            && now - m_ownRetransmissions.firstAt >= CallerRetransmissionTimeout;
+    return hasSeveralFlows || hasSeveralPackets || isOwnOverdue;
+}
+
+bool UpstreamHealth::isUnansweredOfLate(TimePoint now) const
+{
+    return isUnanswered(now) && now - m_zoneRetransmissions.lastAt < MaxUnprobedTime;
 }
 
 bool UpstreamHealth::isUnresponsive(TimePoint now) const
--- a/src/connection/zonehealth.cpp
+++ b/src/connection/zonehealth.cpp
@@ -20,6 +20,7 @@
 constexpr double TimeoutGapsWithPeers = 2.5;
 // Callers retransmit a packet after 200 ms, so they cannot detect a shorter gap.
 constexpr Duration MinResponseTimeout = milliseconds(250);
+constexpr Duration CallerRetransmissionTimeout = milliseconds(200);
 constexpr Duration MaxResponseTimeout = milliseconds(1'000);
 // Time in which the weight of an answer falls to 1/e (about a third).
 constexpr std::chrono::duration<double> AnswerRetention { 3.0 };
@@ -60,8 +61,18 @@
 
 void ZoneHealth::onPeerResponse(TimePoint respondedAt)
 {
+    if (isSilent(respondedAt)) {
+        m_silentUntil = respondedAt;
+    }
     m_lastPeerResponse = std::max(m_lastPeerResponse, respondedAt);
     m_firstReport = {};
+    // The packet was first sent this long before its retransmission.
+    if (respondedAt + CallerRetransmissionTimeout >= m_lastRetransmission) {
+        m_suspectCount = 0;
+    }
+    if (respondedAt >= m_lastPeerReport) {
+        m_lastPeerReport = {};
+    }
 }
 
 void ZoneHealth::onOtherZoneResponse()
@@ -106,6 +117,11 @@
             && now - m_lastRetransmission < MaxObservationAge;
 }
 
+bool ZoneHealth::isSuspected(TimePoint now) const
+{
+    return isSilent(now) || hasPeerReport(now);
+}
+
 bool ZoneHealth::isUnreachable(TimePoint now) const
 {
     return isSilent(now) && now - m_lastPeerResponse > responseTimeout()
