Let leaders name their successors instead of counting entries

Cause: an instance waited 150 ms (250 ms while the confirmation was old) for each higher ranked entry of its zone before it took over, and entries of instances that have left stay for ten minutes, or as long as they are more than half of a zone. New leaders looked for the leaders of other zones, and stale instances for any peer, among the same entries.

In the simulated fleet, changes were late with 78 and 200 replaced instances, in time with 0 and 20. Ruled out: a bound on the steps alone, as with the first twelve of a zone departed the delay stays above 2.5 s.

Change: a leader names the four highest ranked instances that it has heard of in the last 2 minutes, and the leaders of other zones, when these change and every 3 s. Who follows a new leader sends it a keep-alive after 0.3 s. Successors take over in that order, others at most 11 steps after them; with an old confirmation, those that are not named wait as before, because the store may be away for all.

Three new tests failed before. zoneThatWasCutOffEndsInTheNewEra asked that messages of a former era were seen within 50 ms in which all instances of a zone also read the store; which came first hung on the ticks. The store now stays unreachable for the zone until it has learned the era from its peers, which is stricter: it passes before and after.

--- a/src/process/directorysync.cpp
+++ b/src/process/directorysync.cpp
@@ -46,6 +46,17 @@
 constexpr milliseconds LeaderTimeoutStep { 150 };
 constexpr milliseconds ConfirmationTimeoutStep { 250 };
 constexpr milliseconds ZoneRankTimeoutStep { 200 };
+// A leader names this many successors, and repeats it at this interval.
+constexpr std::size_t MaxSuccessors = 4;
+constexpr milliseconds SuccessionInterval { 3'000 };
+// Instances that are not among the successors take over this many steps after them, and up to
+// UnlistedSpread steps later, each at its own.
+constexpr std::size_t UnlistedSteps = 4;
+constexpr std::size_t UnlistedSpread = 8;
+// A new leader hears of the instances of its zone after this time, spread over a few milliseconds
+// for each of them.
+constexpr milliseconds FirstKeepAliveDelay { 300 };
+constexpr std::uint32_t KeepAliveSpreadMsPerPeer = 4;
 // Pause after a failed call, doubled with each further failure.
 constexpr milliseconds MinBackoff { 200 };
 constexpr milliseconds MaxBackoff { 2'000 };
@@ -78,6 +89,8 @@
 constexpr milliseconds KeepAliveInterval { 60'000 };
 // Removals are not urgent; one entry per interval limits the load on the store and the fleet.
 constexpr milliseconds RemovalInterval { 5'000 };
+// One in this many attempts to find the leader of a zone goes to the one that was named.
+constexpr std::size_t NamedLeaderTurn = 4;
 // Two heartbeat intervals of a leader that does not watch (1,200 ms) and a margin.
 constexpr milliseconds OtherZoneLeaderTimeout { 1'500 };
 
@@ -274,10 +287,87 @@
     if (m_ownRank == 0) {
         return true;
     }
-    const auto step = static_cast<int>(m_ownRank) - 1;
-    return now - m_higherRankedLeaderSeenAt > LeaderTimeout + step * LeaderTimeoutStep
+    const auto order = successionOrder();
+    // An unconfirmed directory may be due to an outage of the store, in which the instances that
+    // the leader has not named must not take over all at once.
+    const auto unconfirmedOrder = isSuccessor() ? order : static_cast<int>(m_ownRank) - 1;
+    return now - m_higherRankedLeaderSeenAt > LeaderTimeout + order * LeaderTimeoutStep
             || now - m_higherRankedLeaderConfirmedAt
-            > LeaderConfirmationTimeout + step * ConfirmationTimeoutStep;
+            > LeaderConfirmationTimeout + unconfirmedOrder * ConfirmationTimeoutStep;
+}
+
+bool DirectorySync::isSuccessor() const
+{
+    return std::ranges::find(m_successors, m_options.self.endpoint) != m_successors.end();
+}
+
+int DirectorySync::successionOrder() const
+{
+    const auto position = std::ranges::find(m_successors, m_options.self.endpoint);
+    auto order = static_cast<std::size_t>(position - m_successors.begin());
+    if (position == m_successors.end()) {
+        const auto spread = common::mixBits(packed(m_options.self.endpoint)) % UnlistedSpread;
+        order += UnlistedSteps + spread;
+    }
+    return static_cast<int>(std::min(m_ownRank - 1, order));
+}
+
+std::vector<Endpoint> DirectorySync::successors(TimePoint now) const
+{
+    std::vector<Endpoint> heardOf;
+    std::ranges::copy_if(m_zonePeers, std::back_inserter(heardOf),
+                         [&](Endpoint peer) { return m_liveness.isHeardOf(peer, now); });
+    const auto rank = [&](Endpoint peer) {
+        return rankOf(peer, m_options.self.zone, m_members.at(peer).capacity);
+    };
+    const auto count = std::min(heardOf.size(), MaxSuccessors);
+    const auto end = heardOf.begin() + static_cast<std::ptrdiff_t>(count);
+    std::ranges::partial_sort(heardOf, end, std::greater {}, rank);
+    heardOf.erase(end, heardOf.end());
+    return heardOf;
+}
+
+void DirectorySync::addSuccession(DirectoryMessage &heartbeat, TimePoint now)
+{
+    auto successors = this->successors(now);
+    auto otherLeaders = knownOtherLeaders(now);
+    const bool hasChanged = successors != m_toldSuccessors || otherLeaders != m_toldOtherLeaders;
+    if (!hasChanged && now < m_nextSuccession) {
+        return;
+    }
+    m_nextSuccession = now + SuccessionInterval;
+    m_toldSuccessors = std::move(successors);
+    m_toldOtherLeaders = std::move(otherLeaders);
+    auto &body = *heartbeat.mutable_assurance();
+    std::ranges::for_each(m_toldSuccessors,
+                          [&](Endpoint peer) { body.add_successors(packed(peer)); });
+    std::ranges::for_each(m_toldOtherLeaders,
+                          [&](Endpoint leader) { body.add_other_leaders(packed(leader)); });
+}
+
+void DirectorySync::onLeaderHeartbeat(Endpoint leader,
+                                      const wire::proto::DirectoryAssurance &heartbeat,
+                                      TimePoint now)
+{
+    const auto unpackAll = [](const auto &numbers) {
+        std::vector<Endpoint> endpoints;
+        std::ranges::transform(numbers, std::back_inserter(endpoints), unpacked);
+        return endpoints;
+    };
+    if (heartbeat.successors_size() > 0) {
+        m_successors = unpackAll(heartbeat.successors());
+    }
+    if (heartbeat.other_leaders_size() > 0) {
+        m_otherLeaders = unpackAll(heartbeat.other_leaders());
+    }
+    if (leader != m_leader) {
+        m_leader = leader;
+        const auto peers = static_cast<std::uint32_t>(m_zonePeers.size());
+        const auto spread = common::mixBits(packed(m_options.self.endpoint))
+                % (peers * KeepAliveSpreadMsPerPeer + 1);
+        m_nextKeepAlive =
+                std::min(m_nextKeepAlive, now + FirstKeepAliveDelay + milliseconds(spread));
+    }
 }
 
 void DirectorySync::callStore(TimePoint now, SyncActions &actions)
@@ -352,8 +442,10 @@
     }
     if (now >= m_nextHeartbeat) {
         m_nextHeartbeat = now + HeartbeatInterval;
+        auto heartbeat = heartbeatMessage(now, false);
+        addSuccession(heartbeat, now);
         std::ranges::for_each(m_zonePeers, [&](Endpoint peer) {
-            actions.push_back(SendDirectoryMessage { peer, heartbeatMessage(now, false) });
+            actions.push_back(SendDirectoryMessage { peer, heartbeat });
         });
     }
     if (now >= m_nextOtherZoneHeartbeat) {
@@ -379,6 +471,7 @@
         return seed != m_options.self.endpoint && std::ranges::find(peers, seed) == peers.end();
     });
     std::ranges::shuffle(peers, m_random);
+    preferRunning(peers);
     const auto message = fetchMessage();
     // While this instance needs all entries, a peer answers with the whole directory. Several such
     // answers at once would saturate a narrow link and delay each other.
@@ -390,6 +483,18 @@
     }
 }
 
+void DirectorySync::preferRunning(std::vector<Endpoint> &peers)
+{
+    // The known instances may have failed together, so that every second fetch goes to any peer.
+    m_isTurnOfAnyPeer = !m_isTurnOfAnyPeer;
+    const auto known = std::ranges::find_if(peers, [&](Endpoint peer) {
+        return peer == m_leader || std::ranges::find(m_successors, peer) != m_successors.end();
+    });
+    if (!m_isTurnOfAnyPeer && known != peers.end()) {
+        std::iter_swap(peers.begin(), known);
+    }
+}
+
 void DirectorySync::applyDelta(const version::DirectoryDelta &delta, TimePoint now,
                                SyncActions &actions)
 {
@@ -512,6 +617,7 @@
             m_higherRankedLeaderSeenAt = now;
             m_higherRankedLeaderConfirmedAt =
                     std::max(m_higherRankedLeaderConfirmedAt, leaderConfirmedAt);
+            onLeaderHeartbeat(from, heartbeat, now);
             sendKeepAlive(from, now, actions);
         }
     }
@@ -685,7 +791,8 @@
         m_leaderSearchAttempts.erase(zone);
     }
     // In a zone without a known leader, the highest ranked member is tried on every other attempt,
-    // and the other members by rank in between.
+    // and the other members by rank in between; at first, and now and then, the one that the former
+    // leader of the own zone has named.
     std::map<common::ZoneId, std::vector<Endpoint>> zonesWithoutLeader;
     for (const auto &[endpoint, peer] : m_members) {
         if (peer.zone != m_options.self.zone && !zonesWithLeader.contains(peer.zone)) {
@@ -697,6 +804,11 @@
             return rankOf(member, zone, m_members.at(member).capacity);
         });
         const auto attempt = m_leaderSearchAttempts[zone]++;
+        const auto named = std::ranges::find_first_of(members, m_otherLeaders);
+        if (attempt % NamedLeaderTurn == 0 && named != members.end()) {
+            leaders.push_back(*named);
+            continue;
+        }
         const auto rank = attempt % 2 == 0 ? 0 : (attempt + 1) / 2;
         leaders.push_back(members[rank % members.size()]);
     }
--- a/src/process/directorysync.h
+++ b/src/process/directorysync.h
@@ -123,7 +123,8 @@
 /// - An instance that receives no heartbeats of a higher ranked leader, or only heartbeats with an
 ///   old confirmation, becomes leader. A leader whose zone is not the highest ranked one becomes
 ///   watcher in the same way. The timeouts grow with the number of higher ranked instances or
-///   zones, so that the highest ranked ones take over first.
+///   zones, so that the highest ranked ones take over first. Leaders name the instances that take
+///   over first, because entries of the directory may be those of instances that have departed.
 /// - When the store has come back from an older copy, in a new era, the watcher reads all entries,
 ///   and the other instances learn of the era from heartbeats and deltas. An instance whose entry
 ///   is missing in the copy registers again after a random part of the time for which known entries
@@ -206,6 +207,18 @@
     void updateRoles(common::TimePoint now);
     [[nodiscard]] bool isRegistered() const;
     [[nodiscard]] bool shouldLead(common::TimePoint now) const;
+    /// Whether the leader that this instance follows has named it as a successor.
+    [[nodiscard]] bool isSuccessor() const;
+    /// Number of instances that take over before this one when the leader falls silent.
+    [[nodiscard]] int successionOrder() const;
+    /// Instances of the own zone that have sent a message recently, in the order of their rank.
+    [[nodiscard]] std::vector<common::Endpoint> successors(common::TimePoint now) const;
+    /// Adds the successors and the leaders of other zones to a heartbeat to the own zone, when they
+    /// have changed or were not sent for a while.
+    void addSuccession(wire::proto::DirectoryMessage &heartbeat, common::TimePoint now);
+    /// Heartbeat of the leader that this instance follows.
+    void onLeaderHeartbeat(common::Endpoint leader,
+                           const wire::proto::DirectoryAssurance &heartbeat, common::TimePoint now);
     [[nodiscard]] bool shouldWatch(common::TimePoint now) const;
     void callStore(common::TimePoint now, SyncActions &actions);
     void registerSelf(common::TimePoint now, SyncActions &actions);
@@ -215,6 +228,8 @@
     [[nodiscard]] wire::proto::DirectoryMessage fetchMessage() const;
     void sendHeartbeats(common::TimePoint now, SyncActions &actions);
     void fetchFromRandomPeers(common::TimePoint now, SyncActions &actions);
+    /// Moves an instance that the leader has named as running to the front, every second time.
+    void preferRunning(std::vector<common::Endpoint> &peers);
     void applyDelta(const version::DirectoryDelta &delta, common::TimePoint now,
                     SyncActions &actions);
     void releaseHeld(common::TimePoint now, SyncActions &actions);
@@ -277,6 +292,17 @@
     common::TimePoint m_higherRankedWatcherSeenAt;
     common::TimePoint m_higherRankedWatcherConfirmedAt;
 
+    /// The leader that this instance follows, and what it last said about its succession. The
+    /// entries of the directory do not show which instances still run.
+    common::Endpoint m_leader;
+    std::vector<common::Endpoint> m_successors;
+    std::vector<common::Endpoint> m_otherLeaders;
+    /// What this instance last told its zone as leader.
+    std::vector<common::Endpoint> m_toldSuccessors;
+    std::vector<common::Endpoint> m_toldOtherLeaders;
+    common::TimePoint m_nextSuccession;
+    bool m_isTurnOfAnyPeer = false;
+
     /// Heartbeats sent in search of the leader of each other zone, since it was last known.
     std::map<common::ZoneId, std::size_t> m_leaderSearchAttempts;
 
--- a/src/process/memberliveness.cpp
+++ b/src/process/memberliveness.cpp
@@ -13,6 +13,9 @@
 // the same address finds its entry.
 constexpr std::chrono::minutes MissingTimeout { 10 };
 
+// Two keep-alive intervals.
+constexpr std::chrono::minutes PresenceTimeout { 2 };
+
 } // namespace
 
 void MemberLiveness::restart(TimePoint now)
@@ -26,6 +29,12 @@
     m_lastSeen[member] = now;
 }
 
+bool MemberLiveness::isHeardOf(Endpoint member, TimePoint now) const
+{
+    const auto lastMessage = m_lastSeen.find(member);
+    return lastMessage != m_lastSeen.end() && now - lastMessage->second <= PresenceTimeout;
+}
+
 std::optional<Endpoint> MemberLiveness::missing(const std::vector<Endpoint> &members,
                                                 TimePoint now) const
 {
--- a/src/process/memberliveness.h
+++ b/src/process/memberliveness.h
@@ -19,6 +19,9 @@
     void restart(common::TimePoint now);
     void onMessageReceived(common::Endpoint member, common::TimePoint now);
 
+    /// Whether the member has sent a message since the start of the observation, and within the
+    /// last two keep-alive intervals.
+    [[nodiscard]] bool isHeardOf(common::Endpoint member, common::TimePoint now) const;
     /// One of the missing members. Empty when none is missing, and when more than half of the
     /// members are missing: then the network or the zone has failed, and its instances will return.
     [[nodiscard]] std::optional<common::Endpoint>
--- a/src/tests/directorysynctest.cpp
+++ b/src/tests/directorysynctest.cpp
@@ -35,6 +35,29 @@
         fleet->run(5s);
     }
 
+    /// One instance after another is added to a zone of three, and the oldest one is lost.
+    void replaceInstances(int zone, int count) const
+    {
+        constexpr int size = 3;
+        for (int index = size; index < size + count; ++index) {
+            fleet->start(SyncFleet::memberAt(zone, index));
+            fleet->run(1s);
+            fleet->kill(SyncFleet::memberAt(zone, index - size).endpoint);
+        }
+    }
+
+    void killLeaderOf(int zone) const
+    {
+        const auto leaders = fleet->leaders();
+        const auto members = SyncFleet::memberAt(zone, 0).endpoint.address;
+        constexpr std::uint32_t zoneMask = 0xffffff00U;
+        const auto leader = std::ranges::find_if(leaders, [&](common::Endpoint endpoint) {
+            return (endpoint.address & zoneMask) == (members & zoneMask);
+        });
+        CHECK(leader != leaders.end());
+        fleet->kill(*leader);
+    }
+
     void checkChangeArrives() const
     {
         fleet->changeRules();
@@ -265,6 +288,48 @@
     CHECK_FALSE(fleet->hasReverted());
 }
 
+// Each rolling update leaves entries of instances that have left. Successors waited for each of
+// them that ranks higher: after 78 replacements, the rest of a zone followed changes seconds too
+// late when it lost its leader (review, case 7).
+TEST(DirectorySync, changeArrivesAfterLossesOfLeadersWhereManyInstancesHaveLeft)
+{
+    for (const int replaced : { 0, 20, 78, 200 }) {
+        startFleet(3, 3);
+        replaceInstances(0, replaced);
+        fleet->run(5s);
+        killLeaderOf(0);
+        checkChangeArrives();
+        fleet->run(5s);
+        killLeaderOf(0);
+        checkChangeArrives();
+    }
+}
+
+TEST(DirectorySync, changeArrivesAfterLossesOfAllLeadersWhereManyInstancesHaveLeft)
+{
+    startFleet(3, 3);
+    for (int zone = 0; zone < 3; ++zone) {
+        replaceInstances(zone, 60);
+    }
+    fleet->run(5s);
+    for (int zone = 0; zone < 3; ++zone) {
+        killLeaderOf(zone);
+    }
+    checkChangeArrives();
+}
+
+// Two leaders are lost one just after the other, before the second one has led for long.
+TEST(DirectorySync, changeArrivesAfterTwoQuickLossesWhereManyInstancesHaveLeft)
+{
+    startFleet(3, 3);
+    replaceInstances(0, 78);
+    fleet->run(5s);
+    killLeaderOf(0);
+    fleet->run(1500ms);
+    killLeaderOf(0);
+    checkChangeArrives();
+}
+
 // Guards against entries of replaced instances that accumulate over two years: each listed member
 // is assigned a share of the flows that cold upstreams may receive, and a departed one does not use
 // its share.
@@ -631,12 +696,12 @@
     fleet->run(7s);
     CHECK(fleet->eraAt(SyncFleet::memberAt(1, 0).endpoint) < fleet->era());
     fleet->cutZones.clear();
-    fleet->cutFromStore.clear();
     fleet->run(ChangeBound);
     for (const auto instance : fleet->endpoints()) {
         CHECK(fleet->eraAt(instance) == fleet->era());
     }
     CHECK(fleet->staleEraMessages() > 0);
+    fleet->cutFromStore.clear();
     fleet->run(version::Directory::HoldPeriod);
     LONGS_EQUAL(0, fleet->diverging());
 }
