--- a/src/tests/flowforwardertest.cpp
+++ b/src/tests/flowforwardertest.cpp
@@ -187,6 +187,15 @@
         now += 100ms;
     }
 
+    /// Two instances come to the verdict that the other zone is unreachable.
+    void makeOtherZoneUnreachable(FlowForwarder & peer)
+    {
+        learnDirectory(peer);
+        silenceZone(forwarder);
+        silenceZone(peer);
+        confirmUnreachable(forwarder, peer);
+    }
+
     /// Whether the flow of the caller with this port is among those that are reset now.
     bool isResetNow(std::uint16_t port)
     {
@@ -699,10 +708,7 @@
 TEST(FlowForwarder, lostDatagramInASilentZoneResetsNoFlow)
 {
     FlowForwarder peer { { .ownZone = OwnZone, .instance = 2 }, [](common::Duration) {} };
-    learnDirectory(peer);
-    silenceZone(forwarder);
-    silenceZone(peer);
-    confirmUnreachable(forwarder, peer);
+    makeOtherZoneUnreachable(peer);
     forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now);
     now += 200ms;
     as<ForwardPacket>(forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now));
@@ -723,10 +729,7 @@
 TEST(FlowForwarder, duplicatedRetransmissionInASilentZoneResetsNoFlow)
 {
     FlowForwarder peer { { .ownZone = OwnZone, .instance = 2 }, [](common::Duration) {} };
-    learnDirectory(peer);
-    silenceZone(forwarder);
-    silenceZone(peer);
-    confirmUnreachable(forwarder, peer);
+    makeOtherZoneUnreachable(peer);
     forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now);
     now += 200ms;
     as<ForwardPacket>(forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now));
@@ -738,10 +741,7 @@
 TEST(FlowForwarder, unansweredRetransmissionInASilentZoneResetsTheFlow)
 {
     FlowForwarder peer { { .ownZone = OwnZone, .instance = 2 }, [](common::Duration) {} };
-    learnDirectory(peer);
-    silenceZone(forwarder);
-    silenceZone(peer);
-    confirmUnreachable(forwarder, peer);
+    makeOtherZoneUnreachable(peer);
     forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now);
     now += 200ms;
     forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now);
