Keep the silence of a zone apart from what peers have seen

Callers saw: nothing in operation. Since an instance that reaches no other zone, while its peers do, would have left the rotation late.

Cause: the response of a zone to a peer cleared the retransmissions that this instance had counted, and with them the silence of the zone. The detection of isolated instances builds on that silence and must not depend on peers.

Change: a response to a peer leaves the silence as it is. The verdict that a zone is unreachable needs a retransmission that was first sent after the response, and counts reports that are younger than it only.

--- a/src/connection/zonehealth.cpp
+++ b/src/connection/zonehealth.cpp
@@ -66,13 +66,6 @@
     }
     m_lastPeerResponse = std::max(m_lastPeerResponse, respondedAt);
     m_firstReport = {};
-    // The packet was first sent this long before its retransmission.
-    if (respondedAt + CallerRetransmissionTimeout >= m_lastRetransmission) {
-        m_suspectCount = 0;
-    }
-    if (respondedAt >= m_lastPeerReport) {
-        m_lastPeerReport = {};
-    }
 }
 
 void ZoneHealth::onOtherZoneResponse()
@@ -124,7 +117,13 @@
 
 bool ZoneHealth::isUnreachable(TimePoint now) const
 {
-    return isSilent(now) && now - m_lastPeerResponse > responseTimeout()
+    // A retransmitted packet was first sent this long before, and a report may be older than the
+    // response to a peer. isSilent() does not depend on peers: this instance may be isolated.
+    const bool isUnansweredSince =
+            m_lastRetransmission > m_lastPeerResponse + CallerRetransmissionTimeout;
+    const bool isReportedSince = m_lastPeerReport > m_lastPeerResponse;
+    return isSilent(now) && isUnansweredSince && (isReportedSince || m_suspectCount >= MinSuspects)
+            && now - m_lastPeerResponse > responseTimeout()
             && m_otherZoneResponses >= MinOtherZoneResponses;
 }
 
@@ -136,7 +135,7 @@
 
 bool ZoneHealth::isConfirmedUnreachable(TimePoint now) const
 {
-    return isUnrefuted(now) && hasPeerReport(now);
+    return isUnrefuted(now) && hasPeerReport(now) && m_lastPeerReport > m_lastPeerResponse;
 }
 
 bool ZoneHealth::takeDueReport(TimePoint now)
