Take the change of verdicts on zones back

Callers would have seen: cold upstreams with more new flows than their contract allows.

Suspected, not traced: an upstream that answers after a single retransmission was reported as recovered, which clears what peers know of its silence, so that they no longer take its restart for one.

A next attempt has to send the answers to peers apart from the evidence of restarts, and to count retransmissions for the verdict and for isolation apart.

--- a/src/connection/flowforwarder.cpp
+++ b/src/connection/flowforwarder.cpp
@@ -313,19 +313,14 @@
 void FlowForwarder::recordResponse(TrackedUpstream &upstream, TimePoint flowOpenSince,
                                    TimePoint now)
 {
-    const auto zoneId = upstream.record.zone;
-    if (m_upstreams.zoneHealth(zoneId).isUnreachable(now)) {
-        m_upstreams.expediteProbes(zoneId, now);
+    if (m_upstreams.zoneHealth(upstream.record.zone).isUnreachable(now)) {
+        m_upstreams.expediteProbes(upstream.record.zone, now);
     }
-    if (m_upstreams.zoneHealth(zoneId).isSuspected(now)) {
-        m_report.respondingZones.push_back({ zoneId, {} });
+    if (upstream.health.isSuspected(now)) {
+        m_report.recovered.push_back(upstream.record.serial);
     }
     if (upstream.health.isSilent(now)) {
         recordRecovery(upstream, flowOpenSince, now);
-        m_report.recovered.push_back(upstream.record.serial);
-        std::erase_if(m_report.waitingFlows, [&](const WaitingFlow &waiting) {
-            return waiting.upstream == upstream.record.serial;
-        });
     }
     m_upstreams.onResponse(upstream, flowOpenSince);
     upstream.health.onResponse(now);
@@ -610,17 +605,17 @@
 bool FlowForwarder::shouldReset(TrackedUpstream &upstream, bool isRetransmission, TimePoint now)
 {
     const auto &zone = m_upstreams.zoneHealth(upstream.record.zone);
-    // Some upstreams may be reachable although the rest of their zone is not, so that the verdict
-    // on the zone counts only for those that leave their callers without an answer themselves.
     if (!isRetransmission) {
-        return zone.isConfirmedUnreachable(now) && upstream.health.isUnansweredOfLate(now);
+        // Some upstreams may be reachable although the rest of their zone is not. At the first
+        // transmission of a packet, the flow is reset only if callers have recently retransmitted
+        // packets to this upstream.
+        return zone.isConfirmedUnreachable(now) && upstream.health.hasRecentRetransmissions(now);
     }
     // An instance that gets no responses at all cannot judge a single upstream.
     const bool hasRecentResponse = now - m_lastResponseAt < IsolationTimeout;
     const bool isUnresponsive =
             upstream.health.isUnresponsive(now) || upstream.health.isUnresponsiveToZone(now);
-    return (hasRecentResponse && isUnresponsive)
-            || (zone.isUnrefuted(now) && upstream.health.isUnanswered(now));
+    return (hasRecentResponse && isUnresponsive) || zone.isUnrefuted(now);
 }
 
 bool FlowForwarder::isDirectoryCurrent(TimePoint now) const
--- a/src/connection/flowforwarder.h
+++ b/src/connection/flowforwarder.h
@@ -56,13 +56,11 @@
     std::vector<WaitingFlow> overdueFlows {};
     /// Upstreams that became outliers; used for the log only.
     std::vector<common::UpstreamSerial> outliers {};
-    /// Upstreams that have responded after retransmissions which earlier reports may have named.
-    /// They are applied before the waiting flows of the same report, which are later.
+    /// Upstreams that were suspected and have responded.
     std::vector<common::UpstreamSerial> recovered {};
     /// Zones none of whose upstreams responds.
     std::vector<common::ZoneId> zones {};
-    /// Zones of which an upstream responded recently: refutations, or news about a zone that was
-    /// taken for unreachable.
+    /// Refutations: zones of which an upstream responded recently.
     std::vector<RespondingZone> respondingZones {};
     /// Refutations: upstreams that responded recently.
     std::vector<RespondingUpstream> respondingUpstreams {};
--- a/src/connection/upstreamhealth.cpp
+++ b/src/connection/upstreamhealth.cpp
@@ -27,8 +27,6 @@
 constexpr std::chrono::milliseconds RefutationTimeout { 60 };
 // An older response says nothing about a packet that was retransmitted just now.
 constexpr std::chrono::milliseconds MaxRefutationAge { 300 };
-// After this time without a retransmission, the next packet shows whether the upstream is back.
-constexpr std::chrono::milliseconds MaxUnprobedTime { 1'000 };
 // Callers retransmit after 200 ms and 400 ms; retransmissions further apart are due to separate
 // losses.
 constexpr std::chrono::milliseconds MaxRetransmissionGap { 1'000 };
@@ -50,10 +48,8 @@
     : m_probeJitter(probeJitter)
 { }
 
-void UpstreamHealth::DataRetransmissions::add(std::uint64_t flow, TimePoint now)
+void UpstreamHealth::DataRetransmissions::add(std::uint64_t flow)
 {
-    firstAt = packets == 0 ? now : firstAt;
-    lastAt = now;
     ++packets;
     if (flow != lastFlow) {
         lastFlow = flow;
@@ -86,14 +82,14 @@
 void UpstreamHealth::onDataRetransmitted(std::uint64_t flow, TimePoint now)
 {
     recordRetransmission(now);
-    m_ownRetransmissions.add(flow, now);
-    m_zoneRetransmissions.add(flow, now);
+    m_ownRetransmissions.add(flow);
+    m_zoneRetransmissions.add(flow);
 }
 
 void UpstreamHealth::onPeerDataRetransmitted(std::uint64_t flow, TimePoint now)
 {
     recordRetransmission(now);
-    m_zoneRetransmissions.add(flow, now);
+    m_zoneRetransmissions.add(flow);
 }
 
 void UpstreamHealth::onReportSent(TimePoint now)
@@ -129,24 +125,9 @@
     return m_retransmissionCount > 0 && now - m_lastRetransmission < SuspicionTimeout;
 }
 
-bool UpstreamHealth::isUnanswered(TimePoint now) const
+bool UpstreamHealth::hasRecentRetransmissions(TimePoint now) const
 {
-    if (m_zoneRetransmissions.packets == 0
-        || now - m_zoneRetransmissions.lastAt >= MaxObservationAge) {
-        return false;
-    }
-    const bool hasSeveralFlows = m_zoneRetransmissions.flowChanges >= MinUnresponsiveFlows;
-    // Copies of one packet arrive within a few milliseconds.
-    const bool hasSeveralPackets =
-            m_zoneRetransmissions.lastAt - m_zoneRetransmissions.firstAt >= UnresponsiveTimeout;
-    const bool isOwnOverdue = m_ownRetransmissions.packets > 0
-            && now - m_ownRetransmissions.firstAt >= CallerRetransmissionTimeout;
-    return hasSeveralFlows || hasSeveralPackets || isOwnOverdue;
-}
-
-bool UpstreamHealth::isUnansweredOfLate(TimePoint now) const
-{
-    return isUnanswered(now) && now - m_zoneRetransmissions.lastAt < MaxUnprobedTime;
+    return m_retransmissionCount > 0 && now - m_lastRetransmission < MaxObservationAge;
 }
 
 bool UpstreamHealth::isUnresponsive(TimePoint now) const
--- a/src/connection/upstreamhealth.h
+++ b/src/connection/upstreamhealth.h
@@ -52,18 +52,14 @@
     /// When the upstream last responded to a caller of this instance.
     [[nodiscard]] common::TimePoint lastResponse() const { return m_lastResponse; }
 
+    /// A caller retransmitted a packet recently and the upstream has not responded since.
+    [[nodiscard]] bool hasRecentRetransmissions(common::TimePoint now) const;
     /// Several flows wait without a response, so that their callers should open new flows. Based on
     /// packets that this instance saw.
     [[nodiscard]] bool isUnresponsive(common::TimePoint now) const;
     /// As isUnresponsive(), but based on the packets that all instances of the own zone saw, and
     /// only after the other instances had time to refute the report of this instance.
     [[nodiscard]] bool isUnresponsiveToZone(common::TimePoint now) const;
-    /// Callers wait for this upstream longer than a lost datagram explains: several flows, one flow
-    /// for two retransmissions, or one of this instance whose retransmission was not answered. Not
-    /// enough to tell that the upstream has failed, but agrees with a verdict on its zone.
-    [[nodiscard]] bool isUnanswered(common::TimePoint now) const;
-    /// As isUnanswered(), and the last retransmission was recent.
-    [[nodiscard]] bool isUnansweredOfLate(common::TimePoint now) const;
     /// Time since the last response if it refutes the report of another instance; otherwise empty.
     [[nodiscard]] std::optional<common::Duration> refutation(common::TimePoint now) const;
     [[nodiscard]] bool mayOpenFlow(common::TimePoint now) const;
@@ -85,10 +81,8 @@
         /// How many times the flow differed from that of the previous packet; the first packet
         /// counts as one change.
         std::uint32_t flowChanges = 0;
-        common::TimePoint firstAt;
-        common::TimePoint lastAt;
 
-        void add(std::uint64_t flow, common::TimePoint now);
+        void add(std::uint64_t flow);
     };
 
     [[nodiscard]] bool isUnresponsiveBy(const DataRetransmissions &retransmissions,
--- a/src/connection/zonehealth.cpp
+++ b/src/connection/zonehealth.cpp
@@ -20,7 +20,6 @@
 constexpr double TimeoutGapsWithPeers = 2.5;
 // Callers retransmit a packet after 200 ms, so they cannot detect a shorter gap.
 constexpr Duration MinResponseTimeout = milliseconds(250);
-constexpr Duration CallerRetransmissionTimeout = milliseconds(200);
 constexpr Duration MaxResponseTimeout = milliseconds(1'000);
 // Time in which the weight of an answer falls to 1/e (about a third).
 constexpr std::chrono::duration<double> AnswerRetention { 3.0 };
@@ -61,9 +60,6 @@
 
 void ZoneHealth::onPeerResponse(TimePoint respondedAt)
 {
-    if (isSilent(respondedAt)) {
-        m_silentUntil = respondedAt;
-    }
     m_lastPeerResponse = std::max(m_lastPeerResponse, respondedAt);
     m_firstReport = {};
 }
@@ -110,20 +106,9 @@
             && now - m_lastRetransmission < MaxObservationAge;
 }
 
-bool ZoneHealth::isSuspected(TimePoint now) const
-{
-    return isSilent(now) || hasPeerReport(now);
-}
-
 bool ZoneHealth::isUnreachable(TimePoint now) const
 {
-    // A retransmitted packet was first sent this long before, and a report may be older than the
-    // response to a peer. isSilent() does not depend on peers: this instance may be isolated.
-    const bool isUnansweredSince =
-            m_lastRetransmission > m_lastPeerResponse + CallerRetransmissionTimeout;
-    const bool isReportedSince = m_lastPeerReport > m_lastPeerResponse;
-    return isSilent(now) && isUnansweredSince && (isReportedSince || m_suspectCount >= MinSuspects)
-            && now - m_lastPeerResponse > responseTimeout()
+    return isSilent(now) && now - m_lastPeerResponse > responseTimeout()
             && m_otherZoneResponses >= MinOtherZoneResponses;
 }
 
@@ -135,7 +120,7 @@
 
 bool ZoneHealth::isConfirmedUnreachable(TimePoint now) const
 {
-    return isUnrefuted(now) && hasPeerReport(now) && m_lastPeerReport > m_lastPeerResponse;
+    return isUnrefuted(now) && hasPeerReport(now);
 }
 
 bool ZoneHealth::takeDueReport(TimePoint now)
--- a/src/connection/zonehealth.h
+++ b/src/connection/zonehealth.h
@@ -27,7 +27,6 @@
     /// Another instance of the own zone reported that it does not reach the zone.
     void onPeerReportedUnreachable(common::TimePoint now);
     /// An upstream of the zone responded to another instance of the own zone at the given time.
-    /// Earlier retransmissions and reports show nothing any more.
     void onPeerResponse(common::TimePoint respondedAt);
 
     /// Whether the own zone has enough other instances to refute a wrong verdict. Otherwise the
@@ -42,14 +41,10 @@
     /// this instance, and no other instance has refuted this.
     [[nodiscard]] bool isUnreachable(common::TimePoint now) const;
 
-    /// Whether this instance or one that reported to it takes the zone for unreachable.
-    [[nodiscard]] bool isSuspected(common::TimePoint now) const;
-
     /// When an upstream of the zone last responded to this instance.
     [[nodiscard]] common::TimePoint lastResponse() const { return m_lastResponse; }
 
-    /// When an upstream of the zone last responded to an instance of the own zone after the zone
-    /// had been silent to this one.
+    /// When an upstream of the zone last responded after the zone had been silent.
     [[nodiscard]] common::TimePoint silentUntil() const { return m_silentUntil; }
 
     /// The zone is unreachable, and the other instances had time to refute the report of it.
--- a/src/tests/flowforwardertest.cpp
+++ b/src/tests/flowforwardertest.cpp
@@ -143,67 +143,6 @@
         forwarder.handle(acknowledgement, now + 10ms);
     }
 
-    /// The caller acknowledges an answer to its request.
-    void acknowledge(FlowForwarder & instance, std::uint64_t serial, std::uint16_t port) const
-    {
-        auto acknowledgement = data(FeedAddress, port, tokenOf(serial), 6000);
-        acknowledgement.sequence = 1200;
-        acknowledgement.payloadBytes = 0;
-        instance.handle(acknowledgement, now);
-    }
-
-    void learnDirectory(FlowForwarder & instance) const
-    {
-        std::vector<version::EntryKey> keys;
-        std::ranges::transform(directory.entries(), std::back_inserter(keys),
-                               [](const auto &item) { return item.first; });
-        instance.update(directory, keys, now);
-        instance.setConfirmedAt(now);
-    }
-
-    /// Callers retransmit to four upstreams of the other zone, those of the own zone answer.
-    void silenceZone(FlowForwarder & instance) const
-    {
-        for (const auto at : { now - 250ms, now }) {
-            for (std::uint64_t serial = 11; serial <= 14; ++serial) {
-                const auto port = static_cast<std::uint16_t>(serial);
-                instance.handle(data(FeedAddress, port, tokenOf(serial)), at);
-            }
-        }
-        for (std::uint16_t port = 400; port < 403; ++port) {
-            instance.handle(data(FeedAddress, port, tokenOf(1)), now);
-            acknowledge(instance, 1, port);
-        }
-    }
-
-    /// Each of two instances reports the other zone to the other one, and neither refutes it.
-    void confirmUnreachable(FlowForwarder & first, FlowForwarder & second)
-    {
-        now += 800ms;
-        const auto report = first.takeHealthReport(now);
-        CHECK(second.onPeerHealthReport(report, now).isEmpty());
-        CHECK(first.onPeerHealthReport(second.takeHealthReport(now), now).isEmpty());
-        LONGS_EQUAL(1, report.zones.size());
-        now += 100ms;
-    }
-
-    /// Two instances come to the verdict that the other zone is unreachable.
-    void makeOtherZoneUnreachable(FlowForwarder & peer)
-    {
-        learnDirectory(peer);
-        silenceZone(forwarder);
-        silenceZone(peer);
-        confirmUnreachable(forwarder, peer);
-    }
-
-    /// Whether the flow of the caller with this port is among those that are reset now.
-    bool isResetNow(std::uint16_t port)
-    {
-        return std::ranges::any_of(forwarder.takeFlowsToReset(now), [port](const auto &packet) {
-            return packet.caller.port == port;
-        });
-    }
-
     /// Number of new flows, out of 200 callers, that are opened on an upstream.
     int openingsOf(std::uint64_t serial)
     {
@@ -702,69 +641,6 @@
     as<ForwardPacket>(forwarder.handle(data(FeedAddress, 92, tokenOf(16)), now));
 }
 
-// Four upstreams of a zone crash, and one datagram to the fifth is lost: its caller's flow was
-// reset at the retransmission, and those of all other callers at their next packet (review, case
-// 6).
-TEST(FlowForwarder, lostDatagramInASilentZoneResetsNoFlow)
-{
-    FlowForwarder peer { { .ownZone = OwnZone, .instance = 2 }, [](common::Duration) {} };
-    makeOtherZoneUnreachable(peer);
-    forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now);
-    now += 200ms;
-    as<ForwardPacket>(forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now));
-    CHECK_FALSE(isResetNow(900));
-    static_cast<void>(peer.onPeerHealthReport(forwarder.takeHealthReport(now), now));
-    as<ForwardPacket>(peer.handle(data(FeedAddress, 901, tokenOf(15)), now));
-    now += 50ms;
-    acknowledge(forwarder, 15, 900);
-    CHECK_FALSE(isResetNow(900));
-    // The answer of one upstream shows to all instances of the zone that the other zone is not cut
-    // off.
-    static_cast<void>(peer.onPeerHealthReport(forwarder.takeHealthReport(now), now));
-    now += 100ms;
-    as<ForwardPacket>(peer.handle(data(FeedAddress, 902, tokenOf(13)), now));
-}
-
-// Two copies of a retransmission arrive, as a network may duplicate packets.
-TEST(FlowForwarder, duplicatedRetransmissionInASilentZoneResetsNoFlow)
-{
-    FlowForwarder peer { { .ownZone = OwnZone, .instance = 2 }, [](common::Duration) {} };
-    makeOtherZoneUnreachable(peer);
-    forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now);
-    now += 200ms;
-    as<ForwardPacket>(forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now));
-    as<ForwardPacket>(forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now + 2ms));
-}
-
-// The other side: callers of a zone that is cut off are freed, those of an upstream with a single
-// flow as well.
-TEST(FlowForwarder, unansweredRetransmissionInASilentZoneResetsTheFlow)
-{
-    FlowForwarder peer { { .ownZone = OwnZone, .instance = 2 }, [](common::Duration) {} };
-    makeOtherZoneUnreachable(peer);
-    forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now);
-    now += 200ms;
-    forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now);
-    now += 200ms;
-    CHECK_TRUE(isResetNow(900));
-    as<ResetFlow>(forwarder.handle(data(FeedAddress, 901, tokenOf(15)), now));
-    // The upstream may be back: after a while without retransmissions, the next packet shows it.
-    now += 1'100ms;
-    as<ForwardPacket>(forwarder.handle(data(FeedAddress, 902, tokenOf(15)), now));
-}
-
-// A retransmission that was answered before the report was sent is no news for the peers.
-TEST(FlowForwarder, answeredRetransmissionIsReportedAsAnAnswerOnly)
-{
-    forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now);
-    now += 200ms;
-    forwarder.handle(data(FeedAddress, 900, tokenOf(15)), now);
-    acknowledge(forwarder, 15, 900);
-    const auto report = forwarder.takeHealthReport(now);
-    CHECK(report.waitingFlows.empty());
-    LONGS_EQUAL(1, report.recovered.size());
-}
-
 // An instance that gets responses from the zone refutes the verdict of a peer.
 TEST(FlowForwarder, wrongZoneVerdictOfAPeerIsRefuted)
 {
@@ -837,8 +713,11 @@
     LONGS_EQUAL(0, countOwn(2'000));
     // Another instance of the zone learns it from the report.
     FlowForwarder peer { { .ownZone = OwnZone, .instance = 2 }, [](common::Duration) {} };
+    std::vector<version::EntryKey> keys;
+    std::ranges::transform(directory.entries(), std::back_inserter(keys),
+                           [](const auto &item) { return item.first; });
     peer.setPosition({ .zone = OwnZone, .instance = 2 }, now);
-    learnDirectory(peer);
+    peer.update(directory, keys, now);
     CHECK(peer.onPeerHealthReport({ .unopened = report.unopened }, now).isEmpty());
     CHECK(as<ForwardPacket>(peer.handle(opening(FeedAddress, 3'000), now)).zone == OtherZone);
 }
--- a/src/tests/upstreamhealthtest.cpp
+++ b/src/tests/upstreamhealthtest.cpp
@@ -287,22 +287,6 @@
     CHECK(health.mayOpenFlow(start + 1100ms));
 }
 
-// A zone is reachable again, and an instance without packets to it kept its verdict for 3 s, in
-// which it reset flows. Answers to peers end the silence; the upstreams of the zone did not
-// restart.
-TEST(ZoneHealth, responseToAPeerEndsTheSilence)
-{
-    retransmitToAllUpstreams(start + 300ms);
-    health.onPeerReportedUnreachable(start + 1s);
-    health.onPeerResponse(start + 1500ms);
-    CHECK(health.silentUntil() == start + 1500ms);
-    // A single lost datagram later is no silence of the zone.
-    respondFromOtherZones();
-    health.onRetransmission(FlowToken(1), start + 2s);
-    CHECK_FALSE(health.isUnreachable(start + 3s));
-    CHECK_FALSE(health.isConfirmedUnreachable(start + 3s));
-}
-
 // Peers that get responses from the zone only later can refute a later report.
 TEST(ZoneHealth, verdictIsReportedAgainWhileItHolds)
 {
